Hand completions over from a daemon that is reclaimed

Cause: a reclaimed daemon's completions ended with their process; callers got "Peer disconnected" and no key to go on with (seen with the mechanism off).

Ruled out: state in the object store (an availability zone's loss means thousands of writes within seconds) and a standing replica per completion (doubles traffic between daemons); see docs/design/handover.md.

Change: own notice -> unready, leaving, copies to the daemons that will serve the key (pure policy::handover), callers relayed and told the key, a last word before the reclaim. Planned stop waits for everything and passes on ended answers. Exit is bounded when a caller's thread does not end. The harness gets a balancer that asks /readyz.

--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -52,6 +52,7 @@
     loop {
         match replies.recv() {
             Ok(Reply::Token(token)) => content.push_str(&token.text),
+            Ok(Reply::Moved(_)) => {}
             Ok(Reply::Finished(usage)) => {
                 return responder.send_json(200, &completion(&content, usage));
             }
@@ -76,6 +77,11 @@
             out.send(token_event(token).as_bytes())?;
             return Ok(Sent::More);
         }
+        Reply::Moved(key) => {
+            let data = json!({ "idempotency_key": key });
+            out.send(format!("event: resume\ndata: {data}\n\n").as_bytes())?;
+            return Ok(Sent::More);
+        }
         Reply::Finished(usage) => {
             let last = json!({
                 "object": "chat.completion.chunk",
--- a/crates/harness/src/caller.rs
+++ b/crates/harness/src/caller.rs
@@ -34,6 +34,8 @@
     pub tokens: Vec<Arrived>,
     /// Whether the last event came.
     pub complete: bool,
+    /// Key under which to go on elsewhere, when the daemon named one.
+    pub resume_key: Option<String>,
     /// Problem, when the stream or the whole call ended with one.
     pub problem: Option<Value>,
     /// HTTP status.
@@ -105,7 +107,10 @@
             return Ok(streamed);
         }
         let reader = BufReader::new(response.into_body().into_reader());
-        read_events(reader, &mut streamed, &mut each)?;
+        // A cut connection leaves an incomplete stream with what came before.
+        if read_events(reader, &mut streamed, &mut each).is_err() {
+            streamed.complete = false;
+        }
         Ok(streamed)
     }
 }
@@ -134,12 +139,15 @@
 ) -> io::Result<()> {
     let mut id = String::new();
     let mut is_error = false;
+    let mut is_resume = false;
     for line in reader.lines() {
         let line = line?;
         if let Some(value) = line.strip_prefix("id: ") {
             value.clone_into(&mut id);
         } else if line == "event: error" {
             is_error = true;
+        } else if line == "event: resume" {
+            is_resume = true;
         } else if line == "data: [DONE]" {
             streamed.complete = true;
         } else if let Some(data) = line.strip_prefix("data: ") {
@@ -148,6 +156,10 @@
                 streamed.problem = Some(data);
                 continue;
             }
+            if std::mem::take(&mut is_resume) {
+                streamed.resume_key = data["idempotency_key"].as_str().map(str::to_owned);
+                continue;
+            }
             if let Some(text) = data["choices"][0]["delta"]["content"].as_str() {
                 let at = Instant::now();
                 let arrived = Arrived { id: std::mem::take(&mut id), text: text.to_owned(), at };
--- a/crates/harness/src/cluster.rs
+++ b/crates/harness/src/cluster.rs
@@ -192,6 +192,22 @@
         admin_call(&daemon.operators, method, request)
     }
 
+    /// Shows a daemon's VM in the platform's list, so that it can be noticed.
+    pub fn list_daemon(&self, daemon: &Daemon) -> io::Result<()> {
+        let vm = json!({
+            "id": daemon.name, "incarnation": 1, "role": "daemon", "service": "",
+            "zone": "", "class": "entry", "address": daemon.peers,
+            "price_per_hour": 0.1, "reclaimable": true, "state": "live",
+        });
+        post(&self.platform.address, "/fake/vm", &vm)
+    }
+
+    /// Issues reclaim notices.
+    pub fn reclaim(&self, vms: &[&str], notice: Duration) -> io::Result<()> {
+        let order = json!({ "vms": vms, "notice_ms": notice.as_millis() as u64 });
+        post(&self.platform.address, "/fake/reclaim", &order)
+    }
+
     fn start_endpoint(&self, kind: &str, vm: &str, extra: &[&str]) -> io::Result<Endpoint> {
         let log = self.folder.path().join(format!("{vm}.log"));
         let mut arguments = vec![kind, "--vm", vm, "--platform", &self.platform.address];
--- a/crates/harness/src/lib.rs
+++ b/crates/harness/src/lib.rs
@@ -1,6 +1,7 @@
 //! Starts the daemon and the stand-ins as processes on loopback, for the
 //! demonstration and for tests of whole processes. For development only.
 
+pub mod balancer;
 pub mod caller;
 pub mod cluster;
 pub mod demo;
--- a/crates/job/src/progress.rs
+++ b/crates/job/src/progress.rs
@@ -1,15 +1,18 @@
 //! How far a completion has come, over several attempts.
 
+use bincode::Decode;
+use bincode::Encode;
+
 use crate::reply::Token;
 
 /// Numbers the attempts at one job.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Encode, Decode)]
 pub struct Attempt(pub u32);
 
 /// Tokens of a completion in order, each taken once.
 ///
 /// Invariant: tokens come only from the current attempt and without gaps.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Encode, Decode)]
 pub struct Progress {
     text: String,
     ends: Vec<u32>,
--- a/crates/job/src/reply.rs
+++ b/crates/job/src/reply.rs
@@ -10,6 +10,9 @@
 pub enum Reply {
     /// The next token of a completion.
     Token(Token),
+    /// The daemon will be reclaimed; the answer can be asked for under this
+    /// key through any other daemon. More pieces may follow.
+    Moved(String),
     /// The completion is complete.
     Finished(Usage),
     /// The whole answer of a plain service.
@@ -52,6 +55,6 @@
 impl Reply {
     /// Whether nothing follows this piece.
     pub fn is_last(&self) -> bool {
-        !matches!(self, Reply::Token(_))
+        !matches!(self, Reply::Token(_) | Reply::Moved(_))
     }
 }
--- a/crates/lentilhook/src/daemon/dispatch/attempts.rs
+++ b/crates/lentilhook/src/daemon/dispatch/attempts.rs
@@ -198,7 +198,7 @@
         }
     }
 
-    fn close(&mut self, attempt: AttemptId) {
+    pub(super) fn close(&mut self, attempt: AttemptId) {
         let Some(id) = self.by_attempt.remove(&attempt) else { return };
         let Some(Job { stage: Stage::Running(running), .. }) = self.jobs.get(&id) else { return };
         if let Some(target) = self.endpoints.get_mut(&running.endpoint) {
--- a/crates/lentilhook/src/daemon/dispatch/job.rs
+++ b/crates/lentilhook/src/daemon/dispatch/job.rs
@@ -1,6 +1,7 @@
 //! Jobs: calls that this daemon serves itself.
 
 use std::sync::mpsc::Sender;
+use std::time::Instant;
 
 use config::object::Service;
 use endpoint::attempt::AttemptId;
@@ -34,6 +35,8 @@
     pub tries: u32,
     /// Endpoints where an attempt failed.
     pub avoid: Vec<String>,
+    /// When it was taken.
+    pub opened: Instant,
     /// Fencing number under which it may leave, when recorded in the ledger.
     pub fence: Option<u64>,
 }
@@ -42,6 +45,8 @@
 pub enum Stage {
     /// Waits for the ledger.
     Recording,
+    /// Handed over by another daemon; goes on when it is asked for.
+    Kept,
     /// An attempt is open.
     Running(Running),
     /// Ended; the last reply is kept for callers who ask again.
--- a/crates/lentilhook/src/daemon/dispatch/mod.rs
+++ b/crates/lentilhook/src/daemon/dispatch/mod.rs
@@ -2,6 +2,7 @@
 
 mod attempts;
 mod check;
+mod handover;
 mod job;
 mod problems;
 mod relays;
@@ -46,6 +47,7 @@
 use crate::daemon::identity;
 use crate::daemon::shards::Shards;
 
+use self::handover::Sent;
 use self::job::Job;
 use self::job::JobId;
 use self::job::Stage;
@@ -76,6 +78,7 @@
     by_identity: HashMap<String, JobId>,
     by_attempt: HashMap<AttemptId, JobId>,
     relays: HashMap<StreamId, Relay>,
+    handovers: HashMap<StreamId, Sent>,
     next: u64,
     draining: bool,
 }
@@ -115,6 +118,7 @@
             by_identity: HashMap::new(),
             by_attempt: HashMap::new(),
             relays: HashMap::new(),
+            handovers: HashMap::new(),
             next: 4,
             draining: false,
         })
@@ -159,14 +163,21 @@
     pub fn peer_event(&mut self, cx: CX![], event: Event) {
         match event {
             Event::Frame { stream, frame: Frame::Forward(forward) } => {
-                self.forwarded(cx, stream, forward);
+                self.forwarded(cx, stream, *forward);
             }
             Event::Frame { stream, frame: Frame::Reply(reply) } => {
                 self.relayed(stream, reply);
             }
+            Event::Frame { stream, frame: Frame::Handover(handover) } => {
+                self.take_over(cx, stream, *handover);
+            }
+            Event::Frame { stream, frame: Frame::HandoverTaken } => {
+                self.handover_taken(cx, stream);
+            }
             Event::Frame { .. } => {}
             Event::Finished { stream } => self.relay_ended(cx, stream, true),
             Event::Failed { stream, sent, .. } => {
+                self.handover_failed(cx, stream);
                 self.relay_ended(cx, stream, sent);
                 self.drop_waiters(|way| matches!(way, Way::Peer(it) if *it == stream));
             }
@@ -228,6 +239,9 @@
             let open = self.open_count();
             spdlog::info!("draining", kv: { open = open });
         }
+        if self.open_count() == 0 {
+            self.hand_over_ended();
+        }
         if self.open_count() == 0 {
             ret!([ret]);
             return;
@@ -241,8 +255,9 @@
     }
 
     fn open_count(&self) -> usize {
-        let open = self.jobs.values().filter(|it| !matches!(it.stage, Stage::Ended(_)));
-        open.count() + self.relays.len()
+        let idle = |it: &&Job| matches!(it.stage, Stage::Ended(_) | Stage::Kept);
+        let kept = self.jobs.values().filter(idle).count();
+        self.jobs.len() - kept + self.relays.len() + self.handovers.len()
     }
 
     fn forwarded(&mut self, cx: CX![], stream: StreamId, forward: Forward) {
@@ -259,7 +274,7 @@
     fn place(&mut self, cx: CX![], call: Call, service: Service, way: Way, hops: u8) {
         if let Some(identity) = call.identity() {
             if let Some(id) = self.by_identity.get(&identity).copied() {
-                self.join(id, &call, way);
+                self.join(cx, id, &call, way);
                 return;
             }
             let owner = self.owner(&call, &identity);
@@ -289,7 +304,7 @@
         self.daemons.get(id).cloned()
     }
 
-    fn join(&mut self, id: JobId, call: &Call, way: Way) {
+    fn join(&mut self, cx: CX![], id: JobId, call: &Call, way: Way) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
         if !same_request(&job.call, call) {
             way.send(&self.transport, Reply::Problem(problems::key_reused()));
@@ -303,6 +318,10 @@
         waiter.catch_up(&self.transport, &job.progress);
         match &job.stage {
             Stage::Ended(reply) => waiter.way.send(&self.transport, reply.clone()),
+            Stage::Kept => {
+                job.waiters.push(waiter);
+                self.attempt(cx, id);
+            }
             _ => job.waiters.push(waiter),
         }
     }
@@ -323,6 +342,7 @@
             stage: Stage::Recording,
             tries: 0,
             avoid: Vec::new(),
+            opened: cx.now(),
             fence: None,
         };
         self.jobs.insert(id, job);
--- a/crates/lentilhook/src/daemon/dispatch/problems.rs
+++ b/crates/lentilhook/src/daemon/dispatch/problems.rs
@@ -53,6 +53,15 @@
     Problem::not_run(422, "key reused", detail)
 }
 
+/// The daemon ends now; the answer goes on elsewhere.
+pub fn moved(key: &str) -> Problem {
+    let detail = format!(
+        "this daemon is being reclaimed; ask any other daemon again with Idempotency-Key {key:?} \
+         and the id of the last event received as Last-Event-ID"
+    );
+    Problem::new(503, "moved", detail, Outcome::Unknown).retry_after(1)
+}
+
 /// The daemon takes no new work.
 pub fn draining() -> Problem {
     let detail = "this daemon is shutting down; call again, the balancer picks another one";
--- a/crates/lentilhook/src/daemon/dispatch/relays.rs
+++ b/crates/lentilhook/src/daemon/dispatch/relays.rs
@@ -56,7 +56,7 @@
             reason = "serves_the_key",
         });
         let stream = StreamId(self.take_number());
-        let frame = Frame::Forward(Forward { call: call.clone(), hops: hops + 1 });
+        let frame = Frame::Forward(Box::new(Forward { call: call.clone(), hops: hops + 1 }));
         self.transport.command(Command::Open { stream, peer, frame });
         let next_index = match &call.body {
             Body::Chat(chat) => chat.from_index,
--- a/crates/lentilhook/src/daemon/fleet.rs
+++ b/crates/lentilhook/src/daemon/fleet.rs
@@ -34,6 +34,7 @@
 use stakker::sync::ChannelGuard;
 
 use crate::daemon::catalog::Configuration;
+use crate::daemon::departure::Departure;
 use crate::daemon::dispatch::Dispatch;
 use crate::daemon::identity::Identity;
 use crate::daemon::worker::Worker;
@@ -68,6 +69,7 @@
     worker: Worker,
     dispatch: Actor<Dispatch>,
     configuration: Actor<Configuration>,
+    departures: Channel<Departure>,
     answers: Channel<Answer>,
     _guard: ChannelGuard,
 }
@@ -93,6 +95,7 @@
         worker: Worker,
         dispatch: Actor<Dispatch>,
         configuration: Actor<Configuration>,
+        departures: Channel<Departure>,
     ) -> Option<Fleet> {
         let forward = fwd_to!([cx], answered() as (Answer));
         let (answers, guard) = Channel::new(cx, forward);
@@ -117,6 +120,7 @@
             worker,
             dispatch,
             configuration,
+            departures,
             answers,
             _guard: guard,
         })
@@ -213,6 +217,10 @@
     }
 
     fn take_notice(&mut self, cx: CX![], notice: &Notice) {
+        if notice.vm == self.me.daemon {
+            self.take_own_notice(notice);
+            return;
+        }
         let known = self.view.get(&notice.vm).cloned();
         if let Some(vm) = known
             && vm.incarnation == notice.incarnation
@@ -221,6 +229,16 @@
         }
     }
 
+    /// This daemon's own VM will be reclaimed.
+    fn take_own_notice(&mut self, notice: &Notice) {
+        // An older notice was for an earlier VM of this name.
+        if notice.left_ms == 0 || self.state != State::Live {
+            return;
+        }
+        let left = Duration::from_millis(notice.left_ms);
+        self.departures.send(Departure::Reclaim(left));
+    }
+
     fn learn(&mut self, cx: CX![], vm: &Vm) {
         if vm.id == self.me.daemon && vm.state > self.state {
             self.refute(cx, vm);
--- a/crates/lentilhook/src/daemon/mod.rs
+++ b/crates/lentilhook/src/daemon/mod.rs
@@ -1,6 +1,7 @@
 //! A daemon: its actors, the threads at its edges and their wiring.
 
 mod catalog;
+mod departure;
 mod dispatch;
 mod fleet;
 mod identity;
@@ -12,6 +13,7 @@
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
@@ -45,6 +47,7 @@
 use crate::settings::Settings;
 
 use self::catalog::Configuration;
+use self::departure::Departure;
 use self::dispatch::Dispatch;
 use self::fleet::Fleet;
 use self::identity::Identity;
@@ -60,6 +63,9 @@
 /// Time for the last answers to reach their callers after a drain.
 const DRAIN_LINGER: Duration = Duration::from_millis(300);
 
+/// Longest time for them to do so.
+const FLUSH_LIMIT: Duration = Duration::from_secs(5);
+
 /// Why a daemon could not run.
 #[derive(Debug, Snafu)]
 pub enum Error {
@@ -104,8 +110,9 @@
     let transport = Transport::start(&settings.listen.peers, secret, peer_sink(stakker, &actors))
         .context(PeersSnafu)?;
     let me = identity(settings, &transport);
-    start_actors(settings, &actors, &me, &transport);
     let readiness = Readiness::default();
+    let departures = departure_channel(stakker, &actors, readiness.clone());
+    start_actors(settings, &actors, &me, &transport, &departures);
     let callers = gateway::server::start(
         &settings.listen.callers,
         limits(settings),
@@ -113,15 +120,14 @@
         gateway_sink(stakker, &actors),
     )
     .context(ServerSnafu)?;
-    let drain = drain_channel(stakker, &actors, readiness.clone());
     let operators = operators::start(
         &settings.listen.operators,
         limits(settings),
         settings.access.operator_token_sha256.clone(),
-        operators_sink(stakker, &actors, drain.clone()),
+        operators_sink(stakker, &actors, departures.clone()),
     )
     .context(ServerSnafu)?;
-    watch_signals(drain)?;
+    watch_signals(departures)?;
     readiness.set(true);
     println!(
         "ready daemon={} callers={} operators={} peers={}",
@@ -131,7 +137,8 @@
     callers.stop();
     operators.stop();
     // Request threads still write the last pieces of their answers.
-    while callers.open_requests() > 0 {
+    let deadline = Instant::now() + FLUSH_LIMIT;
+    while callers.open_requests() > 0 && Instant::now() < deadline {
         thread::sleep(DRAIN_LINGER);
     }
     thread::sleep(DRAIN_LINGER);
@@ -157,7 +164,13 @@
     }
 }
 
-fn start_actors(settings: &Settings, actors: &Actors, me: &Identity, transport: &Transport) {
+fn start_actors(
+    settings: &Settings,
+    actors: &Actors,
+    me: &Identity,
+    transport: &Transport,
+    departures: &Channel<Departure>,
+) {
     let client = Client::new(&settings.platform.address, settings.platform_timeout());
     let worker = Worker::start(&client);
     let dispatch = actors.dispatch.clone();
@@ -171,7 +184,17 @@
         [configuration],
         Configuration::init(seed, worker.clone(), dispatch.clone(), fleet.clone())
     );
-    call!([fleet], Fleet::init(me.clone(), transport.clone(), worker, dispatch, configuration));
+    call!(
+        [fleet],
+        Fleet::init(
+            me.clone(),
+            transport.clone(),
+            worker,
+            dispatch,
+            configuration,
+            departures.clone()
+        )
+    );
 }
 
 /// Sends the transport's events to the actor whose stream it is.
@@ -211,7 +234,11 @@
     })
 }
 
-fn operators_sink(stakker: &mut Stakker, actors: &Actors, drain: Channel<()>) -> operators::Sink {
+fn operators_sink(
+    stakker: &mut Stakker,
+    actors: &Actors,
+    departures: Channel<Departure>,
+) -> operators::Sink {
     let configuration = actors.configuration.clone();
     let fleet = actors.fleet.clone();
     let dispatch = actors.dispatch.clone();
@@ -242,12 +269,12 @@
                 call!([fleet], read(ret));
             }
             Operation::Drain => {
-                let drain = drain.clone();
+                let departures = departures.clone();
                 let ret = ret_do!(move |open: Option<usize>| {
                     let open_requests = open.unwrap_or_default() as u32;
                     let _ =
                         answers.send(operators::encode(&generated::DrainReply { open_requests }));
-                    drain.send(());
+                    departures.send(Departure::Stop);
                 });
                 call!([dispatch], count_open(ret));
             }
@@ -265,12 +292,17 @@
     admin::error::Error::new(admin::error::Code::Unavailable, msg)
 }
 
-/// A message on this channel starts the graceful shutdown.
-fn drain_channel(stakker: &mut Stakker, actors: &Actors, readiness: Readiness) -> Channel<()> {
+/// A message on this channel makes the daemon leave.
+fn departure_channel(
+    stakker: &mut Stakker,
+    actors: &Actors,
+    readiness: Readiness,
+) -> Channel<Departure> {
     let dispatch = actors.dispatch.clone();
     let shards = actors.shards.clone();
     let fleet = actors.fleet.clone();
-    let begin = fwd_do!(move |()| {
+    let begin = fwd_do!(move |departure: Departure| {
+        spdlog::info!("departing", kv: { cause: ? = departure });
         readiness.set(false);
         call!([fleet], leave());
         let shards = shards.clone();
@@ -279,6 +311,9 @@
                 call!([shards], release_and_stop());
             }
         });
+        if let Departure::Reclaim(left) = departure {
+            call!([dispatch], reclaimed(left));
+        }
         call!([dispatch], drain_after(DRAIN_NOTICE, ret));
     });
     let (channel, guard) = Channel::new(stakker, begin);
@@ -286,11 +321,11 @@
     channel
 }
 
-fn watch_signals(drain: Channel<()>) -> Result<(), Error> {
+fn watch_signals(departures: Channel<Departure>) -> Result<(), Error> {
     let mut signals = Signals::new([SIGINT, SIGTERM]).context(SignalSnafu)?;
     thread::spawn(move || {
         for _ in signals.forever() {
-            drain.send(());
+            departures.send(Departure::Stop);
         }
     });
     Ok(())
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use bytes::BytesMut;
 use job::call::Call;
+use job::progress::Progress;
 use job::reply::Reply;
 use membership::update::Gossip;
 use snafu::Snafu;
@@ -21,11 +22,37 @@
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
 pub enum Frame {
     /// A call for the receiver to serve; opens a stream.
-    Forward(Forward),
+    Forward(Box<Forward>),
     /// A piece of the answer to a forwarded call.
     Reply(Reply),
     /// What the sender knows of VMs; opens a stream.
     Gossip(Gossip),
+    /// A completion whose daemon will end; opens a stream.
+    Handover(Box<Handover>),
+    /// The completion of the stream's handover was taken.
+    HandoverTaken,
+}
+
+/// A completion whose daemon will end.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct Handover {
+    /// The call, with the key under which it can be asked for.
+    pub call: Call,
+    /// Tokens so far.
+    pub progress: Progress,
+    /// Last piece of the answer, when it has ended.
+    pub ended: Option<Reply>,
+    /// What the receiver does with it.
+    pub copy: Copy,
+}
+
+/// What the receiver does with a completion handed over to it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
+pub enum Copy {
+    /// Goes on with it at once.
+    Serve,
+    /// Keeps it and goes on with it when it is asked for.
+    Keep,
 }
 
 /// A call sent on to the daemon that serves its key.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -3,5 +3,6 @@
 //! Each takes the state it needs and returns a value with its reason, so that
 //! the same input gives the same decision offline.
 
+pub mod handover;
 pub mod ring;
 pub mod route;
