Interpret lifecycles from state charts in files

Cause: what may follow what was spread over comparisons in the code, so an event in the wrong state passed unseen.

Ruled out: an enum order alone (as in the VM view until now), since a drain or a request is no chain; a chart crate from the registry, since the form is small and must refuse unreachable and stuck states with the file and the remedy.

Change: `statechart` reads a JSON chart, checks it and steps it; `Lifecycle` ties it to closed enums whose names must be exactly the chart's. Charts for drain, VM, lease and request are compiled in and checked before a daemon does anything else (`daemon::lifecycle::load`). The VM view takes its chart from outside; the others wait for their owners to adopt them.

Conclusion: a wrong chart can't start a daemon.

--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -4,6 +4,7 @@
 //! Pure: `Shard` takes inputs with the time and returns actions. The platform
 //! is reached by whoever carries the actions out.
 
+pub mod lifecycle;
 pub mod record;
 pub mod shard;
 
--- a/crates/lentilhook/src/daemon/fleet.rs
+++ b/crates/lentilhook/src/daemon/fleet.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use membership::lifecycle::Chart;
 use membership::update::Gossip;
 use membership::update::Role;
 use membership::update::State;
@@ -89,6 +90,7 @@
     pub fn init(
         cx: CX![],
         me: Identity,
+        chart: Chart,
         transport: Transport,
         worker: Worker,
         dispatch: Actor<Dispatch>,
@@ -96,7 +98,7 @@
     ) -> Option<Fleet> {
         let forward = fwd_to!([cx], answered() as (Answer));
         let (answers, guard) = Channel::new(cx, forward);
-        let mut view = View::default();
+        let mut view = View::new(chart);
         let myself = me.vm(State::Live);
         view.merge(&myself);
         call!([dispatch], vm_changed(myself));
--- a/crates/lentilhook/src/daemon/mod.rs
+++ b/crates/lentilhook/src/daemon/mod.rs
@@ -4,6 +4,7 @@
 mod dispatch;
 mod fleet;
 mod identity;
+pub mod lifecycle;
 mod operators;
 mod runtime;
 mod shards;
@@ -40,6 +41,7 @@
 use stakker::ret_do;
 use stakker::ret_nop;
 use stakker::sync::Channel;
+use statechart::Names;
 use web::server::Limits;
 
 use crate::settings::Settings;
@@ -48,6 +50,7 @@
 use self::dispatch::Dispatch;
 use self::fleet::Fleet;
 use self::identity::Identity;
+use self::lifecycle::Charts;
 use self::operators::Operation;
 use self::operators::Query;
 use self::runtime::Runtime;
@@ -63,6 +66,12 @@
 /// Why a daemon could not run.
 #[derive(Debug, Snafu)]
 pub enum Error {
+    /// A state chart is wrong.
+    #[snafu(display("{source}"))]
+    Lifecycle {
+        /// Cause.
+        source: statechart::Error,
+    },
     /// An HTTP server could not start.
     #[snafu(display("{source}"))]
     Server {
@@ -93,6 +102,13 @@
 
 /// Runs a daemon until it has drained.
 pub fn run(settings: &Settings, secret: &str) -> Result<(), Error> {
+    let charts = lifecycle::load().context(LifecycleSnafu)?;
+    spdlog::debug!("charts", kv: {
+        drain = charts.drain.initial().name(),
+        vm = charts.vm.initial().name(),
+        lease = charts.lease.initial().name(),
+        request = charts.request.initial().name(),
+    });
     let mut runtime = Runtime::new();
     let stakker = &mut runtime.stakker;
     let actors = Actors {
@@ -104,7 +120,7 @@
     let transport = Transport::start(&settings.listen.peers, secret, peer_sink(stakker, &actors))
         .context(PeersSnafu)?;
     let me = identity(settings, &transport);
-    start_actors(settings, &actors, &me, &transport);
+    start_actors(settings, charts, &actors, &me, &transport);
     let readiness = Readiness::default();
     let callers = gateway::server::start(
         &settings.listen.callers,
@@ -157,7 +173,13 @@
     }
 }
 
-fn start_actors(settings: &Settings, actors: &Actors, me: &Identity, transport: &Transport) {
+fn start_actors(
+    settings: &Settings,
+    charts: Charts,
+    actors: &Actors,
+    me: &Identity,
+    transport: &Transport,
+) {
     let client = Client::new(&settings.platform.address, settings.platform_timeout());
     let worker = Worker::start(&client);
     let dispatch = actors.dispatch.clone();
@@ -171,7 +193,10 @@
         [configuration],
         Configuration::init(seed, worker.clone(), dispatch.clone(), fleet.clone())
     );
-    call!([fleet], Fleet::init(me.clone(), transport.clone(), worker, dispatch, configuration));
+    call!(
+        [fleet],
+        Fleet::init(me.clone(), charts.vm, transport.clone(), worker, dispatch, configuration)
+    );
 }
 
 /// Sends the transport's events to the actor whose stream it is.
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -1,5 +1,6 @@
 //! Which daemons and endpoints are live or leaving, merged from the VM list,
 //! notices and the word of peers. Pure: knows neither sockets nor the clock.
 
+pub mod lifecycle;
 pub mod update;
 pub mod view;
--- /dev/null
+++ b/crates/membership/src/lifecycle.rs
@@ -0,0 +1,41 @@
+//! Lifecycle of a VM within one incarnation.
+
+use statechart::Lifecycle;
+use statechart::Names;
+
+use crate::update::State;
+
+/// What happens to a VM.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Event {
+    /// It will be reclaimed or stopped.
+    Noticed,
+    /// It has ended.
+    Ended,
+}
+
+/// The chart of a VM.
+pub type Chart = Lifecycle<State, Event>;
+
+impl Names for State {
+    const ALL: &'static [State] = &[State::Live, State::Leaving, State::Gone];
+
+    fn name(self) -> &'static str {
+        match self {
+            State::Live => "live",
+            State::Leaving => "leaving",
+            State::Gone => "gone",
+        }
+    }
+}
+
+impl Names for Event {
+    const ALL: &'static [Event] = &[Event::Noticed, Event::Ended];
+
+    fn name(self) -> &'static str {
+        match self {
+            Event::Noticed => "noticed",
+            Event::Ended => "ended",
+        }
+    }
+}
--- a/crates/membership/src/view.rs
+++ b/crates/membership/src/view.rs
@@ -1,7 +1,9 @@
 //! The merged view of all VMs.
 
+use std::cmp::Ordering;
 use std::collections::BTreeMap;
 
+use crate::lifecycle::Chart;
 use crate::update::Role;
 use crate::update::State;
 use crate::update::Vm;
@@ -13,8 +15,9 @@
 const CHANGES_PER_MESSAGE: usize = 32;
 
 /// The merged view of all VMs.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct View {
+    chart: Chart,
     vms: BTreeMap<String, Vm>,
     spreading: BTreeMap<String, u32>,
 }
@@ -29,13 +32,18 @@
 }
 
 impl View {
+    /// A view without VMs, in which VMs live as the chart says.
+    pub fn new(chart: Chart) -> View {
+        View { chart, vms: BTreeMap::new(), spreading: BTreeMap::new() }
+    }
+
     /// Merges what a list, a notice or a peer says.
     ///
     /// Invariant: a newer incarnation wins; within one incarnation a VM goes
-    /// from live to leaving to gone and never back.
+    /// moves along its chart and never back.
     pub fn merge(&mut self, vm: &Vm) -> Change {
         if let Some(known) = self.vms.get(&vm.id)
-            && (vm.incarnation, vm.state) <= (known.incarnation, known.state)
+            && !self.follows(known, vm)
         {
             return Change::Stale;
         }
@@ -78,6 +86,14 @@
         ids.iter().filter_map(|id| self.vms.get(id).cloned()).collect()
     }
 
+    fn follows(&self, known: &Vm, vm: &Vm) -> bool {
+        match vm.incarnation.cmp(&known.incarnation) {
+            Ordering::Less => false,
+            Ordering::Equal => self.chart.leads(known.state, vm.state),
+            Ordering::Greater => true,
+        }
+    }
+
     fn count_down(&mut self, id: &str) {
         let Some(left) = self.spreading.get_mut(id) else { return };
         *left -= 1;
