--- a/crates/lentilhook/src/daemon/mod.rs
+++ b/crates/lentilhook/src/daemon/mod.rs
@@ -5,6 +5,7 @@
 mod dispatch;
 mod fleet;
 mod identity;
+pub mod lifecycle;
 mod operators;
 mod runtime;
 mod shards;
@@ -42,6 +43,7 @@
 use stakker::ret_do;
 use stakker::ret_nop;
 use stakker::sync::Channel;
+use statechart::Names;
 use web::server::Limits;
 
 use crate::settings::Settings;
@@ -51,6 +53,7 @@
 use self::dispatch::Dispatch;
 use self::fleet::Fleet;
 use self::identity::Identity;
+use self::lifecycle::Charts;
 use self::operators::Operation;
 use self::operators::Query;
 use self::runtime::Runtime;
@@ -69,6 +72,12 @@
 /// Why a daemon could not run.
 #[derive(Debug, Snafu)]
 pub enum Error {
+    /// A state chart is wrong.
+    #[snafu(display("{source}"))]
+    Lifecycle {
+        /// Cause.
+        source: statechart::Error,
+    },
     /// An HTTP server could not start.
     #[snafu(display("{source}"))]
     Server {
@@ -99,6 +108,13 @@
 
 /// Runs a daemon until it has drained.
 pub fn run(settings: &Settings, secret: &str) -> Result<(), Error> {
+    let charts = lifecycle::load().context(LifecycleSnafu)?;
+    spdlog::debug!("charts", kv: {
+        drain = charts.drain.initial().name(),
+        vm = charts.vm.initial().name(),
+        lease = charts.lease.initial().name(),
+        request = charts.request.initial().name(),
+    });
     let mut runtime = Runtime::new();
     let stakker = &mut runtime.stakker;
     let actors = Actors {
@@ -112,7 +128,7 @@
     let me = identity(settings, &transport);
     let readiness = Readiness::default();
     let departures = departure_channel(stakker, &actors, readiness.clone());
-    start_actors(settings, &actors, &me, &transport, &departures);
+    start_actors(settings, charts, &actors, &me, &transport, &departures);
     let callers = gateway::server::start(
         &settings.listen.callers,
         limits(settings),
@@ -166,6 +182,7 @@
 
 fn start_actors(
     settings: &Settings,
+    charts: Charts,
     actors: &Actors,
     me: &Identity,
     transport: &Transport,
@@ -188,6 +205,7 @@
         [fleet],
         Fleet::init(
             me.clone(),
+            charts.vm,
             transport.clone(),
             worker,
             dispatch,
