Call a completion whole only when its count agrees

Cause: a stream that said [DONE] with tokens missing ended the job as complete; a relay that skipped a token passed the end on as whole; a token was taken with the number of the current attempt instead of its own; a comment within an event dropped its id; keep-alives alone kept a stuck stream open for ever; an event of another request was taken.

Ruled out: comparing with max_tokens, because an engine may stop earlier.

Conclusion: an end is believed only with its count.

--- a/crates/endpoint/src/chat.rs
+++ b/crates/endpoint/src/chat.rs
@@ -1,6 +1,9 @@
 //! One attempt at a completion.
 
+use std::io::BufRead;
 use std::io::BufReader;
+use std::time::Duration;
+use std::time::Instant;
 
 use job::reply::Usage;
 use serde::Deserialize;
@@ -19,6 +22,12 @@
 /// Statuses by which an engine says that it has not started.
 const REFUSALS: [u16; 2] = [429, 503];
 
+/// Longest time with nothing but keep-alives before the first token, while
+/// the request waits for a slot and its prompt is computed.
+const START_TIMEOUT: Duration = Duration::from_secs(60);
+/// Longest time with nothing but keep-alives between tokens.
+const PROGRESS_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// What is asked of the engine.
 #[derive(Clone, Debug)]
 pub struct Order {
@@ -38,6 +47,8 @@
 
 #[derive(Deserialize)]
 struct Chunk {
+    #[serde(default)]
+    id: Option<String>,
     choices: Vec<Choice>,
     #[serde(default)]
     usage: Option<ChunkUsage>,
@@ -92,34 +103,68 @@
         return Err(Failure::Broken(format!("engine answered {status}")));
     }
     let mut reader = BufReader::new(response.into_body().into_reader());
-    let mut usage = Usage::default();
+    read(&mut reader, order, cancel, emit)
+}
+
+/// Reads the events of an answer up to its last one.
+pub fn read(
+    reader: &mut impl BufRead,
+    order: &Order,
+    cancel: &Cancel,
+    emit: &dyn Fn(Event),
+) -> Result<Usage, Failure> {
+    let mut usage = None;
+    let mut progressed = Instant::now();
+    let mut patience = START_TIMEOUT;
     loop {
-        let item = sse::read(&mut reader).map_err(|it| agent::read_failure(&it))?;
+        let item = sse::read(reader).map_err(|it| agent::read_failure(&it))?;
         if cancel.is_cancelled() {
             return Err(Failure::Broken("cancelled".to_owned()));
         }
         match item {
             None => return Err(Failure::Broken("stream ended before its last event".to_owned())),
+            Some(Item::Comment) if progressed.elapsed() > patience => {
+                return Err(Failure::Silent("only keep-alives came for too long".to_owned()));
+            }
             Some(Item::Comment) => {}
-            Some(Item::Event { data, .. }) if data == DONE => return Ok(usage),
-            Some(Item::Event { id, data }) => take(&id, &data, &mut usage, emit)?,
+            Some(Item::Event { data, .. }) if data == DONE => {
+                let missing = "the stream's last event came without the count of its tokens";
+                return usage.ok_or_else(|| Failure::Broken(missing.to_owned()));
+            }
+            Some(Item::Event { id, data }) => {
+                take(order, &id, &data, &mut usage, emit)?;
+                progressed = Instant::now();
+                patience = PROGRESS_TIMEOUT;
+            }
         }
     }
 }
 
-fn take(id: &str, data: &str, usage: &mut Usage, emit: &dyn Fn(Event)) -> Result<(), Failure> {
+fn take(
+    order: &Order,
+    id: &str,
+    data: &str,
+    usage: &mut Option<Usage>,
+    emit: &dyn Fn(Event),
+) -> Result<(), Failure> {
     let broken = |detail: String| Failure::Broken(detail);
     let chunk: Chunk = serde_json::from_str(data).map_err(|it| broken(it.to_string()))?;
+    if chunk.id.is_some_and(|it| it != order.request) {
+        return Err(broken("an event belongs to another request".to_owned()));
+    }
     if let Some(counted) = chunk.usage {
-        *usage = Usage {
+        *usage = Some(Usage {
             prompt_tokens: counted.prompt_tokens,
             cached_tokens: counted.cached_tokens,
             completion_tokens: counted.completion_tokens,
-        };
+        });
     }
     let content = chunk.choices.into_iter().next().and_then(|it| it.delta.content);
     if let Some(text) = content {
         let index = id.parse().map_err(|_| broken(format!("event has the id {id:?}")))?;
+        if index >= order.max_tokens {
+            return Err(broken(format!("event {index} is beyond the end")));
+        }
         emit(Event::Token { index, text });
     }
     Ok(())
--- a/crates/endpoint/src/lib.rs
+++ b/crates/endpoint/src/lib.rs
@@ -6,6 +6,6 @@
 pub mod attempt;
 pub mod chat;
 pub mod plain;
+pub mod sse;
 
 mod agent;
-mod sse;
--- a/crates/endpoint/src/sse.rs
+++ b/crates/endpoint/src/sse.rs
@@ -3,8 +3,8 @@
 use std::io;
 use std::io::BufRead;
 
-/// Longest line of a stream, in bytes.
-const LINE_LIMIT_BYTES: u64 = 1 << 20;
+/// Longest line and longest event of a stream, in bytes.
+const LIMIT_BYTES: usize = 1 << 20;
 
 /// An event, or a comment that only shows that the sender is alive.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -20,7 +20,8 @@
     Comment,
 }
 
-/// Reads the next item; `None` at the end of the stream.
+/// Reads the next item; `None` at the end of the stream, also when it was cut
+/// within an event.
 pub fn read(reader: &mut impl BufRead) -> io::Result<Option<Item>> {
     let mut id = String::new();
     let mut data = String::new();
@@ -28,23 +29,37 @@
         let Some(line) = read_line(reader)? else { return Ok(None) };
         if line.is_empty() {
             if data.is_empty() {
+                id.clear();
                 continue;
             }
             return Ok(Some(Item::Event { id, data }));
         }
         match line.split_once(':') {
-            Some(("", _)) => return Ok(Some(Item::Comment)),
+            // A comment within an event must not cost the fields before it.
+            Some(("", _)) if id.is_empty() && data.is_empty() => return Ok(Some(Item::Comment)),
             Some(("id", value)) => value.trim_start().clone_into(&mut id),
-            Some(("data", value)) => data.push_str(value.strip_prefix(' ').unwrap_or(value)),
+            Some(("data", value)) => {
+                if !data.is_empty() {
+                    data.push('\n');
+                }
+                data.push_str(value.strip_prefix(' ').unwrap_or(value));
+            }
             _ => {}
         }
+        if data.len() > LIMIT_BYTES {
+            return Err(io::Error::other("event is over the limit; send less in one event"));
+        }
     }
 }
 
 fn read_line(reader: &mut impl BufRead) -> io::Result<Option<String>> {
     let mut line = String::new();
-    let count = io::Read::take(reader, LINE_LIMIT_BYTES).read_line(&mut line)?;
-    if count == 0 || !line.ends_with('\n') {
+    let count = io::Read::take(reader, LIMIT_BYTES as u64).read_line(&mut line)?;
+    if count == LIMIT_BYTES && !line.ends_with('\n') {
+        return Err(io::Error::other("line is over the limit; send shorter lines"));
+    }
+    // A line without its end was cut and says nothing.
+    if !line.ends_with('\n') {
         return Ok(None);
     }
     Ok(Some(line.trim_end_matches(['\r', '\n']).to_owned()))
--- a/crates/job/src/progress.rs
+++ b/crates/job/src/progress.rs
@@ -14,6 +14,7 @@
     text: String,
     ends: Vec<u32>,
     attempt: Attempt,
+    resumed_at: u32,
 }
 
 /// What became of a token that an attempt delivered.
@@ -27,13 +28,41 @@
     Gap,
 }
 
+/// What the end that an attempt reports means.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// Every token is here.
+    Complete,
+    /// The attempt is not the current one.
+    Ignored,
+    /// The attempt counted more or fewer tokens than came.
+    Incomplete,
+}
+
 impl Progress {
     /// Starts another attempt; what earlier ones still deliver is ignored.
     pub fn start_attempt(&mut self) -> Attempt {
         self.attempt.0 += 1;
+        self.resumed_at = self.len();
         self.attempt
     }
 
+    /// Takes the end of an attempt, which says how many tokens it generated.
+    pub fn finish(&self, attempt: Attempt, generated: u32) -> End {
+        if attempt != self.attempt {
+            return End::Ignored;
+        }
+        if self.resumed_at.checked_add(generated) != Some(self.len()) {
+            return End::Incomplete;
+        }
+        End::Complete
+    }
+
+    /// Number of tokens that were there when the current attempt started.
+    pub fn resumed_at(&self) -> u32 {
+        self.resumed_at
+    }
+
     /// The current attempt.
     pub fn attempt(&self) -> Attempt {
         self.attempt
--- a/crates/lentilhook/src/daemon/dispatch/attempts.rs
+++ b/crates/lentilhook/src/daemon/dispatch/attempts.rs
@@ -3,8 +3,11 @@
 use std::time::Duration;
 
 use ::job::call::Body;
+use ::job::progress::Attempt;
+use ::job::progress::End;
 use ::job::progress::Taken;
 use ::job::reply::Reply;
+use ::job::reply::Usage;
 use ::job::reply::Whole;
 use endpoint::attempt;
 use endpoint::attempt::AttemptId;
@@ -49,7 +52,7 @@
         let attempt = AttemptId(self.take_number());
         let Some(job) = self.jobs.get_mut(&id) else { return };
         job.tries += 1;
-        job.progress.start_attempt();
+        let number = job.progress.start_attempt();
         let order = order(id, job);
         let events = self.events.clone();
         let sink = move |attempt: AttemptId, event: Event| {
@@ -59,7 +62,7 @@
         if let Some(target) = self.endpoints.get_mut(&endpoint) {
             target.in_flight += 1;
         }
-        job.stage = Stage::Running(Running { attempt, endpoint, cancel });
+        job.stage = Stage::Running(Running { attempt, number, endpoint, cancel });
         self.by_attempt.insert(attempt, id);
     }
 
@@ -67,12 +70,15 @@
     pub(super) fn endpoint_event(&mut self, cx: CX![], message: Endpoint) {
         let Endpoint { attempt, event } = message;
         let Some(id) = self.by_attempt.get(&attempt).copied() else { return };
+        let Some(Job { stage: Stage::Running(running), .. }) = self.jobs.get(&id) else { return };
+        // Invariant: only the open attempt of a job is heard.
+        if running.attempt != attempt {
+            return;
+        }
+        let number = running.number;
         match event {
-            Event::Token { index, text } => self.token(cx, id, attempt, index, &text),
-            Event::Finished(usage) => {
-                self.close(attempt);
-                self.end(cx, id, Reply::Finished(usage));
-            }
+            Event::Token { index, text } => self.token(cx, id, number, index, &text),
+            Event::Finished(usage) => self.finished(cx, id, number, usage),
             Event::Answered(whole) => {
                 self.close(attempt);
                 self.answered(cx, id, whole);
@@ -126,26 +132,50 @@
         Some((target.vm.id.clone(), target.vm.address.clone()))
     }
 
-    fn token(&mut self, cx: CX![], id: JobId, attempt: AttemptId, index: u32, text: &str) {
+    fn token(&mut self, cx: CX![], id: JobId, number: Attempt, index: u32, text: &str) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
-        let current = job.progress.attempt();
-        match job.progress.take(current, index, text) {
+        match job.progress.take(number, index, text) {
             Taken::Next => {
                 let transport = &self.transport;
                 let progress = &job.progress;
                 job.waiters.iter_mut().for_each(|it| it.catch_up(transport, progress));
             }
             Taken::Ignored => {}
-            Taken::Gap => {
-                if let Stage::Running(running) = &job.stage {
-                    running.cancel.cancel();
-                }
-                self.close(attempt);
-                self.failed(cx, id, Failure::Broken("a token is missing".to_owned()));
+            Taken::Gap => self.leave(cx, id, Failure::Broken("a token is missing".to_owned())),
+        }
+    }
+
+    fn finished(&mut self, cx: CX![], id: JobId, number: Attempt, usage: Usage) {
+        let Some(job) = self.jobs.get(&id) else { return };
+        match job.progress.finish(number, usage.completion_tokens) {
+            End::Complete => {
+                let usage = Usage { completion_tokens: job.progress.len(), ..usage };
+                self.close_running(id);
+                self.end(cx, id, Reply::Finished(usage));
+            }
+            End::Ignored => {}
+            End::Incomplete => {
+                let detail = "the last event came before the last token".to_owned();
+                self.leave(cx, id, Failure::Broken(detail));
             }
         }
     }
 
+    /// Leaves the open attempt of a job, which can't be used further.
+    fn leave(&mut self, cx: CX![], id: JobId, failure: Failure) {
+        let Some(Job { stage: Stage::Running(running), .. }) = self.jobs.get(&id) else { return };
+        running.cancel.cancel();
+        self.close_running(id);
+        self.failed(cx, id, failure);
+    }
+
+    /// Stops hearing the open attempt of a job.
+    fn close_running(&mut self, id: JobId) {
+        let Some(Job { stage: Stage::Running(running), .. }) = self.jobs.get(&id) else { return };
+        let attempt = running.attempt;
+        self.close(attempt);
+    }
+
     fn answered(&mut self, cx: CX![], id: JobId, whole: Whole) {
         self.record(id, Step::Done(Answer::from(&whole)));
         self.end(cx, id, Reply::Whole(whole));
--- a/crates/lentilhook/src/daemon/dispatch/job.rs
+++ b/crates/lentilhook/src/daemon/dispatch/job.rs
@@ -7,6 +7,7 @@
 use endpoint::attempt::Cancel;
 use gateway::arrival::ArrivalId;
 use job::call::Call;
+use job::progress::Attempt;
 use job::progress::Progress;
 use job::reply::Reply;
 use peer::transport::Command;
@@ -52,6 +53,8 @@
 pub struct Running {
     /// Attempt.
     pub attempt: AttemptId,
+    /// Its number among the attempts at the job.
+    pub number: Attempt,
     /// Endpoint.
     pub endpoint: String,
     /// Ends it.
--- a/crates/lentilhook/src/daemon/dispatch/mod.rs
+++ b/crates/lentilhook/src/daemon/dispatch/mod.rs
@@ -162,7 +162,7 @@
                 self.forwarded(cx, stream, forward);
             }
             Event::Frame { stream, frame: Frame::Reply(reply) } => {
-                self.relayed(stream, reply);
+                self.relayed(cx, stream, reply);
             }
             Event::Frame { .. } => {}
             Event::Finished { stream } => self.relay_ended(cx, stream, true),
--- a/crates/lentilhook/src/daemon/dispatch/relays.rs
+++ b/crates/lentilhook/src/daemon/dispatch/relays.rs
@@ -97,12 +97,20 @@
     }
 
     /// A piece of the answer came from the daemon that serves the call.
-    pub(super) fn relayed(&mut self, stream: StreamId, reply: Reply) {
+    pub(super) fn relayed(&mut self, cx: CX![], stream: StreamId, reply: Reply) {
         let Some(relay) = self.relays.get_mut(&stream) else { return };
         let last = reply.is_last();
         match &reply {
             // Invariant: every token goes to the caller once and in order.
-            Reply::Token(token) if token.index != relay.next_index => return,
+            Reply::Token(token) if token.index < relay.next_index => return,
+            Reply::Token(token) if token.index > relay.next_index => {
+                self.relay_ended(cx, stream, true);
+                return;
+            }
+            Reply::Finished(usage) if usage.completion_tokens > relay.next_index => {
+                self.relay_ended(cx, stream, true);
+                return;
+            }
             Reply::Token(_) => relay.next_index += 1,
             _ => {}
         }
