--- a/crates/lentilhook/src/daemon/dispatch/mod.rs
+++ b/crates/lentilhook/src/daemon/dispatch/mod.rs
@@ -166,7 +166,7 @@
                 self.forwarded(cx, stream, *forward);
             }
             Event::Frame { stream, frame: Frame::Reply(reply) } => {
-                self.relayed(stream, reply);
+                self.relayed(cx, stream, reply);
             }
             Event::Frame { stream, frame: Frame::Handover(handover) } => {
                 self.take_over(cx, stream, *handover);
