Admit completions by class and share, pace retries, name requests per daemon

Cause: every completion left at once and queued in the engines by the service's priority alone: a burst made everybody late, nobody was told, and a lost endpoint's streams were all tried again in the same instant. Found on the way: engines know requests by workspace, job and attempt numbers, which daemons count alike, so that the cancellation of one daemon's request could end another daemon's.

Ruled out: strict priority in the engines (starves questions without bound); a deadline after which a queued request is refused (what was let in would be turned away later); dropping retries beyond a budget (accepted drafts would be lost in a wave).

Change: policy::admission starts drafts (200 tokens and more) before questions, but a waiting question is passed by at most 3 drafts at a daemon; within a class, start-time fair queueing by workspace share. A request whose predicted wait exceeds what `Prefer: wait` allows (else 5 s for a question, 60 s for a draft) is answered at once with 429, not_run and Retry-After. policy::retry allows a retry per five successes, 4 a second and 32 saved up; completions beyond that wait for the next allowance, plain calls are refused. Request names begin with the daemon's name.

--- a/crates/config/src/catalog.rs
+++ b/crates/config/src/catalog.rs
@@ -55,6 +55,12 @@
 }
 
 impl Catalog {
+    /// Weight of a workspace in the sharing of capacity.
+    pub fn share(&self, workspace: &str) -> u32 {
+        let found = self.workspaces.get(workspace);
+        found.map_or(1, |it| it.object.share.max(1))
+    }
+
     /// Checks a change against this catalog.
     pub fn check(&self, change: &Change) -> Result<(), Error> {
         let name = change.edit.object();
--- a/crates/gateway/src/arrival.rs
+++ b/crates/gateway/src/arrival.rs
@@ -22,6 +22,8 @@
     pub key: Option<String>,
     /// What is called.
     pub content: Content,
+    /// Milliseconds that the caller will wait for a start, 0 when not given.
+    pub wait_ms: u64,
     /// Where the pieces of the answer go.
     pub replies: Sender<Reply>,
 }
--- a/crates/gateway/src/parse.rs
+++ b/crates/gateway/src/parse.rs
@@ -29,6 +29,9 @@
     pub content: Content,
     /// Whether the answer is to be streamed.
     pub stream: bool,
+    /// Milliseconds that the caller will wait for a start (`Prefer: wait`), 0
+    /// when not given.
+    pub wait_ms: u64,
 }
 
 #[derive(Deserialize)]
@@ -72,7 +75,13 @@
         media_type: request.field("content-type").unwrap_or_default().to_owned(),
         body: request.body.clone(),
     };
-    Ok(Parsed { service: service.to_owned(), key, content, stream: false })
+    Ok(Parsed {
+        service: service.to_owned(),
+        key,
+        content,
+        stream: false,
+        wait_ms: wait_ms(request),
+    })
 }
 
 fn parse_key(request: &Request) -> Result<Option<String>, Problem> {
@@ -84,6 +93,13 @@
     Ok(Some(key.to_owned()))
 }
 
+/// A preference that can't be read is passed over, as RFC 7240 asks.
+fn wait_ms(request: &Request) -> u64 {
+    let preferences = request.field("prefer").unwrap_or_default().split(',');
+    let wait = preferences.filter_map(|it| it.trim().strip_prefix("wait=")).next();
+    wait.and_then(|it| it.parse::<u64>().ok()).map_or(0, |it| it.saturating_mul(1000))
+}
+
 fn parse_chat(
     request: &Request,
     service: Option<&str>,
@@ -112,7 +128,7 @@
         from_index: parse_from_index(request)?,
     };
     let service = service.map_or(body.model, str::to_owned);
-    Ok(Parsed { service, key, content, stream: body.stream })
+    Ok(Parsed { service, key, content, stream: body.stream, wait_ms: wait_ms(request) })
 }
 
 fn parse_from_index(request: &Request) -> Result<u32, Problem> {
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -87,6 +87,7 @@
         service: parsed.service,
         key: parsed.key,
         content: parsed.content,
+        wait_ms: parsed.wait_ms,
         replies,
     })));
     let sent = if parsed.stream {
--- a/crates/lentilhook/src/daemon/dispatch/attempts.rs
+++ b/crates/lentilhook/src/daemon/dispatch/attempts.rs
@@ -15,7 +15,6 @@
 use endpoint::plain;
 use ledger::record::Answer;
 use ledger::record::Step;
-use membership::update::State;
 use stakker::CX;
 use stakker::call;
 
@@ -37,7 +36,7 @@
     /// Starts the next attempt at a job, or ends it when there is none.
     pub(super) fn attempt(&mut self, cx: CX![], id: JobId) {
         let Some(job) = self.jobs.get(&id) else { return };
-        let daemons = self.daemons.values().filter(|it| it.state == State::Live).count();
+        let daemons = self.live_daemons();
         let choice = match job.tries < TRIES {
             true => self.routing.choose(id, job, daemons, cx.now()),
             false => None,
@@ -54,7 +53,7 @@
         let Some(job) = self.jobs.get_mut(&id) else { return };
         job.tries += 1;
         job.progress.start_attempt();
-        let order = order(id, job);
+        let order = order(&self.me.daemon, id, job);
         let events = self.events.clone();
         let sink = move |attempt: AttemptId, event: Event| {
             events.send(Endpoint { attempt, event });
@@ -78,10 +77,12 @@
             }
             Event::Finished(usage) => {
                 self.remember_cached(cx, id, attempt);
+                self.admission.succeeded();
                 self.close(cx, attempt);
                 self.end(cx, id, Reply::Finished(usage));
             }
             Event::Answered(whole) => {
+                self.admission.succeeded();
                 self.close(cx, attempt);
                 self.answered(cx, id, whole);
             }
@@ -148,11 +149,11 @@
             self.end(cx, id, Reply::Problem(problems::unknown(detail)));
             return;
         }
-        self.attempt(cx, id);
+        self.retry(cx, id);
     }
 
     /// No endpoint is left to try.
-    fn give_up(&mut self, cx: CX![], id: JobId) {
+    pub(super) fn give_up(&mut self, cx: CX![], id: JobId) {
         let Some(job) = self.jobs.get(&id) else { return };
         let service = job.call.service.clone();
         if job.call.is_non_idempotent() || job.tries == 0 {
@@ -189,14 +190,16 @@
         let Some(Job { stage: Stage::Running(running), .. }) = self.jobs.get(&id) else { return };
         if let Some(target) = self.endpoints.get_mut(&running.endpoint) {
             target.in_flight = target.in_flight.saturating_sub(1);
+            let service = target.vm.service.clone();
+            call!([cx], place_freed(service));
         }
     }
 }
 
-fn order(id: JobId, job: &Job) -> Order {
+fn order(daemon: &str, id: JobId, job: &Job) -> Order {
     match &job.call.body {
         Body::Chat(chat) => Order::Chat(chat::Order {
-            request: format!("{}-{}-{}", job.call.workspace, id.0, job.tries),
+            request: format!("{daemon}-{}-{}", id.0, job.tries),
             messages: chat.messages.clone(),
             max_tokens: chat.max_tokens,
             priority: job.service.priority,
--- a/crates/lentilhook/src/daemon/dispatch/check.rs
+++ b/crates/lentilhook/src/daemon/dispatch/check.rs
@@ -72,7 +72,7 @@
         workspace: workspace.name.clone(),
         service: service.name.clone(),
         key: arrival.key.clone(),
-        time_left_ms: 0,
+        time_left_ms: arrival.wait_ms,
         body,
     };
     Ok(Checked { call, service: service.clone() })
--- a/crates/lentilhook/src/daemon/dispatch/job.rs
+++ b/crates/lentilhook/src/daemon/dispatch/job.rs
@@ -40,7 +40,7 @@
 
 /// Where a job stands.
 pub enum Stage {
-    /// Waits for the ledger.
+    /// Waits for the ledger, or for a place at an endpoint.
     Recording,
     /// An attempt is open.
     Running(Running),
--- a/crates/lentilhook/src/daemon/dispatch/load.rs
+++ b/crates/lentilhook/src/daemon/dispatch/load.rs
@@ -69,6 +69,7 @@
     /// Asks the next endpoint when the budget allows it.
     pub(super) fn poll_turn(&mut self, cx: CX![]) {
         after!(TURN, [cx], poll_turn());
+        self.admission_turn(cx);
         let now = cx.now();
         let since = now.saturating_duration_since(self.poller.started);
         if self.poller.is_waiting || !self.poller.load.is_open(since) {
--- a/crates/lentilhook/src/daemon/dispatch/mod.rs
+++ b/crates/lentilhook/src/daemon/dispatch/mod.rs
@@ -1,5 +1,6 @@
 //! Actor that takes calls, places them and carries answers back.
 
+mod admission;
 mod attempts;
 mod check;
 mod job;
@@ -49,6 +50,7 @@
 use crate::daemon::identity;
 use crate::daemon::shards::Shards;
 
+use self::admission::Admission;
 use self::job::Job;
 use self::job::JobId;
 use self::job::Stage;
@@ -83,6 +85,7 @@
     by_attempt: HashMap<AttemptId, JobId>,
     relays: HashMap<StreamId, Relay>,
     routing: Routing,
+    admission: Admission,
     poller: Poller,
     _poll_guard: ChannelGuard,
     next: u64,
@@ -129,6 +132,7 @@
             by_attempt: HashMap::new(),
             relays: HashMap::new(),
             routing: Routing::new(mode, cx.now()),
+            admission: Admission::new(cx.now()),
             poller: Poller::start(answers, cx.now()),
             _poll_guard: poll_guard,
             next: 4,
@@ -351,7 +355,7 @@
                 call!([self.shards], begin(Ticket(id.0), identity));
                 after!(RECORD_TIMEOUT, [cx], record_timed_out(id));
             }
-            None => self.attempt(cx, id),
+            None => self.admit(cx, id),
         }
     }
 
--- a/crates/lentilhook/src/daemon/dispatch/problems.rs
+++ b/crates/lentilhook/src/daemon/dispatch/problems.rs
@@ -14,6 +14,13 @@
     Problem::not_run(503, "no endpoint", detail).retry_after(CAPACITY_RETRY_S)
 }
 
+/// The completion would start later than its caller can wait.
+pub fn too_late(retry_after_s: u32) -> Problem {
+    let detail = "all places are taken for longer than this request may wait; come back after \
+                  Retry-After or allow more with Prefer: wait=SECONDS";
+    Problem::not_run(429, "too busy", detail).retry_after(retry_after_s)
+}
+
 /// The call can't be recorded, so it was not sent.
 pub fn not_recorded(retry_after_s: u32) -> Problem {
     let detail = "the call can't be recorded now and was not sent; come back after Retry-After";
--- a/crates/lentilhook/src/daemon/dispatch/routing.rs
+++ b/crates/lentilhook/src/daemon/dispatch/routing.rs
@@ -10,6 +10,7 @@
 use endpoint::load;
 use membership::update::State;
 use membership::update::Vm;
+use policy::admission::Supply;
 use policy::blocks;
 use policy::hints::Event;
 use policy::hints::Kind;
@@ -149,6 +150,24 @@
         })
     }
 
+    /// What this daemon may take of the places of a service; `None` when no
+    /// endpoint takes work.
+    pub fn supply(&mut self, service: &str, daemons: usize, now: Instant) -> Option<Supply> {
+        let now = now.saturating_duration_since(self.started);
+        let known = self.services.get_mut(service)?;
+        known.pool.refresh();
+        if known.pool.is_empty() {
+            return None;
+        }
+        let (free, all) = known.pool.places(daemons, now);
+        let daemons = daemons.max(1) as f64;
+        let ends_per_second = all * 1000.0 / known.pace.hold_ms.max(1.0);
+        Some(Supply {
+            free: (free / daemons).max(free.min(1.0)),
+            starts_per_second: ends_per_second / daemons,
+        })
+    }
+
     /// An attempt was started.
     pub fn sent(&mut self, attempt: AttemptId, service: &str, choice: Choice, now: Instant) {
         let now = now.saturating_duration_since(self.started);
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -3,9 +3,11 @@
 //! Each takes the state it needs and returns a value with its reason, so that
 //! the same input gives the same decision offline.
 
+pub mod admission;
 pub mod blocks;
 pub mod budget;
 pub mod hints;
 pub mod pool;
+pub mod retry;
 pub mod ring;
 pub mod route;
--- a/crates/policy/src/pool.rs
+++ b/crates/policy/src/pool.rs
@@ -190,6 +190,16 @@
         self.usable == 0
     }
 
+    /// Estimated places that are free, and all places.
+    pub fn places(&self, daemons: usize, now: Duration) -> (f64, f64) {
+        let query = Query { blocks: &[], name: "", avoid: &[], daemons, now };
+        let usable = self.members.iter().filter(|it| it.usable);
+        usable.fold((0.0, 0.0), |(free, all), it| {
+            let capacity = it.capacity();
+            (free + (capacity - it.busy(&query)).max(0.0), all + capacity)
+        })
+    }
+
     /// Every endpoint that takes work, nearest to the prompt first.
     pub fn everyone<'a>(&'a self, query: &Query<'_>) -> Vec<Candidate<'a>> {
         let mut found = Found::new(self.members.len());
