--- a/crates/lentilhook/src/daemon/dispatch/job.rs
+++ b/crates/lentilhook/src/daemon/dispatch/job.rs
@@ -44,7 +44,7 @@
 
 /// Where a job stands.
 pub enum Stage {
-    /// Waits for the ledger.
+    /// Waits for the ledger, or for a place at an endpoint.
     Recording,
     /// Handed over by another daemon; goes on when it is asked for.
     Kept,
--- a/crates/lentilhook/src/daemon/dispatch/mod.rs
+++ b/crates/lentilhook/src/daemon/dispatch/mod.rs
@@ -1,11 +1,14 @@
 //! Actor that takes calls, places them and carries answers back.
 
+mod admission;
 mod attempts;
 mod check;
 mod handover;
 mod job;
+mod load;
 mod problems;
 mod relays;
+mod routing;
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
@@ -34,6 +37,7 @@
 use peer::transport::Transport;
 use peer::wire::Forward;
 use peer::wire::Frame;
+use policy::route::Mode;
 use stakker::Actor;
 use stakker::CX;
 use stakker::Ret;
@@ -47,13 +51,17 @@
 use crate::daemon::identity;
 use crate::daemon::shards::Shards;
 
+use self::admission::Admission;
 use self::handover::Sent;
 use self::job::Job;
 use self::job::JobId;
 use self::job::Stage;
 use self::job::Waiter;
 use self::job::Way;
+use self::load::Answer;
+use self::load::Poller;
 use self::relays::Relay;
+use self::routing::Routing;
 
 /// Longest wait for the ledger before a call is turned away.
 const RECORD_TIMEOUT: Duration = Duration::from_secs(2);
@@ -79,6 +87,10 @@
     by_attempt: HashMap<AttemptId, JobId>,
     relays: HashMap<StreamId, Relay>,
     handovers: HashMap<StreamId, Sent>,
+    routing: Routing,
+    admission: Admission,
+    poller: Poller,
+    _poll_guard: ChannelGuard,
     next: u64,
     draining: bool,
 }
@@ -102,9 +114,13 @@
         me: identity::Identity,
         transport: Transport,
         shards: Actor<Shards>,
+        mode: Mode,
     ) -> Option<Dispatch> {
         let forward = fwd_to!([cx], endpoint_event() as (Endpoint));
         let (events, guard) = Channel::new(cx, forward);
+        let polled = fwd_to!([cx], polled() as (Answer));
+        let (answers, poll_guard) = Channel::new(cx, polled);
+        call!([cx], poll_turn());
         Some(Dispatch {
             me,
             transport,
@@ -119,6 +135,10 @@
             by_attempt: HashMap::new(),
             relays: HashMap::new(),
             handovers: HashMap::new(),
+            routing: Routing::new(mode, cx.now()),
+            admission: Admission::new(cx.now()),
+            poller: Poller::start(answers, cx.now()),
+            _poll_guard: poll_guard,
             next: 4,
             draining: false,
         })
@@ -136,6 +156,7 @@
                 self.daemons.insert(vm.id.clone(), vm);
             }
             Role::Endpoint => {
+                self.routing.vm_changed(&vm);
                 let in_flight = self.endpoints.get(&vm.id).map_or(0, |it| it.in_flight);
                 self.endpoints.insert(vm.id.clone(), Target { vm, in_flight });
             }
@@ -153,10 +174,10 @@
     }
 
     /// A caller went away before its answer was complete.
-    pub fn gone(&mut self, _cx: CX![], arrival: ArrivalId) {
+    pub fn gone(&mut self, cx: CX![], arrival: ArrivalId) {
         let leaves = |way: &Way| matches!(way, Way::Gateway { id, .. } if *id == arrival);
         self.drop_relays(leaves);
-        self.drop_waiters(leaves);
+        self.drop_waiters(cx, leaves);
     }
 
     /// An event of the transport on a stream of this actor.
@@ -179,7 +200,7 @@
             Event::Failed { stream, sent, .. } => {
                 self.handover_failed(cx, stream);
                 self.relay_ended(cx, stream, sent);
-                self.drop_waiters(|way| matches!(way, Way::Peer(it) if *it == stream));
+                self.drop_waiters(cx, |way| matches!(way, Way::Peer(it) if *it == stream));
             }
         }
     }
@@ -354,7 +375,7 @@
                 call!([self.shards], begin(Ticket(id.0), identity));
                 after!(RECORD_TIMEOUT, [cx], record_timed_out(id));
             }
-            None => self.attempt(cx, id),
+            None => self.admit(cx, id),
         }
     }
 
@@ -413,7 +434,7 @@
     }
 
     /// Drops waiters; a job without key that nobody waits for is cancelled.
-    fn drop_waiters(&mut self, leaves: impl Fn(&Way) -> bool) {
+    fn drop_waiters(&mut self, cx: CX![], leaves: impl Fn(&Way) -> bool) {
         let mut abandoned = Vec::new();
         for (id, job) in &mut self.jobs {
             let before = job.waiters.len();
@@ -424,7 +445,7 @@
             }
         }
         for id in abandoned {
-            self.cancel(id);
+            self.cancel(cx, id);
         }
     }
 
--- a/crates/lentilhook/src/daemon/mod.rs
+++ b/crates/lentilhook/src/daemon/mod.rs
@@ -52,6 +52,7 @@
 use self::departure::Departure;
 use self::dispatch::Dispatch;
 use self::fleet::Fleet;
+use self::fleet::Links;
 use self::identity::Identity;
 use self::lifecycle::Charts;
 use self::operators::Operation;
@@ -196,23 +197,14 @@
     let configuration = actors.configuration.clone();
     let seed = me.incarnation.rotate_left(32) ^ xxhash_rust::xxh3::xxh3_64(me.daemon.as_bytes());
     call!([shards], Shards::init(me.clone(), worker.clone(), dispatch.clone()));
-    call!([dispatch], Dispatch::init(me.clone(), transport.clone(), shards));
+    let mode = settings.routing.mode;
+    call!([dispatch], Dispatch::init(me.clone(), transport.clone(), shards, mode));
     call!(
         [configuration],
         Configuration::init(seed, worker.clone(), dispatch.clone(), fleet.clone())
     );
-    call!(
-        [fleet],
-        Fleet::init(
-            me.clone(),
-            charts.vm,
-            transport.clone(),
-            worker,
-            dispatch,
-            configuration,
-            departures.clone()
-        )
-    );
+    let links = Links { dispatch, configuration, departures: departures.clone() };
+    call!([fleet], Fleet::init(me.clone(), charts.vm, transport.clone(), worker, links));
 }
 
 /// Sends the transport's events to the actor whose stream it is.
