Take a daemon through its lifecycle by the drain chart

Cause: leaving was a closure whose order of steps nothing checked; two stop signals ran it twice.

Change: an actor interprets charts/drain.json; an event that the state does not expect is logged and changes nothing. Releasing leases answers its caller instead of stopping the runtime itself.

Ruled out: keeping flags per step, which is the chart written twice.

--- a/crates/lentilhook/src/daemon/mod.rs
+++ b/crates/lentilhook/src/daemon/mod.rs
@@ -50,6 +50,8 @@
 
 use self::catalog::Configuration;
 use self::departure::Departure;
+use self::departure::Departures;
+use self::departure::Parts;
 use self::dispatch::Dispatch;
 use self::fleet::Fleet;
 use self::fleet::Links;
@@ -61,9 +63,6 @@
 use self::shards::Shards;
 use self::worker::Worker;
 
-/// Time between saying that the daemon is not ready and taking no more
-/// requests, so that the balancer can notice.
-const DRAIN_NOTICE: Duration = Duration::from_millis(500);
 /// Time for the last answers to reach their callers after a drain.
 const DRAIN_LINGER: Duration = Duration::from_millis(300);
 
@@ -105,6 +104,7 @@
     shards: ActorOwn<Shards>,
     configuration: ActorOwn<Configuration>,
     fleet: ActorOwn<Fleet>,
+    departures: ActorOwn<Departures>,
 }
 
 /// Runs a daemon until it has drained.
@@ -123,12 +123,20 @@
         shards: actor_new!(stakker, Shards, ret_nop!()),
         configuration: actor_new!(stakker, Configuration, ret_nop!()),
         fleet: actor_new!(stakker, Fleet, ret_nop!()),
+        departures: actor_new!(stakker, Departures, ret_nop!()),
     };
     let transport = Transport::start(&settings.listen.peers, secret, peer_sink(stakker, &actors))
         .context(PeersSnafu)?;
     let me = identity(settings, &transport);
     let readiness = Readiness::default();
-    let departures = departure_channel(stakker, &actors, readiness.clone());
+    let departures = departure_channel(stakker, &actors);
+    let parts = Parts {
+        dispatch: actors.dispatch.clone(),
+        shards: actors.shards.clone(),
+        fleet: actors.fleet.clone(),
+    };
+    let chart = charts.drain.clone();
+    call!([actors.departures], Departures::init(chart, readiness.clone(), parts));
     start_actors(settings, charts, &actors, &me, &transport, &departures);
     let callers = gateway::server::start(
         &settings.listen.callers,
@@ -145,7 +153,7 @@
     )
     .context(ServerSnafu)?;
     watch_signals(departures)?;
-    readiness.set(true);
+    call!([actors.departures], ready());
     println!(
         "ready daemon={} callers={} operators={} peers={}",
         settings.daemon, callers.address, operators.address, transport.address
@@ -303,30 +311,9 @@
 }
 
 /// A message on this channel makes the daemon leave.
-fn departure_channel(
-    stakker: &mut Stakker,
-    actors: &Actors,
-    readiness: Readiness,
-) -> Channel<Departure> {
-    let dispatch = actors.dispatch.clone();
-    let shards = actors.shards.clone();
-    let fleet = actors.fleet.clone();
-    let begin = fwd_do!(move |departure: Departure| {
-        spdlog::info!("departing", kv: { cause: ? = departure });
-        readiness.set(false);
-        call!([fleet], leave());
-        let shards = shards.clone();
-        let ret = ret_do!(move |done: Option<()>| {
-            if done.is_some() {
-                call!([shards], release_and_stop());
-            }
-        });
-        if let Departure::Reclaim(left) = departure {
-            call!([dispatch], reclaimed(left));
-        }
-        call!([dispatch], drain_after(DRAIN_NOTICE, ret));
-    });
-    let (channel, guard) = Channel::new(stakker, begin);
+fn departure_channel(stakker: &mut Stakker, actors: &Actors) -> Channel<Departure> {
+    let depart = fwd_to!([actors.departures], depart() as (Departure));
+    let (channel, guard) = Channel::new(stakker, depart);
     std::mem::forget(guard);
     channel
 }
--- a/crates/lentilhook/src/daemon/shards.rs
+++ b/crates/lentilhook/src/daemon/shards.rs
@@ -17,10 +17,11 @@
 use platform::table::Transaction;
 use stakker::Actor;
 use stakker::CX;
-use stakker::StopCause;
+use stakker::Ret;
 use stakker::after;
 use stakker::call;
 use stakker::fwd_to;
+use stakker::ret;
 use stakker::sync::Channel;
 use stakker::sync::ChannelGuard;
 
@@ -82,24 +83,24 @@
         self.handle(cx, shard, Input::End(identity, step));
     }
 
-    /// Gives all leases up, then stops the runtime. A lease that can't be
-    /// given up in time lapses.
-    pub fn release_and_stop(&mut self, cx: CX![]) {
+    /// Gives all leases up and answers then. A lease that can't be given up in
+    /// time lapses.
+    pub fn release(&mut self, cx: CX![], ret: Ret<()>) {
         let ids: Vec<ShardId> = self.shards.keys().copied().collect();
         for id in ids {
             self.handle(cx, id, Input::Release);
         }
         let deadline = cx.now() + RELEASE_TIMEOUT;
-        self.stop_when_released(cx, deadline);
+        self.answer_when_released(cx, deadline, ret);
     }
 
-    fn stop_when_released(&mut self, cx: CX![], deadline: Instant) {
+    fn answer_when_released(&mut self, cx: CX![], deadline: Instant, ret: Ret<()>) {
         let held = self.shards.values().any(Shard::is_held);
         if !held || cx.now() >= deadline {
-            cx.shutdown(StopCause::Stopped);
+            ret!([ret]);
             return;
         }
-        after!(RELEASE_POLL, [cx], stop_when_released(deadline));
+        after!(RELEASE_POLL, [cx], answer_when_released(deadline, ret));
     }
 
     fn answered(&mut self, cx: CX![], result: Answer) {
