Bound the ledger's state, pace its commits, refuse what it can't read

Cause, found by reading the shard against its promises: a head row that could not be decoded was taken for an empty one (fence 1, batches overwritten), a batch row for an empty batch (a done call runs again); calls turned away stayed in the dispatcher for good unless granted; a call resent while its owner was lost got "unknown" at once; batches grew for ever; every call was a commit of its own on a fast table.

--- a/crates/ledger/src/book.rs
+++ b/crates/ledger/src/book.rs
@@ -4,6 +4,7 @@
 
 use crate::record::Answer;
 use crate::record::Identity;
+use crate::record::RETENTION_S;
 use crate::record::Record;
 use crate::record::Step;
 
@@ -21,37 +22,67 @@
 /// Calls of a shard.
 #[derive(Clone, Debug, Default)]
 pub struct Book {
-    entries: HashMap<Identity, Entry>,
+    entries: HashMap<Identity, Dated>,
+}
+
+#[derive(Clone, Debug)]
+struct Dated {
+    entry: Entry,
+    wall_s: u64,
 }
 
 impl Book {
-    /// Replays records written by earlier holders. An intent without outcome
-    /// is unknown from then on.
+    /// Replays records written by earlier holders.
     pub fn replay(&mut self, records: &[Record]) {
-        for record in records {
-            self.note(record);
-        }
+        records.iter().for_each(|record| self.note(record));
     }
 
     /// Turns what earlier holders left open into unknown.
     pub fn close_open(&mut self) {
-        let open = self.entries.values_mut().filter(|entry| **entry == Entry::Running);
-        open.for_each(|entry| *entry = Entry::Unknown);
+        let open = self.entries.values_mut().filter(|it| it.entry == Entry::Running);
+        open.for_each(|it| it.entry = Entry::Unknown);
     }
 
     /// Notes a record.
     pub fn note(&mut self, record: &Record) {
-        let identity = record.identity.clone();
-        match &record.step {
-            Step::Intent => self.entries.insert(identity, Entry::Running),
-            Step::Done(answer) => self.entries.insert(identity, Entry::Done(answer.clone())),
-            Step::Unknown => self.entries.insert(identity, Entry::Unknown),
-            Step::NotRun => self.entries.remove(&identity),
+        let entry = match &record.step {
+            Step::Intent => Entry::Running,
+            Step::Done(answer) => Entry::Done(answer.clone()),
+            Step::Unknown => Entry::Unknown,
+            Step::NotRun => {
+                self.entries.remove(&record.identity);
+                return;
+            }
         };
+        let dated = Dated { entry, wall_s: record.wall_s };
+        self.entries.insert(record.identity.clone(), dated);
     }
 
     /// State of a call, `None` when it was never intended or was not run.
     pub fn entry(&self, identity: &Identity) -> Option<&Entry> {
-        self.entries.get(identity)
+        self.entries.get(identity).map(|it| &it.entry)
+    }
+
+    /// Forgets calls that ended longer ago than the retention.
+    pub fn expire(&mut self, wall_s: u64) {
+        self.entries.retain(|_, it| {
+            it.entry == Entry::Running || wall_s.saturating_sub(it.wall_s) < RETENTION_S
+        });
     }
+
+    /// Everything as records, in order of the calls' identities.
+    pub fn records(&self) -> Vec<Record> {
+        let mut records: Vec<Record> = self.entries.iter().map(record).collect();
+        records.sort_by(|one, other| one.identity.cmp(&other.identity));
+        records
+    }
+}
+
+fn record((identity, dated): (&Identity, &Dated)) -> Record {
+    let step = match &dated.entry {
+        Entry::Running => Step::Intent,
+        Entry::Done(answer) => Step::Done(answer.clone()),
+        Entry::Unknown => Step::Unknown,
+    };
+    Record { identity: identity.clone(), step, wall_s: dated.wall_s }
 }
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -4,8 +4,13 @@
 //! Pure: `Shard` takes inputs with the time and returns actions. The platform
 //! is reached by whoever carries the actions out.
 
+pub mod message;
 pub mod record;
 pub mod shard;
+pub mod snapshot;
 
 mod book;
+mod error;
 mod queue;
+
+pub use error::Error;
--- a/crates/ledger/src/record.rs
+++ b/crates/ledger/src/record.rs
@@ -3,17 +3,31 @@
 use std::time::Duration;
 
 use job::reply::Whole;
+use platform::table::ABSENT;
+use platform::table::Row;
 use serde::Deserialize;
 use serde::Serialize;
+use serde::de::DeserializeOwned;
 use xxhash_rust::xxh3::xxh3_64;
 use xxhash_rust::xxh3::xxh3_128;
 
+use crate::Error;
+use crate::snapshot::Named;
+
 /// Number of shards. Changing it needs an empty ledger.
-pub const SHARDS: u32 = 192;
+pub const SHARDS: u32 = 64;
 /// Time for which an unchanged head row keeps its holder.
 pub const LEASE: Duration = Duration::from_secs(6);
 /// Longest time between two writes of the head row by its holder.
 pub const RENEW_AFTER: Duration = Duration::from_secs(2);
+/// Least time between the starts of two commits of a shard.
+pub const COMMIT_PACE: Duration = Duration::from_millis(250);
+/// Time without calls after which a holder gives its lease up.
+pub const IDLE_AFTER: Duration = Duration::from_secs(30);
+/// Time for which a call that ended is remembered, in seconds.
+pub const RETENTION_S: u64 = 24 * 3600;
+/// Batch rows of a shard that are replaced by a snapshot.
+pub const COMPACT_ROWS: u64 = 256;
 
 /// Number of a shard.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -45,6 +59,15 @@
     pub next_batch: u64,
     /// Unique token of the last commit, by which a lost answer is resolved.
     pub token: u64,
+    /// Number of the first batch that the snapshot does not contain.
+    #[serde(default)]
+    pub first_batch: u64,
+    /// Snapshot of all earlier batches.
+    #[serde(default)]
+    pub snapshot: Option<Named>,
+    /// Objects to delete: earlier snapshots, and drafts that no head row named.
+    #[serde(default)]
+    pub spare: Vec<String>,
 }
 
 /// Content of a batch row.
@@ -61,6 +84,9 @@
     pub identity: Identity,
     /// Step.
     pub step: Step,
+    /// When, in seconds since the epoch.
+    #[serde(default)]
+    pub wall_s: u64,
 }
 
 /// A step in the life of a call.
@@ -110,6 +136,13 @@
     }
 }
 
+impl From<Answer> for Whole {
+    fn from(answer: Answer) -> Whole {
+        let Answer { status, media_type, body } = answer;
+        Whole { status, media_type, body: body.into_bytes() }
+    }
+}
+
 /// Key of the head row of a shard.
 pub fn head_key(shard: ShardId) -> String {
     format!("ledger/{:05}/head", shard.0)
@@ -124,3 +157,29 @@
 pub fn batch_key(shard: ShardId, batch: u64) -> String {
     format!("{}{batch:020}", batch_prefix(shard))
 }
+
+/// Decodes a head row; an absent one belongs to nobody.
+pub fn decode_head(row: &Row) -> Result<Head, Error> {
+    if row.version == ABSENT { Ok(Head::default()) } else { decode(row) }
+}
+
+/// Decodes the batch rows that a head row names, which must be there whole.
+pub fn decode_batches(shard: ShardId, head: &Head, rows: &[Row]) -> Result<Vec<Record>, Error> {
+    let expected = head.next_batch.saturating_sub(head.first_batch);
+    let mut records = Vec::new();
+    for (number, row) in (head.first_batch..).zip(rows) {
+        let found = number - head.first_batch;
+        if found >= expected || row.key != batch_key(shard, number) {
+            return Err(Error::Batches { expected, found });
+        }
+        records.extend(decode::<Batch>(row)?.records);
+    }
+    let found = rows.len() as u64;
+    if found == expected { Ok(records) } else { Err(Error::Batches { expected, found }) }
+}
+
+fn decode<T: DeserializeOwned>(row: &Row) -> Result<T, Error> {
+    let malformed =
+        |error: serde_json::Error| Error::Row { key: row.key.clone(), detail: error.to_string() };
+    serde_json::from_str(&row.value).map_err(malformed)
+}
--- a/crates/ledger/tests/interleavings/world.rs
+++ b/crates/ledger/tests/interleavings/world.rs
@@ -1,32 +1,39 @@
 //! Daemons, their table and an endpoint that ignores fencing numbers.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::time::Duration;
 use std::time::Instant;
 
 use arbtest::arbitrary::Result;
 use arbtest::arbitrary::Unstructured;
+use ledger::message::Action;
+use ledger::message::Input;
+use ledger::message::Moment;
+use ledger::message::Ticket;
+use ledger::message::Verdict;
 use ledger::record::Answer;
 use ledger::record::Holder;
 use ledger::record::Identity;
 use ledger::record::ShardId;
 use ledger::record::Step;
-use ledger::shard::Action;
-use ledger::shard::Input;
 use ledger::shard::Shard;
-use ledger::shard::Ticket;
-use ledger::shard::Verdict;
 use platform::memory::Memory;
+use platform::objects::Objects;
 use platform::table::Table;
 
 /// Keys in use at a time.
 const KEYS: usize = 4;
 /// Calls after which other keys come into use.
 const KEY_CALLS: usize = 24;
+/// Batch rows that are replaced by a snapshot.
+const COMPACT_ROWS: u64 = 5;
 /// Time after which the dispatcher turns a call away.
 const RECORD_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Daemons that hold the same shard by turns, and what became of calls.
 pub struct World {
+    start: Instant,
     now: Instant,
     memory: Memory,
     daemons: Vec<Daemon>,
@@ -40,6 +47,7 @@
     holder: Holder,
     shard: Shard,
     paused: bool,
+    released: bool,
     inbox: Vec<Input>,
 }
 
@@ -72,10 +80,13 @@
 }
 
 impl World {
+    /// So many daemons and an empty table.
     pub fn new(daemons: usize, seed: u64) -> World {
         let daemons = (0..daemons).map(|number| Daemon::new(number, 1)).collect();
+        let start = Instant::now();
         World {
-            now: Instant::now(),
+            start,
+            now: start,
             memory: Memory::default(),
             daemons,
             flights: Vec::new(),
@@ -101,7 +112,10 @@
             92..=93 => self.daemons[daemon].paused = true,
             94..=96 => self.resume(daemon),
             97 => self.restart(daemon),
-            98 => self.input(daemon, Input::Release),
+            98 => {
+                self.daemons[daemon].released = true;
+                self.input(daemon, Input::Release);
+            }
             _ => self.turn_away(),
         }
         Ok(())
@@ -111,11 +125,14 @@
     pub fn heal(&mut self) {
         for daemon in 0..self.daemons.len() {
             self.resume(daemon);
-            self.restart_if_released(daemon);
+            if self.daemons[daemon].released {
+                self.restart(daemon);
+            }
         }
         self.settle();
     }
 
+    /// No call was executed twice, or executed and said not run.
     pub fn check_words(&self) {
         for (identity, tickets) in &self.executed {
             let seed = self.seed;
@@ -130,28 +147,43 @@
         }
     }
 
-    /// A call that nobody has seen is granted soon, asked anywhere.
+    /// Every call gets a final word soon, asked anywhere, and one that nobody
+    /// has seen is granted.
     pub fn check_progress(&mut self, within: Duration) {
+        self.end_all();
         for daemon in 0..self.daemons.len() {
-            let identity = Identity::of(&format!("fresh {daemon}"));
-            let deadline = self.now + within;
-            let mut asked = daemon;
-            loop {
-                let ticket = self.ask(asked, identity.clone());
-                self.settle();
-                match self.call(ticket).told.clone() {
-                    Some(Verdict::Granted { .. }) => break,
-                    Some(Verdict::Elsewhere(holder)) => {
-                        let found = self.daemons.iter().position(|it| it.holder == holder);
-                        asked = found.unwrap_or(asked);
-                    }
-                    _ => {}
+            let fresh = Identity::of(&format!("fresh {daemon}"));
+            let word = self.final_word(daemon, &fresh, within);
+            assert!(matches!(word, Verdict::Granted { .. }), "{word:?}, seed {:#x}", self.seed);
+            self.end_all();
+        }
+        let identities: HashSet<Identity> =
+            self.calls.iter().map(|it| it.identity.clone()).collect();
+        for identity in identities {
+            self.final_word(0, &identity, within);
+            self.end_all();
+        }
+    }
+
+    fn final_word(&mut self, daemon: usize, identity: &Identity, within: Duration) -> Verdict {
+        let deadline = self.now + within;
+        let mut asked = daemon;
+        loop {
+            let ticket = self.ask(asked, identity.clone());
+            self.settle();
+            self.advance(500);
+            self.settle();
+            self.settle();
+            match self.calls[ticket.0 as usize].told.clone() {
+                Some(Verdict::Elsewhere(holder)) => {
+                    let found = self.daemons.iter().position(|it| it.holder == holder);
+                    asked = found.unwrap_or(asked);
                 }
-                self.advance(500);
-                let seed = self.seed;
-                assert!(self.now < deadline, "no progress through {daemon}, seed {seed:#x}");
+                Some(Verdict::NotNow { .. } | Verdict::Running) | None => {}
+                Some(word) => return word,
             }
-            self.end_all();
+            let (seed, told) = (self.seed, &self.calls[ticket.0 as usize].told);
+            assert!(self.now < deadline, "no final word on {identity:?}: {told:?}, seed {seed:#x}");
         }
     }
 
@@ -178,9 +210,13 @@
             return;
         }
         let incarnation = it.holder.incarnation;
-        for action in it.shard.handle(self.now, input) {
+        let now =
+            Moment { instant: self.now, wall_s: self.now.duration_since(self.start).as_secs() };
+        for action in it.shard.handle(now, input) {
             match action {
                 Action::Tell(ticket, verdict) => self.told(ticket, verdict),
+                Action::Wake(_) => {}
+                Action::Report(error) => panic!("{error}, seed {:#x}", self.seed),
                 action => {
                     self.flights.push(Flight { daemon, incarnation, action, answer: None });
                 }
@@ -312,10 +348,16 @@
     fn turn_away(&mut self) {
         let now = self.now;
         let late = |it: &&mut Call| it.stage == Stage::Waiting && now - it.asked >= RECORD_TIMEOUT;
-        for call in self.calls.iter_mut().filter(late) {
-            if !self.daemons[call.daemon].paused {
+        let awake: Vec<bool> = self.daemons.iter().map(|it| !it.paused).collect();
+        let late = self.calls.iter_mut().filter(late).filter(|it| awake[it.daemon]);
+        let late: Vec<(usize, Ticket)> = late
+            .map(|call| {
                 call.stage = Stage::TurnedAway;
-            }
+                (call.daemon, call.ticket)
+            })
+            .collect();
+        for (daemon, ticket) in late {
+            self.input(daemon, Input::Withdraw(ticket));
         }
     }
 
@@ -336,16 +378,20 @@
         self.daemons[daemon] = Daemon::new(daemon, incarnation);
     }
 
-    fn restart_if_released(&mut self, daemon: usize) {
-        self.restart(daemon);
-    }
-
     fn carry_out(&self, action: &Action) -> Input {
         match action {
             Action::ReadHead(key) => Input::HeadRead(self.memory.read(key)),
             Action::ReadBatches(prefix) => Input::BatchesRead(self.memory.scan(prefix, "", 10_000)),
             Action::Commit(transaction) => Input::Committed(self.memory.commit(transaction)),
-            Action::Tell(..) => unreachable!("not for the platform"),
+            Action::ReadSnapshot(name) => Input::SnapshotRead(self.memory.get(name)),
+            Action::WriteSnapshot { name, content } => {
+                Input::SnapshotWritten(name.clone(), self.memory.put(name, content))
+            }
+            Action::DeleteSnapshot(name) => {
+                let _ = self.memory.delete(name);
+                Input::Tick
+            }
+            _ => unreachable!("not for the platform"),
         }
     }
 
@@ -355,8 +401,9 @@
             if self.flights.is_empty() {
                 break;
             }
-            let answer = self.carry_out(&self.flights[0].action);
-            self.flights[0].answer.get_or_insert(answer);
+            if self.flights[0].answer.is_none() {
+                self.flights[0].answer = Some(self.carry_out(&self.flights[0].action));
+            }
             self.deliver(0);
         }
         assert!(self.flights.is_empty(), "it never settles, seed {:#x}", self.seed);
@@ -378,10 +425,6 @@
     fn flight_numbers(&self, wanted: impl Fn(&Flight) -> bool) -> Vec<usize> {
         (0..self.flights.len()).filter(|it| wanted(&self.flights[*it])).collect()
     }
-
-    fn call(&self, ticket: Ticket) -> &Call {
-        &self.calls[ticket.0 as usize]
-    }
 }
 
 impl Daemon {
@@ -392,8 +435,8 @@
             address: format!("127.0.0.{number}:1"),
         };
         let seed = (number as u64) << 40 | incarnation << 20;
-        let shard = Shard::new(ShardId(0), holder.clone(), seed);
-        Daemon { holder, shard, paused: false, inbox: Vec::new() }
+        let shard = Shard::new(ShardId(0), holder.clone(), seed).compacting_after(COMPACT_ROWS);
+        Daemon { holder, shard, paused: false, released: false, inbox: Vec::new() }
     }
 }
 
@@ -401,6 +444,9 @@
     match action {
         Action::ReadHead(_) => Input::HeadRead(Err(error)),
         Action::ReadBatches(_) => Input::BatchesRead(Err(error)),
+        Action::ReadSnapshot(_) => Input::SnapshotRead(Err(error)),
+        Action::WriteSnapshot { name, .. } => Input::SnapshotWritten(name.clone(), Err(error)),
+        Action::DeleteSnapshot(_) => Input::Tick,
         _ => Input::Committed(Err(error)),
     }
 }
--- a/crates/lentilhook/src/daemon/dispatch/attempts.rs
+++ b/crates/lentilhook/src/daemon/dispatch/attempts.rs
@@ -28,8 +28,8 @@
 use crate::daemon::dispatch::job::JobId;
 use crate::daemon::dispatch::job::Running;
 use crate::daemon::dispatch::job::Stage;
-use crate::daemon::dispatch::ledger_identity;
 use crate::daemon::dispatch::problems;
+use crate::daemon::dispatch::recorded::ledger_identity;
 
 /// Most attempts at one job.
 const TRIES: u32 = 4;
--- a/crates/lentilhook/src/daemon/dispatch/job.rs
+++ b/crates/lentilhook/src/daemon/dispatch/job.rs
@@ -14,6 +14,8 @@
 use peer::transport::Transport;
 use peer::wire::Frame;
 
+use crate::daemon::dispatch::recorded::Again;
+
 /// Names a job on this daemon.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct JobId(pub u64);
@@ -67,7 +69,7 @@
 }
 
 /// Way to a caller.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub enum Way {
     /// Through this daemon's gateway.
     Gateway {
@@ -78,15 +80,26 @@
     },
     /// Through the peer that sent the call on.
     Peer(StreamId),
+    /// For a call that is asked again because its owner was lost.
+    Again(Box<Again>),
 }
 
 impl Way {
+    /// Who hears what is sent this way.
+    pub fn end(&self) -> &Way {
+        match self {
+            Way::Again(again) => again.way.end(),
+            way => way,
+        }
+    }
+
     /// Sends a piece of the answer.
     pub fn send(&self, transport: &Transport, reply: Reply) {
         match self {
             Way::Gateway { replies, .. } => {
                 let _ = replies.send(reply);
             }
+            Way::Again(again) => again.send(transport, reply),
             Way::Peer(stream) => {
                 let last = reply.is_last();
                 let stream = *stream;
--- a/crates/lentilhook/src/daemon/dispatch/mod.rs
+++ b/crates/lentilhook/src/daemon/dispatch/mod.rs
@@ -4,6 +4,7 @@
 mod check;
 mod job;
 mod problems;
+mod recorded;
 mod relays;
 
 use std::collections::BTreeMap;
@@ -21,10 +22,7 @@
 use endpoint::attempt::AttemptId;
 use gateway::arrival::Arrival;
 use gateway::arrival::ArrivalId;
-use ledger::record::Identity;
-use ledger::record::Step;
-use ledger::shard::Ticket;
-use ledger::shard::Verdict;
+use ledger::message::Ticket;
 use membership::update::Role;
 use membership::update::State;
 use membership::update::Vm;
@@ -51,6 +49,9 @@
 use self::job::Stage;
 use self::job::Waiter;
 use self::job::Way;
+use self::recorded::Again;
+use self::recorded::Words;
+use self::recorded::ledger_identity;
 use self::relays::Relay;
 
 /// Longest wait for the ledger before a call is turned away.
@@ -78,6 +79,10 @@
     relays: HashMap<StreamId, Relay>,
     next: u64,
     draining: bool,
+    words: Words,
+    retries: Channel<Again>,
+    _retries_guard: ChannelGuard,
+    asking_again: usize,
 }
 
 /// An endpoint and what this daemon has there.
@@ -102,6 +107,8 @@
     ) -> Option<Dispatch> {
         let forward = fwd_to!([cx], endpoint_event() as (Endpoint));
         let (events, guard) = Channel::new(cx, forward);
+        let again = fwd_to!([cx], ask_again() as (Again));
+        let (retries, retries_guard) = Channel::new(cx, again);
         Some(Dispatch {
             me,
             transport,
@@ -117,6 +124,10 @@
             relays: HashMap::new(),
             next: 4,
             draining: false,
+            words: Words::default(),
+            retries,
+            _retries_guard: retries_guard,
+            asking_again: 0,
         })
     }
 
@@ -150,7 +161,7 @@
 
     /// A caller went away before its answer was complete.
     pub fn gone(&mut self, _cx: CX![], arrival: ArrivalId) {
-        let leaves = |way: &Way| matches!(way, Way::Gateway { id, .. } if *id == arrival);
+        let leaves = |way: &Way| matches!(way.end(), Way::Gateway { id, .. } if *id == arrival);
         self.drop_relays(leaves);
         self.drop_waiters(leaves);
     }
@@ -168,51 +179,7 @@
             Event::Finished { stream } => self.relay_ended(cx, stream, true),
             Event::Failed { stream, sent, .. } => {
                 self.relay_ended(cx, stream, sent);
-                self.drop_waiters(|way| matches!(way, Way::Peer(it) if *it == stream));
-            }
-        }
-    }
-
-    /// The ledger decided on a call.
-    pub fn ruled(&mut self, cx: CX![], ticket: Ticket, verdict: Verdict) {
-        let id = JobId(ticket.0);
-        let waits = self.jobs.get(&id).is_some_and(|it| matches!(it.stage, Stage::Recording));
-        if !waits {
-            // Turned away meanwhile: what was granted must not count as running.
-            if let Verdict::Granted { .. } = verdict
-                && let Some(identity) = self.jobs.get(&id).and_then(|it| ledger_identity(&it.call))
-            {
-                call!([self.shards], end(identity, Step::NotRun));
-                self.forget(id);
-            }
-            return;
-        }
-        match verdict {
-            Verdict::Granted { fence } => {
-                if let Some(job) = self.jobs.get_mut(&id) {
-                    job.fence = Some(fence);
-                }
-                self.attempt(cx, id);
-            }
-            Verdict::Done(answer) => {
-                let whole = ::job::reply::Whole {
-                    status: answer.status,
-                    media_type: answer.media_type,
-                    body: answer.body.into_bytes(),
-                };
-                self.end(cx, id, Reply::Whole(whole));
-            }
-            Verdict::Unknown => {
-                let problem = problems::unknown("an earlier holder of its record was lost");
-                self.end(cx, id, Reply::Problem(problem));
-            }
-            Verdict::Running => {
-                let problem = problems::not_recorded(1);
-                self.end_unkept(id, Reply::Problem(problem));
-            }
-            Verdict::Elsewhere(holder) => self.send_on(cx, id, &holder),
-            Verdict::NotNow { retry_after_s } => {
-                self.end_unkept(id, Reply::Problem(problems::not_recorded(retry_after_s)));
+                self.drop_waiters(|way| matches!(way.end(), Way::Peer(it) if *it == stream));
             }
         }
     }
@@ -242,7 +209,7 @@
 
     fn open_count(&self) -> usize {
         let open = self.jobs.values().filter(|it| !matches!(it.stage, Stage::Ended(_)));
-        open.count() + self.relays.len()
+        open.count() + self.relays.len() + self.asking_again
     }
 
     fn forwarded(&mut self, cx: CX![], stream: StreamId, forward: Forward) {
@@ -271,7 +238,7 @@
                 return;
             }
         }
-        if self.draining && !matches!(way, Way::Peer(_)) {
+        if self.draining && matches!(way, Way::Gateway { .. }) {
             way.send(&self.transport, Reply::Problem(problems::draining()));
             return;
         }
@@ -338,22 +305,6 @@
         }
     }
 
-    fn record_timed_out(&mut self, _cx: CX![], id: JobId) {
-        let Some(job) = self.jobs.get_mut(&id) else { return };
-        if !matches!(job.stage, Stage::Recording) {
-            return;
-        }
-        // The job stays until the ledger has spoken, so that a late grant is given back.
-        let reply = Reply::Problem(problems::not_recorded(2));
-        job.stage = Stage::Ended(reply.clone());
-        for waiter in job.waiters.drain(..) {
-            waiter.way.send(&self.transport, reply.clone());
-        }
-        if let Some(identity) = job.call.identity() {
-            self.by_identity.remove(&identity);
-        }
-    }
-
     /// Ends a job; one with a key is kept for callers who ask again.
     fn end(&mut self, cx: CX![], id: JobId, reply: Reply) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
@@ -415,13 +366,6 @@
     }
 }
 
-/// Identity in the ledger of a call that must not be executed twice and can
-/// be recognized when it is sent again.
-fn ledger_identity(call: &Call) -> Option<Identity> {
-    let identity = call.identity()?;
-    call.is_non_idempotent().then(|| Identity::of(&identity))
-}
-
 /// Whether a resubmission asks for the same thing.
 fn same_request(first: &Call, again: &Call) -> bool {
     match (&first.body, &again.body) {
--- a/crates/lentilhook/src/daemon/dispatch/relays.rs
+++ b/crates/lentilhook/src/daemon/dispatch/relays.rs
@@ -82,9 +82,9 @@
             state: State::Live,
         };
         for waiter in job.waiters.drain(..) {
-            let hops = match waiter.way {
-                Way::Gateway { .. } => 0,
+            let hops = match waiter.way.end() {
                 Way::Peer(_) => 1,
+                _ => 0,
             };
             if hops >= HOPS_LIMIT {
                 let problem = problems::owner_unreachable();
@@ -125,11 +125,13 @@
             self.serve(cx, call, service, way);
             return;
         }
-        let problem = match sent {
-            true => problems::owner_lost(),
-            false => problems::owner_unreachable(),
-        };
-        way.send(&self.transport, Reply::Problem(problem));
+        if !call.is_non_idempotent() {
+            self.serve(cx, call, service, way);
+        } else if sent {
+            self.owner_lost(cx, call, service, way);
+        } else {
+            way.send(&self.transport, Reply::Problem(problems::owner_unreachable()));
+        }
     }
 
     /// Drops relays whose caller went away.
--- a/crates/lentilhook/src/daemon/shards.rs
+++ b/crates/lentilhook/src/daemon/shards.rs
@@ -3,18 +3,21 @@
 use std::collections::HashMap;
 use std::time::Duration;
 use std::time::Instant;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
 
+use ledger::message::Action;
+use ledger::message::Input;
+use ledger::message::Moment;
+use ledger::message::Ticket;
 use ledger::record::Identity;
 use ledger::record::ShardId;
 use ledger::record::Step;
-use ledger::shard::Action;
-use ledger::shard::Input;
 use ledger::shard::Shard;
-use ledger::shard::Ticket;
-use platform::table::Commit;
+use platform::client::Client;
+use platform::objects::Objects;
 use platform::table::Row;
 use platform::table::Table;
-use platform::table::Transaction;
 use stakker::Actor;
 use stakker::CX;
 use stakker::StopCause;
@@ -76,6 +79,12 @@
         self.handle(cx, shard, Input::Begin(ticket, identity));
     }
 
+    /// Forgets a call that was turned away before the ledger decided.
+    pub fn withdraw(&mut self, cx: CX![], ticket: Ticket, identity: Identity) {
+        let shard = identity.shard();
+        self.handle(cx, shard, Input::Withdraw(ticket));
+    }
+
     /// Records the end of a call that was granted.
     pub fn end(&mut self, cx: CX![], identity: Identity, step: Step) {
         let shard = identity.shard();
@@ -123,7 +132,8 @@
     }
 
     fn handle(&mut self, cx: CX![], id: ShardId, input: Input) {
-        let now = cx.now();
+        let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let now = Moment { instant: cx.now(), wall_s: since_epoch.as_secs() };
         let me = &self.me;
         let shard = self.shards.entry(id).or_insert_with(|| {
             // Tokens of other daemons and incarnations must not collide with these.
@@ -140,11 +150,15 @@
             });
         }
         for action in actions {
-            self.carry_out(id, action);
+            self.carry_out(cx, id, action);
         }
     }
 
-    fn carry_out(&self, shard: ShardId, action: Action) {
+    fn wake(&mut self, cx: CX![], id: ShardId) {
+        self.handle(cx, id, Input::Tick);
+    }
+
+    fn carry_out(&self, cx: CX![], shard: ShardId, action: Action) {
         let results = self.results.clone();
         let tell = move |input: Input| {
             results.send(Answer { shard, input });
@@ -157,12 +171,33 @@
                 self.worker.queue(move |client| tell(Input::HeadRead(client.read(&key))));
             }
             Action::ReadBatches(prefix) => {
-                let read = move |client: &platform::client::Client| scan_all(client, &prefix);
+                let read = move |client: &Client| scan_all(client, &prefix);
                 self.worker.queue(move |client| tell(Input::BatchesRead(read(client))));
             }
+            Action::ReadSnapshot(name) => {
+                self.worker.queue(move |client| tell(Input::SnapshotRead(client.get(&name))));
+            }
             Action::Commit(transaction) => {
+                let commit = move |client: &Client| client.commit(&transaction);
+                self.worker.queue(move |client| tell(Input::Committed(commit(client))));
+            }
+            Action::WriteSnapshot { name, content } => {
                 self.worker.queue(move |client| {
-                    tell(Input::Committed(commit(client, &transaction)));
+                    let written = client.put(&name, &content);
+                    tell(Input::SnapshotWritten(name, written));
+                });
+            }
+            Action::DeleteSnapshot(name) => {
+                // One that stays is an object too many and does no harm.
+                self.worker.queue(move |client| drop(client.delete(&name)));
+            }
+            Action::Wake(after) => {
+                after!(after, [cx], wake(shard));
+            }
+            Action::Report(error) => {
+                spdlog::error!("shard refused", kv: {
+                    shard = shard.0,
+                    error = error.to_string(),
                 });
             }
         }
@@ -173,10 +208,6 @@
     matches!(input, Input::Committed(Err(_)))
 }
 
-fn commit(table: &impl Table, transaction: &Transaction) -> Result<Commit, platform::Error> {
-    table.commit(transaction)
-}
-
 fn scan_all(table: &impl Table, prefix: &str) -> Result<Vec<Row>, platform::Error> {
     let mut rows: Vec<Row> = Vec::new();
     loop {
