Measure what control costs as the number of daemons grows

Cause: the capacity page needs slopes over daemons and endpoints; until now only one daemon had been measured.

Change: cargo xtask scale starts N daemons, watches idle processor time, memory and platform calls, and times ten changes until all have them in force.

Ruled out: timing the spread from one daemon's log, which can't see the last.

--- a/crates/harness/src/lib.rs
+++ b/crates/harness/src/lib.rs
@@ -7,3 +7,4 @@
 pub mod demo;
 pub mod measure;
 pub mod process;
+pub mod scale;
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -21,6 +21,7 @@
     Demo(Demo),
     Generate(Generate),
     Measure(Measure),
+    Scale(Scale),
     Tidy(Tidy),
 }
 
@@ -43,6 +44,18 @@
 #[argh(subcommand, name = "measure")]
 struct Measure {}
 
+/// print what control costs as the number of daemons grows; build with --release
+#[derive(FromArgs)]
+#[argh(subcommand, name = "scale")]
+struct Scale {
+    /// number of daemons, may be given several times
+    #[argh(option)]
+    daemons: Vec<usize>,
+    /// endpoints in the VM list
+    #[argh(option, default = "0")]
+    endpoints: usize,
+}
+
 /// check the house rules that formatter and linter do not know
 #[derive(FromArgs)]
 #[argh(subcommand, name = "tidy")]
@@ -54,6 +67,9 @@
         Command::Demo(_) => harness::demo::run().map_err(|it| it.to_string()),
         Command::Generate(it) => generate::run(&root(), it.check),
         Command::Measure(_) => harness::measure::run().map_err(|it| it.to_string()),
+        Command::Scale(it) => {
+            harness::scale::run(&it.daemons, it.endpoints).map_err(|it| it.to_string())
+        }
         Command::Tidy(_) => tidy::run(&root()),
     };
     match result {
