Serve HTTP by hyper, since tiny_http can't bound heads and connections

Cause: tiny_http accepts by itself and shows a socket only with a whole head. A head sent a byte at a time lives for ever and grows without bound, connections have no limit, a refused body keeps its connection, and a stream dropped in the midst gets its end mark. answer::stream blocked on its first token and did not notice a caller that left.

Ruled out: a silence limit on the listener (a byte renews it), a front that passes bytes on (twice the descriptors and threads).

Change: hyper on one thread per port; callers are served as tasks, operators and stand-ins on threads as before. Limits on connections, time of head, body and a caller that reads nothing. A dropped stream breaks its connection.

--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -1,8 +1,6 @@
 //! From replies to HTTP answers.
 
 use std::io;
-use std::sync::mpsc::Receiver;
-use std::sync::mpsc::RecvTimeoutError;
 use std::time::Duration;
 
 use job::problem::Outcome;
@@ -11,6 +9,8 @@
 use job::reply::Token;
 use job::reply::Usage;
 use serde_json::json;
+use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::time::timeout;
 use web::answer::Responder;
 use web::answer::Stream;
 use web::answer::field;
@@ -19,61 +19,82 @@
 const KEEP_ALIVE: Duration = Duration::from_secs(1);
 
 /// Streams a completion as events. An error means that the caller is gone.
-pub fn stream(replies: &Receiver<Reply>, responder: Responder) -> io::Result<()> {
-    let first = match replies.recv() {
-        Ok(Reply::Problem(problem)) => return responder.send_problem(&problem),
-        Ok(reply) => reply,
-        Err(_) => return responder.send_problem(&lost()),
+pub async fn stream(
+    replies: &mut UnboundedReceiver<Reply>,
+    mut responder: Responder,
+) -> io::Result<()> {
+    let first = match next(replies, &mut responder).await? {
+        Reply::Problem(problem) => return responder.send_problem(&problem),
+        reply => reply,
     };
     let fields = [field("Content-Type", "text/event-stream"), field("Cache-Control", "no-store")];
     let mut out = responder.stream(200, &fields)?;
-    let mut next = Some(first);
+    let mut waiting = Some(first);
     loop {
-        let reply = match next.take() {
+        let reply = match waiting.take() {
             Some(reply) => reply,
-            None => match replies.recv_timeout(KEEP_ALIVE) {
-                Ok(reply) => reply,
-                Err(RecvTimeoutError::Timeout) => {
-                    out.send(b": keep-alive\n\n")?;
-                    continue;
+            None => {
+                let received = tokio::select! {
+                    received = timeout(KEEP_ALIVE, replies.recv()) => received,
+                    () = out.gone() => return Err(io::ErrorKind::BrokenPipe.into()),
+                };
+                match received {
+                    Ok(Some(reply)) => reply,
+                    Ok(None) => Reply::Problem(lost()),
+                    Err(_) => {
+                        out.push(b": keep-alive\n\n".to_vec()).await?;
+                        continue;
+                    }
                 }
-                Err(RecvTimeoutError::Disconnected) => Reply::Problem(lost()),
-            },
+            }
         };
-        if send_event(&mut out, &reply)? == Sent::Last {
-            return out.finish();
+        if send_event(&mut out, &reply).await? == Sent::Last {
+            return out.complete().await;
         }
     }
 }
 
 /// Sends a completion or the answer of a plain service whole.
-pub fn whole(replies: &Receiver<Reply>, responder: Responder) -> io::Result<()> {
+pub async fn whole(
+    replies: &mut UnboundedReceiver<Reply>,
+    mut responder: Responder,
+) -> io::Result<()> {
     let mut content = String::new();
     loop {
-        match replies.recv() {
-            Ok(Reply::Token(token)) => content.push_str(&token.text),
-            Ok(Reply::Finished(usage)) => {
+        match next(replies, &mut responder).await? {
+            Reply::Token(token) => content.push_str(&token.text),
+            Reply::Finished(usage) => {
                 return responder.send_json(200, &completion(&content, usage));
             }
-            Ok(Reply::Whole(whole)) => {
+            Reply::Whole(whole) => {
                 return responder.send_typed(whole.status, &whole.media_type, &whole.body);
             }
-            Ok(Reply::Problem(problem)) => return responder.send_problem(&problem),
-            Err(_) => return responder.send_problem(&lost()),
+            Reply::Problem(problem) => return responder.send_problem(&problem),
         }
     }
 }
 
+/// Next piece for a caller that has got nothing yet.
+async fn next(
+    replies: &mut UnboundedReceiver<Reply>,
+    responder: &mut Responder,
+) -> io::Result<Reply> {
+    tokio::select! {
+        reply = replies.recv() => Ok(reply.unwrap_or_else(|| Reply::Problem(lost()))),
+        () = responder.gone() => Err(io::ErrorKind::BrokenPipe.into()),
+    }
+}
+
 #[derive(PartialEq, Eq)]
 enum Sent {
     More,
     Last,
 }
 
-fn send_event(out: &mut Stream, reply: &Reply) -> io::Result<Sent> {
+async fn send_event(out: &mut Stream, reply: &Reply) -> io::Result<Sent> {
     match reply {
         Reply::Token(token) => {
-            out.send(token_event(token).as_bytes())?;
+            out.push(token_event(token).into_bytes()).await?;
             return Ok(Sent::More);
         }
         Reply::Finished(usage) => {
@@ -82,16 +103,16 @@
                 "choices": [{ "index": 0, "delta": {}, "finish_reason": "stop" }],
                 "usage": usage_json(*usage),
             });
-            out.send(format!("data: {last}\n\ndata: [DONE]\n\n").as_bytes())?;
+            out.push(format!("data: {last}\n\ndata: [DONE]\n\n").into_bytes()).await?;
         }
         Reply::Problem(problem) => {
             let data = serde_json::to_string(problem).unwrap_or_default();
-            out.send(format!("event: error\ndata: {data}\n\n").as_bytes())?;
+            out.push(format!("event: error\ndata: {data}\n\n").into_bytes()).await?;
         }
         Reply::Whole(_) => {
             let problem = Problem::new(502, "wrong answer", "call again", Outcome::Unknown);
             let data = serde_json::to_string(&problem).unwrap_or_default();
-            out.send(format!("event: error\ndata: {data}\n\n").as_bytes())?;
+            out.push(format!("event: error\ndata: {data}\n\n").into_bytes()).await?;
         }
     }
     Ok(Sent::Last)
--- a/crates/gateway/src/arrival.rs
+++ b/crates/gateway/src/arrival.rs
@@ -1,9 +1,8 @@
 //! A request as it arrives, before anything is checked against the
 //! configuration.
 
-use std::sync::mpsc::Sender;
-
 use job::reply::Reply;
+use tokio::sync::mpsc::UnboundedSender;
 
 /// Names an arrival on this daemon.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -23,7 +22,7 @@
     /// What is called.
     pub content: Content,
     /// Where the pieces of the answer go.
-    pub replies: Sender<Reply>,
+    pub replies: UnboundedSender<Reply>,
 }
 
 /// What is called.
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -1,16 +1,18 @@
 //! The callers' server.
 
+use std::io;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
-use std::sync::mpsc::channel;
 
 use job::problem::Problem;
+use tokio::sync::mpsc::unbounded_channel;
 use web::answer::Responder;
 use web::request::Request;
 use web::server::Limits;
 use web::server::Server;
+use web::server::Task;
 
 use crate::answer;
 use crate::arrival::Arrival;
@@ -18,7 +20,7 @@
 use crate::arrival::Event;
 use crate::parse::parse;
 
-/// Takes the gateway's events; called on the threads of requests.
+/// Takes the gateway's events; called on the server's thread.
 pub type Sink = Arc<dyn Fn(Event) + Send + Sync>;
 
 /// Whether the daemon takes requests.
@@ -45,42 +47,45 @@
     sink: Sink,
 ) -> Result<Server, web::Error> {
     let next = AtomicU64::new(1);
-    let handler = move |request: Request, responder: Responder| {
+    let handler = move |request: Request, responder: Responder| -> Task {
         let id = ArrivalId(next.fetch_add(1, Ordering::Relaxed));
-        serve(id, &request, responder, &readiness, &sink);
+        let (readiness, sink) = (readiness.clone(), Arc::clone(&sink));
+        Box::pin(async move {
+            let _ = serve(id, &request, responder, &readiness, &sink).await;
+        })
     };
-    Server::start(address, limits, Arc::new(handler))
+    Server::start_tasks(address, limits, Arc::new(handler))
 }
 
-fn serve(
+async fn serve(
     id: ArrivalId,
     request: &Request,
     responder: Responder,
     readiness: &Readiness,
     sink: &Sink,
-) {
-    let _ = match request.path.as_str() {
+) -> io::Result<()> {
+    match request.path.as_str() {
         "/healthz" => responder.send_typed(200, "text/plain", b"ok\n"),
         "/readyz" if readiness.get() => responder.send_typed(200, "text/plain", b"ready\n"),
         "/readyz" => {
             let problem = Problem::not_run(503, "not ready", "use another daemon");
             responder.send_problem(&problem.retry_after(1))
         }
-        _ => serve_call(id, request, responder, sink),
-    };
+        _ => serve_call(id, request, responder, sink).await,
+    }
 }
 
-fn serve_call(
+async fn serve_call(
     id: ArrivalId,
     request: &Request,
     responder: Responder,
     sink: &Sink,
-) -> std::io::Result<()> {
+) -> io::Result<()> {
     let parsed = match parse(request) {
         Ok(parsed) => parsed,
         Err(problem) => return responder.send_problem(&problem),
     };
-    let (replies, received) = channel();
+    let (replies, mut received) = unbounded_channel();
     sink(Event::Arrived(Box::new(Arrival {
         id,
         token: request.bearer().unwrap_or_default().to_owned(),
@@ -90,9 +95,9 @@
         replies,
     })));
     let sent = if parsed.stream {
-        answer::stream(&received, responder)
+        answer::stream(&mut received, responder).await
     } else {
-        answer::whole(&received, responder)
+        answer::whole(&mut received, responder).await
     };
     if sent.is_err() {
         sink(Event::Gone(id));
--- a/crates/lentilhook/src/daemon/dispatch/job.rs
+++ b/crates/lentilhook/src/daemon/dispatch/job.rs
@@ -1,7 +1,5 @@
 //! Jobs: calls that this daemon serves itself.
 
-use std::sync::mpsc::Sender;
-
 use config::object::Service;
 use endpoint::attempt::AttemptId;
 use endpoint::attempt::Cancel;
@@ -13,6 +11,7 @@
 use peer::transport::StreamId;
 use peer::transport::Transport;
 use peer::wire::Frame;
+use tokio::sync::mpsc::UnboundedSender;
 
 /// Names a job on this daemon.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -74,7 +73,7 @@
         /// Arrival.
         id: ArrivalId,
         /// Where replies go.
-        replies: Sender<Reply>,
+        replies: UnboundedSender<Reply>,
     },
     /// Through the peer that sent the call on.
     Peer(StreamId),
--- a/crates/lentilhook/src/daemon/mod.rs
+++ b/crates/lentilhook/src/daemon/mod.rs
@@ -153,7 +153,9 @@
     Limits {
         body_bytes: settings.limits.body_bytes,
         open_requests: settings.limits.open_requests,
+        connections: settings.limits.connections,
         read_timeout: Duration::from_millis(settings.limits.read_timeout_ms),
+        write_timeout: Duration::from_millis(settings.limits.write_timeout_ms),
     }
 }
 
--- a/crates/lentilhook/src/settings.rs
+++ b/crates/lentilhook/src/settings.rs
@@ -71,8 +71,14 @@
     pub body_bytes: usize,
     /// Largest number of requests open at once.
     pub open_requests: usize,
-    /// Longest silence of a sender, in milliseconds.
+    /// Largest number of connections, idle ones included.
+    pub connections: usize,
+    /// Longest time to send a head, to send a body, and between requests, in
+    /// milliseconds.
     pub read_timeout_ms: u64,
+    /// Longest time for which a caller may take nothing of its answer, in
+    /// milliseconds.
+    pub write_timeout_ms: u64,
 }
 
 /// Logs.
@@ -117,7 +123,13 @@
 
 impl Default for Limits {
     fn default() -> Limits {
-        Limits { body_bytes: 4 << 20, open_requests: 1200, read_timeout_ms: 10_000 }
+        Limits {
+            body_bytes: 4 << 20,
+            open_requests: 1200,
+            connections: 4000,
+            read_timeout_ms: 10_000,
+            write_timeout_ms: 30_000,
+        }
     }
 }
 
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -16,5 +16,11 @@
 
 /// Limits of a stand-in's server; generous, since the daemon is under test.
 pub fn limits() -> Limits {
-    Limits { body_bytes: 64 << 20, open_requests: 4000, read_timeout: Duration::from_secs(60) }
+    Limits {
+        body_bytes: 64 << 20,
+        open_requests: 4000,
+        connections: 8000,
+        read_timeout: Duration::from_secs(60),
+        write_timeout: Duration::from_secs(60),
+    }
 }
--- a/crates/web/src/answer.rs
+++ b/crates/web/src/answer.rs
@@ -1,43 +1,55 @@
 //! Answers: whole ones with a content length, and streams in chunks.
 
 use std::io;
-use std::io::Write;
+use std::time::Duration;
 
-use chunked_transfer::Encoder;
+use bytes::Bytes;
+use hyper::Response;
+use hyper::header::HeaderName;
+use hyper::header::HeaderValue;
 use serde::Serialize;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::time::timeout;
 
+use crate::body::Content;
+use crate::body::Piece;
 use crate::problem::Problem;
 use crate::request::Field;
 
 /// Media type of problem answers.
 const PROBLEM_TYPE: &str = "application/problem+json";
-
-/// End mark of a chunked answer.
-const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
+/// Pieces of a stream that wait for a slow caller.
+const PIECES_LIMIT: usize = 64;
 
 /// The way back to the caller of one request.
 pub struct Responder {
-    writer: Box<dyn Write + Send>,
+    answer: oneshot::Sender<Response<Content>>,
+    write_timeout: Duration,
 }
 
 /// An answer that is being streamed.
 pub struct Stream {
-    encoder: Encoder<Box<dyn Write + Send>>,
+    pieces: mpsc::Sender<Piece>,
+    write_timeout: Duration,
 }
 
 impl Responder {
-    /// Answers over `writer`.
-    pub fn new(writer: Box<dyn Write + Send>) -> Responder {
-        Responder { writer }
+    pub(crate) fn new(
+        answer: oneshot::Sender<Response<Content>>,
+        write_timeout: Duration,
+    ) -> Responder {
+        Responder { answer, write_timeout }
+    }
+
+    /// Returns when the caller is gone.
+    pub async fn gone(&mut self) {
+        self.answer.closed().await;
     }
 
     /// Sends a whole answer.
-    pub fn send(mut self, status: u16, fields: &[Field], body: &[u8]) -> io::Result<()> {
-        let mut head = head(status, fields);
-        head.push_str(&format!("Content-Length: {}\r\n\r\n", body.len()));
-        self.writer.write_all(head.as_bytes())?;
-        self.writer.write_all(body)?;
-        self.writer.flush()
+    pub fn send(self, status: u16, fields: &[Field], body: &[u8]) -> io::Result<()> {
+        self.answer(status, fields, Content::Whole(Bytes::copy_from_slice(body)))
     }
 
     /// Sends a whole answer of one media type.
@@ -62,33 +74,60 @@
     }
 
     /// Starts a chunked answer whose head is sent at once.
-    pub fn stream(mut self, status: u16, fields: &[Field]) -> io::Result<Stream> {
-        let mut head = head(status, fields);
-        head.push_str("Transfer-Encoding: chunked\r\n\r\n");
-        self.writer.write_all(head.as_bytes())?;
-        self.writer.flush()?;
-        Ok(Stream { encoder: Encoder::new(self.writer) })
+    pub fn stream(self, status: u16, fields: &[Field]) -> io::Result<Stream> {
+        let (pieces, received) = mpsc::channel(PIECES_LIMIT);
+        let write_timeout = self.write_timeout;
+        self.answer(status, fields, Content::Pieces(received))?;
+        Ok(Stream { pieces, write_timeout })
+    }
+
+    fn answer(self, status: u16, fields: &[Field], content: Content) -> io::Result<()> {
+        let mut response = Response::new(content);
+        *response.status_mut() = status.try_into().map_err(io::Error::other)?;
+        for field in fields {
+            let name = HeaderName::try_from(&field.name).map_err(io::Error::other)?;
+            let value = field.value.replace(['\r', '\n'], " ");
+            let value = HeaderValue::try_from(value).map_err(io::Error::other)?;
+            response.headers_mut().append(name, value);
+        }
+        self.answer.send(response).map_err(|_| gone())
     }
 }
 
 impl Stream {
-    /// Sends one chunk now. An error means that the caller is gone.
+    /// Sends one chunk from a thread. An error means that the caller is gone.
     pub fn send(&mut self, chunk: &[u8]) -> io::Result<()> {
-        self.encoder.write_all(chunk)?;
-        self.encoder.flush()?;
-        self.encoder.get_mut().flush()
+        let piece = Piece::Chunk(Bytes::copy_from_slice(chunk));
+        self.pieces.blocking_send(piece).map_err(|_| gone())
+    }
+
+    /// Sends one chunk from a task. An error means that the caller is gone or
+    /// reads nothing.
+    pub async fn push(&mut self, chunk: Vec<u8>) -> io::Result<()> {
+        match timeout(self.write_timeout, self.pieces.send(Piece::Chunk(chunk.into()))).await {
+            Ok(sent) => sent.map_err(|_| gone()),
+            Err(_) => Err(io::ErrorKind::TimedOut.into()),
+        }
     }
 
-    /// Sends the mark of a complete answer.
+    /// Returns when the caller is gone.
+    pub async fn gone(&self) {
+        self.pieces.closed().await;
+    }
+
+    /// Sends the mark of a complete answer from a thread.
     ///
-    /// A stream dropped without this also ends its chunks; protocols on top
-    /// mark completeness with a last event.
-    pub fn finish(mut self) -> io::Result<()> {
-        self.encoder.flush()?;
-        // The encoder's own end mark, written when it is dropped, would not be flushed.
-        let mut writer = std::mem::replace(self.encoder.get_mut(), Box::new(io::sink()));
-        writer.write_all(LAST_CHUNK)?;
-        writer.flush()
+    /// A stream dropped without this breaks its connection.
+    pub fn finish(self) -> io::Result<()> {
+        self.pieces.blocking_send(Piece::End).map_err(|_| gone())
+    }
+
+    /// Sends the mark of a complete answer from a task.
+    pub async fn complete(self) -> io::Result<()> {
+        match timeout(self.write_timeout, self.pieces.send(Piece::End)).await {
+            Ok(sent) => sent.map_err(|_| gone()),
+            Err(_) => Err(io::ErrorKind::TimedOut.into()),
+        }
     }
 }
 
@@ -97,34 +136,6 @@
     Field { name: name.to_owned(), value: value.to_owned() }
 }
 
-fn head(status: u16, fields: &[Field]) -> String {
-    let mut head = format!("HTTP/1.1 {status} {}\r\n", reason(status));
-    for field in fields {
-        let value = field.value.replace(['\r', '\n'], " ");
-        head.push_str(&format!("{}: {value}\r\n", field.name));
-    }
-    head
-}
-
-fn reason(status: u16) -> &'static str {
-    match status {
-        200 => "OK",
-        202 => "Accepted",
-        204 => "No Content",
-        400 => "Bad Request",
-        401 => "Unauthorized",
-        403 => "Forbidden",
-        404 => "Not Found",
-        405 => "Method Not Allowed",
-        408 => "Request Timeout",
-        409 => "Conflict",
-        413 => "Content Too Large",
-        422 => "Unprocessable Content",
-        429 => "Too Many Requests",
-        500 => "Internal Server Error",
-        502 => "Bad Gateway",
-        503 => "Service Unavailable",
-        504 => "Gateway Timeout",
-        _ => "Status",
-    }
+fn gone() -> io::Error {
+    io::ErrorKind::BrokenPipe.into()
 }
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -1,5 +1,5 @@
-//! HTTP/1.1 serving on `tiny_http`: bounded requests, problem answers and
-//! event streams that are flushed event by event.
+//! HTTP/1.1 serving on `hyper`: bounded connections and requests, problem
+//! answers and event streams that are flushed event by event.
 //!
 //! Knows nothing of workspaces, services or outcomes of jobs.
 
@@ -7,6 +7,7 @@
 pub mod request;
 pub mod server;
 
+mod body;
 mod error;
 
 pub use error::Error;
--- a/crates/web/src/request.rs
+++ b/crates/web/src/request.rs
@@ -1,7 +1,12 @@
 //! A request that was read whole.
 
 use std::time::Duration;
-use std::time::Instant;
+
+use http_body_util::BodyExt;
+use http_body_util::LengthLimitError;
+use http_body_util::Limited;
+use hyper::body::Incoming;
+use tokio::time::timeout;
 
 use crate::problem::Problem;
 
@@ -47,67 +52,43 @@
     }
 }
 
-/// Reads head and body of a `tiny_http` request.
-///
-/// The body may hold at most `limit_bytes` and take `time_limit` in all.
-pub fn read(
-    raw: &mut tiny_http::Request,
+/// Reads a request whose body may hold at most `limit_bytes` and take
+/// `time_limit` in all.
+pub(crate) async fn read(
+    raw: hyper::Request<Incoming>,
     limit_bytes: usize,
     time_limit: Duration,
 ) -> Result<Request, Problem> {
-    let body = read_body(raw, limit_bytes, time_limit)?;
-    let (path, query) = raw.url().split_once('?').unwrap_or((raw.url(), ""));
-    let fields = raw.headers().iter().map(|it| Field {
-        name: it.field.as_str().as_str().to_ascii_lowercase(),
-        value: it.value.as_str().to_owned(),
+    let (head, body) = raw.into_parts();
+    let whole = timeout(time_limit, Limited::new(body, limit_bytes).collect());
+    let body = match whole.await {
+        Ok(Ok(collected)) => collected.to_bytes().to_vec(),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => return Err(too_large(limit_bytes)),
+        Ok(Err(_)) => {
+            return Err(Problem::not_run(400, "short body", "send as many bytes as declared"));
+        }
+        Err(_) => return Err(too_slow(time_limit)),
+    };
+    let fields = head.headers.iter().map(|(name, value)| Field {
+        name: name.as_str().to_owned(),
+        value: String::from_utf8_lossy(value.as_bytes()).into_owned(),
     });
     Ok(Request {
-        method: raw.method().as_str().to_owned(),
-        path: path.to_owned(),
-        query: query.to_owned(),
+        method: head.method.as_str().to_owned(),
+        path: head.uri.path().to_owned(),
+        query: head.uri.query().unwrap_or_default().to_owned(),
         fields: fields.collect(),
         body,
     })
 }
 
-fn read_body(
-    raw: &mut tiny_http::Request,
-    limit_bytes: usize,
-    time_limit: Duration,
-) -> Result<Vec<u8>, Problem> {
-    let deadline = Instant::now() + time_limit;
-    let declared = raw.body_length().unwrap_or(0);
-    if declared > limit_bytes {
-        return Err(too_large(limit_bytes));
-    }
-    let mut body = Vec::with_capacity(declared);
-    let mut chunk = [0_u8; 16 * 1024];
-    loop {
-        let count = raw.as_reader().read(&mut chunk).map_err(|_| too_slow(time_limit))?;
-        if count == 0 {
-            break;
-        }
-        body.extend_from_slice(&chunk[..count]);
-        if body.len() > limit_bytes {
-            return Err(too_large(limit_bytes));
-        }
-        if Instant::now() > deadline {
-            return Err(too_slow(time_limit));
-        }
-    }
-    if body.len() < declared {
-        return Err(Problem::not_run(400, "short body", "send as many bytes as declared"));
-    }
-    Ok(body)
-}
-
 fn too_large(limit_bytes: usize) -> Problem {
     let detail = format!("send a body of at most {limit_bytes} bytes");
     Problem::not_run(413, "body too large", detail)
 }
 
 fn too_slow(limit: Duration) -> Problem {
-    let detail = format!("send the whole body within {} s", limit.as_secs());
+    let detail = format!("send the whole body within {} ms", limit.as_millis());
     Problem::not_run(408, "body too slow", detail)
 }
 
