--- a/crates/harness/src/cluster.rs
+++ b/crates/harness/src/cluster.rs
@@ -2,6 +2,7 @@
 
 use std::fs;
 use std::io;
+use std::os::unix::fs::PermissionsExt;
 use std::path::PathBuf;
 use std::thread;
 use std::time::Duration;
@@ -203,6 +204,7 @@
     fn write_settings(&self, name: &str, zone: &str) -> io::Result<PathBuf> {
         let secret = self.folder.path().join("peer-secret");
         fs::write(&secret, "peer secret of this run\n")?;
+        fs::set_permissions(&secret, fs::Permissions::from_mode(0o600))?;
         let settings = json!({
             "daemon": name,
             "zone": zone,
--- a/crates/lentilhook/src/daemon/mod.rs
+++ b/crates/lentilhook/src/daemon/mod.rs
@@ -217,6 +217,7 @@
     let configuration = actors.configuration.clone();
     let fleet = actors.fleet.clone();
     let dispatch = actors.dispatch.clone();
+    let shards = actors.shards.clone();
     let route = fwd_do!(move |query: Query| {
         let answers = query.answers;
         match query.operation {
@@ -243,6 +244,17 @@
                 });
                 call!([fleet], read(ret));
             }
+            Operation::ListLeases => {
+                let ret = ret_do!(move |leases: Option<Vec<generated::Lease>>| {
+                    let leases = leases.unwrap_or_default();
+                    let _ = answers.send(operators::encode(&generated::LeaseList { leases }));
+                });
+                call!([shards], read(ret));
+            }
+            Operation::SetLogLevel(level) => {
+                crate::log::set_level(level);
+                let _ = answers.send(operators::encode(&generated::SetLogLevelReply {}));
+            }
             Operation::Drain => {
                 let drain = drain.clone();
                 let ret = ret_do!(move |open: Option<usize>| {
--- a/crates/lentilhook/src/daemon/operators.rs
+++ b/crates/lentilhook/src/daemon/operators.rs
@@ -23,6 +23,9 @@
 use web::server::Limits;
 use web::server::Server;
 
+use crate::settings::LEVELS;
+use crate::settings::LogLevel;
+
 /// Longest time for the actors to answer.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(12);
 
@@ -37,6 +40,10 @@
     Drain,
     /// Give the VMs that are known.
     ListVms,
+    /// Give the shards that the daemon has to do with.
+    ListLeases,
+    /// Change the log level.
+    SetLogLevel(LogLevel),
 }
 
 /// A request with the way back.
@@ -94,6 +101,8 @@
         "GetCatalog" => Operation::GetCatalog,
         "Drain" => Operation::Drain,
         "ListVms" => Operation::ListVms,
+        "ListLeases" => Operation::ListLeases,
+        "SetLogLevel" => Operation::SetLogLevel(log_level(decode(body)?)?),
         _ => {
             let msg = format!("no method {:?}; see the schema for the methods", request.path);
             return Err(Error::new(Code::NotFound, msg));
@@ -101,6 +110,13 @@
     })
 }
 
+fn log_level(request: generated::SetLogLevelRequest) -> Result<LogLevel, Error> {
+    serde_json::from_value(request.level.as_str().into()).map_err(|_| {
+        let msg = format!("level is {:?}; use one of {}", request.level, LEVELS.join(", "));
+        Error::new(Code::InvalidArgument, msg)
+    })
+}
+
 fn decode<T: DeserializeOwned>(body: &[u8]) -> Result<T, Error> {
     serde_json::from_slice(body).map_err(|it| {
         let msg = format!("body is malformed ({it}); send JSON in the form of the schema");
--- a/crates/lentilhook/src/daemon/shards.rs
+++ b/crates/lentilhook/src/daemon/shards.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use admin::generated::Lease;
 use ledger::record::Identity;
 use ledger::record::ShardId;
 use ledger::record::Step;
@@ -17,10 +18,12 @@
 use platform::table::Transaction;
 use stakker::Actor;
 use stakker::CX;
+use stakker::Ret;
 use stakker::StopCause;
 use stakker::after;
 use stakker::call;
 use stakker::fwd_to;
+use stakker::ret;
 use stakker::sync::Channel;
 use stakker::sync::ChannelGuard;
 
@@ -93,6 +96,14 @@
         self.stop_when_released(cx, deadline);
     }
 
+    /// Gives the shards that this daemon has to do with.
+    pub fn read(&mut self, _cx: CX![], ret: Ret<Vec<Lease>>) {
+        let leases = self.shards.iter().map(|(id, it)| Lease { shard: id.0, held: it.is_held() });
+        let mut leases: Vec<Lease> = leases.collect();
+        leases.sort_by_key(|it| it.shard);
+        ret!([ret], leases);
+    }
+
     fn stop_when_released(&mut self, cx: CX![], deadline: Instant) {
         let held = self.shards.values().any(Shard::is_held);
         if !held || cx.now() >= deadline {
--- a/crates/lentilhook/src/main.rs
+++ b/crates/lentilhook/src/main.rs
@@ -4,6 +4,7 @@
 mod daemon;
 mod log;
 mod settings;
+mod suggest;
 
 use std::process::ExitCode;
 
--- a/crates/lentilhook/src/settings.rs
+++ b/crates/lentilhook/src/settings/mod.rs
@@ -1,5 +1,10 @@
 //! Settings of a daemon: JSON with comments.
 
+mod check;
+mod locate;
+mod schema;
+
+use std::fmt;
 use std::fs;
 use std::path::Path;
 use std::path::PathBuf;
@@ -8,6 +13,10 @@
 use serde::Deserialize;
 use snafu::Snafu;
 
+pub use self::check::Problem;
+pub use self::check::check;
+pub use self::schema::LEVELS;
+
 /// Settings of a daemon.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -87,6 +96,39 @@
 pub struct Log {
     /// Form of a line.
     pub format: LogFormat,
+    /// Least severe level that is written.
+    pub level: LogLevel,
+}
+
+/// Severity of log lines.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LogLevel {
+    /// Something is broken.
+    Error,
+    /// Something failed and was coped with.
+    Warn,
+    /// Decisions and changes.
+    #[default]
+    Info,
+    /// Everything.
+    Debug,
+}
+
+/// A secret; never printed.
+pub struct Secret(String);
+
+impl Secret {
+    /// The secret itself.
+    pub fn expose(&self) -> &str {
+        &self.0
+    }
+}
+
+impl fmt::Debug for Secret {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        out.write_str("Secret(..)")
+    }
 }
 
 /// Form of a log line.
@@ -112,12 +154,12 @@
         detail: String,
     },
     /// The content is wrong.
-    #[snafu(display("{}: {detail}", path.display()))]
+    #[snafu(display("{}", lines(path, problems)))]
     Invalid {
         /// File.
         path: PathBuf,
         /// What is wrong and what to do.
-        detail: String,
+        problems: Vec<Problem>,
     },
 }
 
@@ -134,25 +176,24 @@
 }
 
 impl Settings {
-    /// Reads settings from a file.
+    /// Reads settings from a file; the error names every problem.
     pub fn read(path: &Path) -> Result<Settings, Error> {
         let text = read_file(path)?;
-        let settings: Settings = json5::from_str(&text).map_err(|it| Error::Invalid {
-            path: path.to_owned(),
-            detail: format!("{it}; compare with the commented examples in docs"),
-        })?;
-        Ok(settings)
+        let problems = check(&text);
+        if !problems.is_empty() {
+            return Err(Error::Invalid { path: path.to_owned(), problems });
+        }
+        json5::from_str(&text).map_err(|it| {
+            let line = it.position().map_or(1, |it| it.line + 1);
+            let problem = Problem { line, field: String::new(), remedy: it.to_string() };
+            Error::Invalid { path: path.to_owned(), problems: vec![problem] }
+        })
     }
 
     /// Reads the secret that all daemons share.
-    pub fn peer_secret(&self) -> Result<String, Error> {
-        let path = &self.access.peer_secret_file;
-        let secret = read_file(path)?.trim().to_owned();
-        if secret.is_empty() {
-            let detail = "the file is empty; write the secret that all daemons share".to_owned();
-            return Err(Error::Invalid { path: path.clone(), detail });
-        }
-        Ok(secret)
+    pub fn peer_secret(&self) -> Result<Secret, Error> {
+        let secret = read_file(&self.access.peer_secret_file)?;
+        Ok(Secret(secret.trim().to_owned()))
     }
 
     /// Longest time of a platform call.
@@ -161,6 +202,11 @@
     }
 }
 
+fn lines(path: &Path, problems: &[Problem]) -> String {
+    let lines = problems.iter().map(|it| format!("{}:{it}", path.display()));
+    lines.collect::<Vec<_>>().join("\n")
+}
+
 fn read_file(path: &Path) -> Result<String, Error> {
     fs::read_to_string(path)
         .map_err(|it| Error::Unreadable { path: path.to_owned(), detail: it.to_string() })
