--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -63,6 +63,7 @@
     loop {
         match next(replies, &mut responder).await? {
             Reply::Token(token) => content.push_str(&token.text),
+            Reply::Moved(_) => {}
             Reply::Finished(usage) => {
                 return responder.send_json(200, &completion(&content, usage));
             }
@@ -97,6 +98,11 @@
             out.push(token_event(token).into_bytes()).await?;
             return Ok(Sent::More);
         }
+        Reply::Moved(key) => {
+            let data = json!({ "idempotency_key": key });
+            out.push(format!("event: resume\ndata: {data}\n\n").into_bytes()).await?;
+            return Ok(Sent::More);
+        }
         Reply::Finished(usage) => {
             let last = json!({
                 "object": "chat.completion.chunk",
--- a/crates/lentilhook/src/daemon/dispatch/relays.rs
+++ b/crates/lentilhook/src/daemon/dispatch/relays.rs
@@ -56,7 +56,7 @@
             reason = "serves_the_key",
         });
         let stream = StreamId(self.take_number());
-        let frame = Frame::Forward(Forward { call: call.clone(), hops: hops + 1 });
+        let frame = Frame::Forward(Box::new(Forward { call: call.clone(), hops: hops + 1 }));
         self.transport.command(Command::Open { stream, peer, frame });
         let next_index = match &call.body {
             Body::Chat(chat) => chat.from_index,
@@ -97,12 +97,20 @@
     }
 
     /// A piece of the answer came from the daemon that serves the call.
-    pub(super) fn relayed(&mut self, stream: StreamId, reply: Reply) {
+    pub(super) fn relayed(&mut self, cx: CX![], stream: StreamId, reply: Reply) {
         let Some(relay) = self.relays.get_mut(&stream) else { return };
         let last = reply.is_last();
         match &reply {
             // Invariant: every token goes to the caller once and in order.
-            Reply::Token(token) if token.index != relay.next_index => return,
+            Reply::Token(token) if token.index < relay.next_index => return,
+            Reply::Token(token) if token.index > relay.next_index => {
+                self.relay_ended(cx, stream, true);
+                return;
+            }
+            Reply::Finished(usage) if usage.completion_tokens > relay.next_index => {
+                self.relay_ended(cx, stream, true);
+                return;
+            }
             Reply::Token(_) => relay.next_index += 1,
             _ => {}
         }
