Give connections to endpoints buffers of 8 KiB

Cause: ureq keeps 128 KiB for each direction of each connection, two thirds of the memory of an open stream; the rest were two threads of tiny_http.

Ruled out: arenas of malloc (no setting changed here and the memory went).

--- a/crates/endpoint/src/agent.rs
+++ b/crates/endpoint/src/agent.rs
@@ -14,6 +14,9 @@
 /// Longest silence of an endpoint. Engines send keep-alive comments.
 pub const SILENCE_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Buffer of a connection in each direction; each open stream has two.
+const BUFFER_BYTES: usize = 8 * 1024;
+
 /// Agent for calls that may be repeated; keeps connections.
 pub fn pooled() -> &'static Agent {
     static AGENT: OnceLock<Agent> = OnceLock::new();
@@ -61,6 +64,8 @@
         .timeout_connect(Some(CONNECT_TIMEOUT))
         .timeout_per_read(silence)
         .timeout_recv_response(silence)
+        .input_buffer_size(BUFFER_BYTES)
+        .output_buffer_size(BUFFER_BYTES)
         .max_idle_connections(idle)
         .max_idle_connections_per_host(idle)
         .build();
