--- a/crates/lentilhook/src/daemon/dispatch/handover.rs
+++ b/crates/lentilhook/src/daemon/dispatch/handover.rs
@@ -239,7 +239,7 @@
         self.by_identity.retain(|_, known| *known != id);
         if let Stage::Running(running) = &job.stage {
             running.cancel.cancel();
-            self.close(running.attempt);
+            self.close(cx, running.attempt);
         }
         let key = job.call.key.clone().unwrap_or_default();
         for waiter in job.waiters.drain(..) {
