--- a/crates/lentilhook/src/command/check.rs
+++ b/crates/lentilhook/src/command/check.rs
@@ -5,6 +5,7 @@
 use argh::FromArgs;
 
 use crate::command::Failure;
+use crate::daemon;
 use crate::settings::Settings;
 
 /// check settings and state charts without starting anything
@@ -25,6 +26,11 @@
 /// Checks and prints what was checked.
 pub fn run(arguments: &Check) -> Result<(), Failure> {
     let settings = Settings::read(&arguments.settings).map_err(Failure::usage)?;
-    println!("{}: settings of {} are right", arguments.settings.display(), settings.daemon);
+    daemon::check_charts().map_err(Failure::usage)?;
+    println!(
+        "{}: settings of {} and state charts are right",
+        arguments.settings.display(),
+        settings.daemon
+    );
     Ok(())
 }
--- a/crates/lentilhook/src/daemon/catalog.rs
+++ b/crates/lentilhook/src/daemon/catalog.rs
@@ -30,6 +30,7 @@
 
 use crate::daemon::dispatch::Dispatch;
 use crate::daemon::fleet::Fleet;
+use crate::daemon::metrics;
 use crate::daemon::worker::Worker;
 
 /// Time between two reads of the head row.
@@ -168,6 +169,7 @@
                 self.take_entries(&newer.entries);
                 call!([self.dispatch], configured(Rc::clone(&self.catalog)));
                 call!([self.fleet], configured(self.catalog.revision));
+                metrics::set_revision(self.catalog.revision);
                 self.write_next(cx);
             }
             Err(error) => {
@@ -260,6 +262,7 @@
         self.take_entries(std::slice::from_ref(&writing.entry));
         call!([self.dispatch], configured(Rc::clone(&self.catalog)));
         call!([self.fleet], configured(self.catalog.revision));
+        metrics::set_revision(self.catalog.revision);
         ret!([writing.waiting.ret], Ok(revision));
     }
 
--- a/crates/lentilhook/src/daemon/dispatch/attempts.rs
+++ b/crates/lentilhook/src/daemon/dispatch/attempts.rs
@@ -29,6 +29,7 @@
 use crate::daemon::dispatch::job::Stage;
 use crate::daemon::dispatch::ledger_identity;
 use crate::daemon::dispatch::problems;
+use crate::daemon::metrics;
 
 /// Most attempts at one job.
 const TRIES: u32 = 4;
@@ -50,11 +51,13 @@
             return;
         };
         let endpoint = choice.endpoint.clone();
+        let uncached = choice.uncached_tokens;
         let service = job.call.service.clone();
         let attempt = AttemptId(self.take_number());
         self.routing.sent(attempt, &service, choice, cx.now());
         let Some(job) = self.jobs.get_mut(&id) else { return };
         job.tries += 1;
+        metrics::attempted(&service, job.tries, uncached);
         let number = job.progress.start_attempt();
         let order = order(&self.me.daemon, id, job);
         let events = self.events.clone();
@@ -111,6 +114,7 @@
         let Some(job) = self.jobs.get_mut(&id) else { return };
         match job.progress.take(number, index, text) {
             Taken::Next => {
+                job.timing.token(&job.service, job.opened, cx.now());
                 let transport = &self.transport;
                 let progress = &job.progress;
                 job.waiters.iter_mut().for_each(|it| it.catch_up(transport, progress));
@@ -159,6 +163,7 @@
     }
 
     fn failed(&mut self, cx: CX![], id: JobId, failure: Failure) {
+        metrics::attempt_failed(&failure);
         let Some(job) = self.jobs.get_mut(&id) else { return };
         if let Stage::Running(running) = &job.stage {
             spdlog::warn!("attempt failed", kv: {
--- a/crates/lentilhook/src/daemon/dispatch/handover.rs
+++ b/crates/lentilhook/src/daemon/dispatch/handover.rs
@@ -28,6 +28,7 @@
 use crate::daemon::dispatch::job::Stage;
 use crate::daemon::dispatch::job::Way;
 use crate::daemon::dispatch::problems;
+use crate::daemon::metrics::Timing;
 
 /// Time before the reclaim at which callers are told to go elsewhere.
 const LAST_WORD: Duration = Duration::from_millis(800);
@@ -199,6 +200,7 @@
             tries: 0,
             avoid: Vec::new(),
             opened: cx.now(),
+            timing: Timing::default(),
             fence: None,
         };
         self.jobs.insert(id, job);
--- a/crates/lentilhook/src/daemon/dispatch/job.rs
+++ b/crates/lentilhook/src/daemon/dispatch/job.rs
@@ -16,6 +16,9 @@
 use peer::wire::Frame;
 use tokio::sync::mpsc::UnboundedSender;
 
+use crate::daemon::metrics;
+use crate::daemon::metrics::Timing;
+
 /// Names a job on this daemon.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct JobId(pub u64);
@@ -38,6 +41,8 @@
     pub avoid: Vec<String>,
     /// When it was taken.
     pub opened: Instant,
+    /// Times of its tokens.
+    pub timing: Timing,
     /// Fencing number under which it may leave, when recorded in the ledger.
     pub fence: Option<u64>,
 }
@@ -93,6 +98,9 @@
     pub fn send(&self, transport: &Transport, reply: Reply) {
         match self {
             Way::Gateway { replies, .. } => {
+                if reply.is_last() {
+                    metrics::answered(&reply);
+                }
                 let _ = replies.send(reply);
             }
             Way::Peer(stream) => {
--- a/crates/lentilhook/src/daemon/dispatch/mod.rs
+++ b/crates/lentilhook/src/daemon/dispatch/mod.rs
@@ -49,6 +49,7 @@
 use stakker::sync::ChannelGuard;
 
 use crate::daemon::identity;
+use crate::daemon::metrics::Timing;
 use crate::daemon::shards::Shards;
 
 use self::admission::Admission;
@@ -364,6 +365,7 @@
             tries: 0,
             avoid: Vec::new(),
             opened: cx.now(),
+            timing: Timing::default(),
             fence: None,
         };
         self.jobs.insert(id, job);
--- /dev/null
+++ b/crates/lentilhook/src/daemon/metrics.rs
@@ -0,0 +1,275 @@
+//! Metrics in the form of Prometheus, counted from any thread.
+
+use std::sync::Arc;
+use std::sync::OnceLock;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use config::object::Service;
+use endpoint::attempt::Failure;
+use job::problem::Outcome;
+use job::reply::Reply;
+use platform::client::Call;
+use prometheus::Error;
+use prometheus::HistogramOpts;
+use prometheus::HistogramVec;
+use prometheus::IntCounter;
+use prometheus::IntCounterVec;
+use prometheus::IntGauge;
+use prometheus::Opts;
+use prometheus::Registry;
+use prometheus::TextEncoder;
+
+/// Upper bounds for the first token, in seconds.
+const FIRST_TOKEN_S: [f64; 10] = [0.05, 0.1, 0.2, 0.4, 0.67, 1.0, 2.0, 5.0, 10.0, 30.0];
+/// Upper bounds for the time between tokens, in seconds.
+const TOKEN_GAP_S: [f64; 9] = [0.005, 0.01, 0.02, 0.031, 0.05, 0.1, 0.3, 1.0, 5.0];
+/// Upper bounds for calls of the platform, in seconds.
+const PLATFORM_S: [f64; 8] = [0.002, 0.005, 0.01, 0.03, 0.1, 0.3, 1.0, 3.0];
+
+static METRICS: OnceLock<Metrics> = OnceLock::new();
+
+struct Metrics {
+    registry: Registry,
+    requests: IntCounterVec,
+    refusals: IntCounterVec,
+    first_token: HistogramVec,
+    token_gap: HistogramVec,
+    targets: IntCounterVec,
+    tokens: IntCounterVec,
+    recomputed: IntCounterVec,
+    retries: IntCounterVec,
+    failures: IntCounterVec,
+    platform: HistogramVec,
+    platform_failures: IntCounterVec,
+    control_bytes: IntCounter,
+    leases: IntGauge,
+    revision: IntGauge,
+    open: IntGauge,
+    open_counter: OnceLock<Arc<AtomicUsize>>,
+    draining: IntGauge,
+}
+
+impl Metrics {
+    fn new() -> Result<Metrics, Error> {
+        let registry = Registry::new();
+        let counters = |name: &str, help: &str, labels: &[&str]| {
+            let counters = IntCounterVec::new(Opts::new(name, help), labels)?;
+            registry.register(Box::new(counters.clone()))?;
+            Ok::<_, Error>(counters)
+        };
+        let histograms = |name: &str, help: &str, labels: &[&str], bounds: &[f64]| {
+            let opts = HistogramOpts::new(name, help).buckets(bounds.to_vec());
+            let histograms = HistogramVec::new(opts, labels)?;
+            registry.register(Box::new(histograms.clone()))?;
+            Ok::<_, Error>(histograms)
+        };
+        let gauge = |name: &str, help: &str| {
+            let gauge = IntGauge::new(name, help)?;
+            registry.register(Box::new(gauge.clone()))?;
+            Ok::<_, Error>(gauge)
+        };
+        let control_bytes = IntCounter::new(
+            "lentilhook_control_sent_bytes_total",
+            "Bytes of gossip sent to other daemons.",
+        )?;
+        registry.register(Box::new(control_bytes.clone()))?;
+        let service: &[&str] = &["service"];
+        Ok(Metrics {
+            requests: counters(
+                "lentilhook_requests_total",
+                "Requests answered, by outcome.",
+                &["outcome"],
+            )?,
+            refusals: counters(
+                "lentilhook_refusals_total",
+                "Requests answered with a problem, by cause.",
+                &["cause"],
+            )?,
+            first_token: histograms(
+                "lentilhook_first_token_seconds",
+                "Time from accepting a completion to its first token.",
+                service,
+                &FIRST_TOKEN_S,
+            )?,
+            token_gap: histograms(
+                "lentilhook_token_gap_seconds",
+                "Time between two tokens of a completion.",
+                service,
+                &TOKEN_GAP_S,
+            )?,
+            targets: counters(
+                "lentilhook_targets_total",
+                "First tokens and gaps, by whether the service's target was met.",
+                &["service", "target", "met"],
+            )?,
+            tokens: counters("lentilhook_tokens_total", "Tokens taken from engines.", service)?,
+            recomputed: counters(
+                "lentilhook_recomputed_tokens_total",
+                "Tokens that later attempts at a completion had to compute again, as predicted.",
+                service,
+            )?,
+            retries: counters(
+                "lentilhook_retries_total",
+                "Attempts after the first at a request.",
+                service,
+            )?,
+            failures: counters(
+                "lentilhook_attempt_failures_total",
+                "Attempts that failed, by cause.",
+                &["cause"],
+            )?,
+            platform: histograms(
+                "lentilhook_platform_call_seconds",
+                "Time of calls of the platform, by operation.",
+                &["operation"],
+                &PLATFORM_S,
+            )?,
+            platform_failures: counters(
+                "lentilhook_platform_call_failures_total",
+                "Calls of the platform that failed, by operation.",
+                &["operation"],
+            )?,
+            control_bytes,
+            leases: gauge("lentilhook_leases_held", "Shards whose lease the daemon holds.")?,
+            revision: gauge("lentilhook_config_revision", "Revision in force.")?,
+            open: gauge("lentilhook_open_requests", "Callers' requests being served.")?,
+            open_counter: OnceLock::new(),
+            draining: gauge("lentilhook_draining", "1 while the daemon shuts down.")?,
+            registry,
+        })
+    }
+}
+
+/// Starts counting.
+pub fn init() -> Result<(), Error> {
+    let metrics = Metrics::new()?;
+    for outcome in ["done", "not_run", "failed", "unknown"] {
+        metrics.requests.with_label_values(&[outcome]);
+    }
+    let _ = METRICS.set(metrics);
+    Ok(())
+}
+
+/// All metrics as text.
+pub fn render() -> String {
+    let Some(metrics) = METRICS.get() else { return String::new() };
+    let counted = metrics.control_bytes.get();
+    metrics.control_bytes.inc_by(peer::traffic::control_bytes_sent().saturating_sub(counted));
+    let open = metrics.open_counter.get().map_or(0, |it| it.load(Ordering::Acquire));
+    metrics.open.set(open as i64);
+    TextEncoder::new().encode_to_string(&metrics.registry.gather()).unwrap_or_default()
+}
+
+/// Tells where the number of callers' requests being served is counted.
+pub fn watch_open(counter: Arc<AtomicUsize>) {
+    with(|it| {
+        let _ = it.open_counter.set(counter);
+    });
+}
+
+/// Sets the number of leases held.
+pub fn set_leases(held: usize) {
+    with(|it| it.leases.set(held as i64));
+}
+
+/// Sets the revision in force.
+pub fn set_revision(revision: u64) {
+    with(|it| it.revision.set(revision as i64));
+}
+
+/// The daemon shuts down.
+pub fn set_draining() {
+    with(|it| it.draining.set(1));
+}
+
+/// Counts the last piece of an answer to a caller.
+pub fn answered(reply: &Reply) {
+    let problem = match reply {
+        Reply::Problem(problem) => Some(problem),
+        _ => None,
+    };
+    let outcome = match problem.map(|it| it.outcome) {
+        None => "done",
+        Some(Outcome::NotRun) => "not_run",
+        Some(Outcome::Failed) => "failed",
+        Some(Outcome::Unknown) => "unknown",
+    };
+    with(|it| {
+        it.requests.with_label_values(&[outcome]).inc();
+        if let Some(problem) = problem {
+            it.refusals.with_label_values(&[problem.title.as_str()]).inc();
+        }
+    });
+}
+
+/// Counts an attempt; `uncached` are the tokens that its engine computes.
+pub fn attempted(service: &str, tries: u32, uncached: u32) {
+    if tries <= 1 {
+        return;
+    }
+    with(|it| {
+        it.retries.with_label_values(&[service]).inc();
+        it.recomputed.with_label_values(&[service]).inc_by(u64::from(uncached));
+    });
+}
+
+/// Counts a failed attempt.
+pub fn attempt_failed(failure: &Failure) {
+    let cause = match failure {
+        Failure::NotSent(_) => "not_sent",
+        Failure::Refused(_) => "refused",
+        Failure::Broken(_) => "broken",
+        Failure::Silent(_) => "silent",
+    };
+    with(|it| it.failures.with_label_values(&[cause]).inc());
+}
+
+/// Takes the time of a call of the platform.
+pub fn platform_called(call: &Call) {
+    with(|it| {
+        let seconds = call.time.as_secs_f64();
+        it.platform.with_label_values(&[call.operation]).observe(seconds);
+        if !call.succeeded {
+            it.platform_failures.with_label_values(&[call.operation]).inc();
+        }
+    });
+}
+
+/// Times of one completion.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Timing {
+    last: Option<Instant>,
+}
+
+impl Timing {
+    /// A token came for a completion that was accepted at `opened`.
+    pub fn token(&mut self, service: &Service, opened: Instant, now: Instant) {
+        let (since, target_ms) = match self.last {
+            None => (opened, service.first_token_target_ms),
+            Some(last) => (last, service.token_target_ms),
+        };
+        let time = now.saturating_duration_since(since);
+        let met = target_ms == 0 || time <= Duration::from_millis(target_ms);
+        let name = service.name.as_str();
+        with(|it| {
+            let (histograms, target) = match self.last {
+                None => (&it.first_token, "first_token"),
+                Some(_) => (&it.token_gap, "token_gap"),
+            };
+            histograms.with_label_values(&[name]).observe(time.as_secs_f64());
+            let met = if met { "true" } else { "false" };
+            it.targets.with_label_values(&[name, target, met]).inc();
+            it.tokens.with_label_values(&[name]).inc();
+        });
+        self.last = Some(now);
+    }
+}
+
+fn with(count: impl FnOnce(&Metrics)) {
+    if let Some(metrics) = METRICS.get() {
+        count(metrics);
+    }
+}
--- a/crates/lentilhook/src/daemon/mod.rs
+++ b/crates/lentilhook/src/daemon/mod.rs
@@ -6,6 +6,7 @@
 mod fleet;
 mod identity;
 pub mod lifecycle;
+mod metrics;
 mod operators;
 mod runtime;
 mod shards;
@@ -91,6 +92,12 @@
         /// Cause.
         source: peer::transport::Error,
     },
+    /// The metrics clash.
+    #[snafu(display("cannot count: {source}; report this as a fault"))]
+    Metrics {
+        /// Cause.
+        source: prometheus::Error,
+    },
     /// Signals can't be received.
     #[snafu(display("cannot receive signals: {source}; check the process limits"))]
     Signal {
@@ -116,6 +123,7 @@
         lease = charts.lease.initial().name(),
         request = charts.request.initial().name(),
     });
+    metrics::init().context(MetricsSnafu)?;
     let mut runtime = Runtime::new();
     let stakker = &mut runtime.stakker;
     let actors = Actors {
@@ -137,6 +145,7 @@
         gateway_sink(stakker, &actors),
     )
     .context(ServerSnafu)?;
+    metrics::watch_open(callers.open_counter());
     let operators = operators::start(
         &settings.listen.operators,
         limits(settings),
@@ -163,6 +172,11 @@
     Ok(())
 }
 
+/// Checks the state charts that are built in.
+pub fn check_charts() -> Result<(), statechart::Error> {
+    lifecycle::load().map(|_| ())
+}
+
 fn identity(settings: &Settings, transport: &Transport) -> Identity {
     let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     Identity {
@@ -191,7 +205,8 @@
     transport: &Transport,
     departures: &Channel<Departure>,
 ) {
-    let client = Client::new(&settings.platform.address, settings.platform_timeout());
+    let client = Client::new(&settings.platform.address, settings.platform_timeout())
+        .observed(metrics::platform_called);
     let worker = Worker::start(&client);
     let dispatch = actors.dispatch.clone();
     let shards = actors.shards.clone();
@@ -328,6 +343,7 @@
     let begin = fwd_do!(move |departure: Departure| {
         spdlog::info!("departing", kv: { cause: ? = departure });
         readiness.set(false);
+        metrics::set_draining();
         call!([fleet], leave());
         let shards = shards.clone();
         let ret = ret_do!(move |done: Option<()>| {
--- a/crates/lentilhook/src/daemon/operators.rs
+++ b/crates/lentilhook/src/daemon/operators.rs
@@ -23,12 +23,18 @@
 use web::server::Limits;
 use web::server::Server;
 
+use crate::daemon::metrics;
 use crate::settings::LEVELS;
 use crate::settings::LogLevel;
 
 /// Longest time for the actors to answer.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(12);
 
+/// Path of the metrics, which hold no secret and need no token.
+const METRICS_PATH: &str = "/metrics";
+/// Media type of the metrics.
+const METRICS_TYPE: &str = "text/plain; version=0.0.4";
+
 /// A request of an operator, checked in form.
 #[derive(Clone, Debug)]
 pub enum Operation {
@@ -65,6 +71,10 @@
     sink: Sink,
 ) -> Result<Server, web::Error> {
     let handler = move |request: Request, responder: Responder| {
+        if request.path == METRICS_PATH {
+            let _ = responder.send_typed(200, METRICS_TYPE, metrics::render().as_bytes());
+            return;
+        }
         let _ = match serve(&request, &token_sha256, &sink) {
             Ok(body) => responder.send_typed(200, "application/json", body.as_bytes()),
             Err(error) => responder.send_json(error.status(), &error),
--- a/crates/lentilhook/src/daemon/shards.rs
+++ b/crates/lentilhook/src/daemon/shards.rs
@@ -29,6 +29,7 @@
 
 use crate::daemon::dispatch::Dispatch;
 use crate::daemon::identity;
+use crate::daemon::metrics;
 use crate::daemon::worker::Worker;
 
 /// Time between two ticks of the shards that are in use.
@@ -126,6 +127,7 @@
     }
 
     fn tick(&mut self, cx: CX![]) {
+        metrics::set_leases(self.shards.values().filter(|it| it.is_held()).count());
         let ids: Vec<ShardId> = self.shards.keys().copied().collect();
         for id in ids {
             self.handle(cx, id, Input::Tick);
--- a/crates/lentilhook/src/settings/schema.rs
+++ b/crates/lentilhook/src/settings/schema.rs
@@ -54,6 +54,7 @@
     optional("limits.connections", number(1, 100_000, "connections")),
     optional("limits.read_timeout_ms", number(100, 600_000, "milliseconds")),
     optional("limits.write_timeout_ms", number(100, 600_000, "milliseconds")),
+    optional("routing.mode", Form::Word(MODES)),
     optional("log.format", Form::Word(&["text", "json"])),
     optional("log.level", Form::Word(LEVELS)),
 ];
@@ -61,6 +62,9 @@
 /// Names of the log levels, the most silent first.
 pub const LEVELS: &[&str] = &["error", "warn", "info", "debug"];
 
+/// Ways to choose an endpoint.
+const MODES: &[&str] = &["scored", "random", "least_loaded", "prefix_hash"];
+
 impl Form {
     /// What is to be given when `value` is not of this form. The value
     /// itself is never part of it, since it may be a secret.
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! Knows frames and addresses, not what the frames are for.
 
+pub mod traffic;
 pub mod transport;
 pub mod wire;
 
--- a/crates/peer/src/stream.rs
+++ b/crates/peer/src/stream.rs
@@ -17,6 +17,7 @@
 use tokio::sync::mpsc::unbounded_channel;
 
 use crate::connection::Connections;
+use crate::traffic;
 use crate::transport::Event;
 use crate::transport::Sink;
 use crate::transport::StreamId;
@@ -110,6 +111,7 @@
 ) -> Result<(), String> {
     while let Some(frame) = frames.recv().await {
         let bytes = wire::encode(&frame).map_err(|it| it.to_string())?;
+        traffic::count_sent(&frame, bytes.len());
         out.send_data(bytes, false).map_err(|it| it.to_string())?;
     }
     out.send_data(Bytes::new(), true).map_err(|it| it.to_string())
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -5,6 +5,7 @@
 //! `GET /notices?after=`, `POST /vms/start`, `POST /vms/stop`.
 
 use std::time::Duration;
+use std::time::Instant;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -35,6 +36,18 @@
 pub struct Client {
     base: String,
     agent: Agent,
+    observer: Option<fn(&Call)>,
+}
+
+/// A call of the platform that has ended.
+#[derive(Clone, Copy, Debug)]
+pub struct Call {
+    /// Name of the operation.
+    pub operation: &'static str,
+    /// Whether it succeeded.
+    pub succeeded: bool,
+    /// How long it took.
+    pub time: Duration,
 }
 
 /// Body of `POST /vms/stop`.
@@ -54,7 +67,25 @@
             .timeout_global(Some(timeout))
             .http_status_as_error(false)
             .build();
-        Client { base: format!("http://{address}"), agent: settings.into() }
+        Client { base: format!("http://{address}"), agent: settings.into(), observer: None }
+    }
+
+    /// The same client, which tells `observer` of each call.
+    pub fn observed(self, observer: fn(&Call)) -> Client {
+        Client { observer: Some(observer), ..self }
+    }
+
+    fn observe<T>(
+        &self,
+        operation: &'static str,
+        call: impl FnOnce() -> Result<T, Error>,
+    ) -> Result<T, Error> {
+        let started = Instant::now();
+        let result = call();
+        if let Some(observer) = self.observer {
+            observer(&Call { operation, succeeded: result.is_ok(), time: started.elapsed() });
+        }
+        result
     }
 
     fn get_json<T: DeserializeOwned>(
@@ -81,16 +112,17 @@
 
 impl Table for Client {
     fn read(&self, key: &str) -> Result<Row, Error> {
-        self.get_json("/table/row", &[("key", key)])
+        self.observe("table_read", || self.get_json("/table/row", &[("key", key)]))
     }
 
     fn scan(&self, prefix: &str, after: &str, limit: usize) -> Result<Vec<Row>, Error> {
         let limit = limit.to_string();
-        self.get_json("/table/scan", &[("prefix", prefix), ("after", after), ("limit", &limit)])
+        let query = [("prefix", prefix), ("after", after), ("limit", limit.as_str())];
+        self.observe("table_scan", || self.get_json("/table/scan", &query))
     }
 
     fn commit(&self, transaction: &Transaction) -> Result<Commit, Error> {
-        self.post_json("/table/commit", transaction)
+        self.observe("table_commit", || self.post_json("/table/commit", transaction))
     }
 }
 
@@ -116,11 +148,13 @@
 
 impl Cloud for Client {
     fn list(&self, since: u64) -> Result<Page, Error> {
-        self.get_json("/vms", &[("since", &since.to_string())])
+        let since = since.to_string();
+        self.observe("vm_list", || self.get_json("/vms", &[("since", &since)]))
     }
 
     fn notices(&self, after: u64) -> Result<Vec<Notice>, Error> {
-        self.get_json("/notices", &[("after", &after.to_string())])
+        let after = after.to_string();
+        self.observe("notices", || self.get_json("/notices", &[("after", &after)]))
     }
 
     fn start(&self, order: &Start) -> Result<Vm, Error> {
--- a/crates/web/src/server.rs
+++ b/crates/web/src/server.rs
@@ -122,6 +122,11 @@
         self.open.load(Ordering::Acquire)
     }
 
+    /// Counter of the requests being served.
+    pub fn open_counter(&self) -> Arc<AtomicUsize> {
+        Arc::clone(&self.open)
+    }
+
     /// Takes no more connections and no more requests on those that are
     /// open. Requests being served go on.
     pub fn stop(&self) {
--- a/crates/web/tests/edge/caller.rs
+++ b/crates/web/tests/edge/caller.rs
@@ -13,12 +13,14 @@
 pub struct Caller(TcpStream);
 
 impl Caller {
+    /// Connects to the server.
     pub fn connect(server: &Server) -> Caller {
         let socket = TcpStream::connect(server.address).unwrap();
         socket.set_read_timeout(Some(super::PATIENCE)).unwrap();
         Caller(socket)
     }
 
+    /// Sends a text whole.
     pub fn send(&mut self, text: &str) {
         self.0.write_all(text.as_bytes()).unwrap();
     }
@@ -53,12 +55,14 @@
         self.read_to_end()
     }
 
+    /// Reads until the server closes.
     pub fn read_to_end(&mut self) -> String {
         let mut answer = Vec::new();
         let _ = self.0.read_to_end(&mut answer);
         String::from_utf8_lossy(&answer).into_owned()
     }
 
+    /// Reads a first piece.
     pub fn read_some(&mut self) {
         let mut piece = [0; 16];
         assert!(self.0.read(&mut piece).unwrap() > 0);
@@ -78,6 +82,7 @@
     }
 }
 
+/// Waits until the condition holds; says whether it did in time.
 pub fn wait_until(limit: Duration, mut condition: impl FnMut() -> bool) -> bool {
     let deadline = Instant::now() + limit;
     while Instant::now() < deadline {
