--- a/crates/harness/tests/operating/peer_access.rs
+++ b/crates/harness/tests/operating/peer_access.rs
@@ -39,12 +39,7 @@
     let frame = Frame::Forward(Box::new(Forward { call: call(), hops: 1 }));
 
     transport.command(Command::Open { stream, peer: address.parse().unwrap(), frame });
-    loop {
-        match received.recv_timeout(Duration::from_secs(10)).unwrap() {
-            Event::Frame { .. } => return true,
-            Event::Failed { .. } | Event::Finished { .. } => return false,
-        }
-    }
+    matches!(received.recv_timeout(Duration::from_secs(10)).unwrap(), Event::Frame { .. })
 }
 
 fn call() -> Call {
--- a/crates/lentilhook/src/daemon/dispatch/job.rs
+++ b/crates/lentilhook/src/daemon/dispatch/job.rs
@@ -19,6 +19,8 @@
 use crate::daemon::metrics;
 use crate::daemon::metrics::Timing;
 
+use crate::daemon::dispatch::recorded::Again;
+
 /// Names a job on this daemon.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct JobId(pub u64);
@@ -80,7 +82,7 @@
 }
 
 /// Way to a caller.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub enum Way {
     /// Through this daemon's gateway.
     Gateway {
@@ -91,9 +93,19 @@
     },
     /// Through the peer that sent the call on.
     Peer(StreamId),
+    /// For a call that is asked again because its owner was lost.
+    Again(Box<Again>),
 }
 
 impl Way {
+    /// Who hears what is sent this way.
+    pub fn end(&self) -> &Way {
+        match self {
+            Way::Again(again) => again.way.end(),
+            way => way,
+        }
+    }
+
     /// Sends a piece of the answer.
     pub fn send(&self, transport: &Transport, reply: Reply) {
         match self {
@@ -103,6 +115,7 @@
                 }
                 let _ = replies.send(reply);
             }
+            Way::Again(again) => again.send(transport, reply),
             Way::Peer(stream) => {
                 let last = reply.is_last();
                 let stream = *stream;
