--- a/crates/lentilhook/src/daemon/shards.rs
+++ b/crates/lentilhook/src/daemon/shards.rs
@@ -6,6 +6,7 @@
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
+use admin::generated::Lease;
 use ledger::message::Action;
 use ledger::message::Input;
 use ledger::message::Moment;
@@ -30,6 +31,7 @@
 
 use crate::daemon::dispatch::Dispatch;
 use crate::daemon::identity;
+use crate::daemon::metrics;
 use crate::daemon::worker::Worker;
 
 /// Time between two ticks of the shards that are in use.
@@ -103,6 +105,14 @@
         self.answer_when_released(cx, deadline, ret);
     }
 
+    /// Gives the shards that this daemon has to do with.
+    pub fn read(&mut self, _cx: CX![], ret: Ret<Vec<Lease>>) {
+        let leases = self.shards.iter().map(|(id, it)| Lease { shard: id.0, held: it.is_held() });
+        let mut leases: Vec<Lease> = leases.collect();
+        leases.sort_by_key(|it| it.shard);
+        ret!([ret], leases);
+    }
+
     fn answer_when_released(&mut self, cx: CX![], deadline: Instant, ret: Ret<()>) {
         let held = self.shards.values().any(Shard::is_held);
         if !held || cx.now() >= deadline {
@@ -125,6 +135,7 @@
     }
 
     fn tick(&mut self, cx: CX![]) {
+        metrics::set_leases(self.shards.values().filter(|it| it.is_held()).count());
         let ids: Vec<ShardId> = self.shards.keys().copied().collect();
         for id in ids {
             self.handle(cx, id, Input::Tick);
