Keep the configuration by a pure replica that peers help along

Cause: the actor both decided and did I/O, so its interleavings were untested. Found while moving it: a head row that can't be read counted as revision 0 and a change row that can't be read was passed over, after which the next change would have overwritten a later one; an accepted change reached nobody while the table was down; a daemon was ready before it knew any configuration; a daemon woken from a freeze served on; a refused commit was told as unknown.

Ruled out: consensus or a replicated store (none may be run); pushing to all daemons (420 sends by one); telling acceptance after the first commit without answer.

Change: `config::replica` takes inputs and the time and gives actions, the actor only carries them out. Acceptance is told once the commit is answered or its token is read back. The accepting daemon sends the change to 4 peers, each that learns something passes it to 2; who hears of a later revision by gossip asks that peer. A starting daemon asks peers (settings: `seeds`) and is unready until the table or, for a second, peers have answered; after a gap of 3 s between inputs it is unready until something asked after the gap is answered.

--- a/crates/admin/src/error.rs
+++ b/crates/admin/src/error.rs
@@ -72,6 +72,8 @@
                 meta: Meta { current_revision: Some(current.to_string()) },
             },
             config::Error::Missing { .. } => Error::new(Code::NotFound, msg),
+            config::Error::Unavailable { .. } => Error::new(Code::Unavailable, msg),
+            config::Error::Unknown { .. } => Error::new(Code::Unknown, msg),
             config::Error::Invalid { .. } | config::Error::InUse { .. } => {
                 Error::new(Code::InvalidArgument, msg)
             }
--- a/crates/config/src/error.rs
+++ b/crates/config/src/error.rs
@@ -44,4 +44,16 @@
         /// User of the object.
         user: String,
     },
+    /// Nothing was changed, because the table can't be read or written.
+    #[snafu(display("{detail}; nothing was changed, repeat the change later"))]
+    Unavailable {
+        /// Cause.
+        detail: String,
+    },
+    /// The write had no answer.
+    #[snafu(display("no answer to the write of {name}; read it before repeating the change"))]
+    Unknown {
+        /// Object.
+        name: String,
+    },
 }
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -23,17 +23,25 @@
 
 /// Whether the daemon takes requests.
 #[derive(Clone, Debug, Default)]
-pub struct Readiness(Arc<AtomicBool>);
+pub struct Readiness {
+    serving: Arc<AtomicBool>,
+    configured: Arc<AtomicBool>,
+}
 
 impl Readiness {
     /// Says whether the daemon takes requests from now on.
     pub fn set(&self, ready: bool) {
-        self.0.store(ready, Ordering::Release);
+        self.serving.store(ready, Ordering::Release);
+    }
+
+    /// Says whether the configuration in force is known to be recent.
+    pub fn set_configured(&self, configured: bool) {
+        self.configured.store(configured, Ordering::Release);
     }
 
-    /// Whether the daemon takes requests.
+    /// Whether the daemon takes requests by a recent configuration.
     pub fn get(&self) -> bool {
-        self.0.load(Ordering::Acquire)
+        self.serving.load(Ordering::Acquire) && self.configured.load(Ordering::Acquire)
     }
 }
 
--- a/crates/harness/src/cluster.rs
+++ b/crates/harness/src/cluster.rs
@@ -27,6 +27,8 @@
 
 /// Longest wait for something that takes effect within seconds.
 const EFFECT_TIMEOUT: Duration = Duration::from_secs(20);
+/// Lag of the VM list, unless a test wants another.
+const LIST_LAG: Duration = Duration::from_millis(200);
 const POLL: Duration = Duration::from_millis(20);
 
 /// A running daemon with its addresses.
@@ -70,9 +72,15 @@
 impl Cluster {
     /// Starts a platform only.
     pub fn start() -> io::Result<Cluster> {
+        Cluster::start_with_lag(LIST_LAG)
+    }
+
+    /// Starts a platform whose VM list shows changes after `lag`.
+    pub fn start_with_lag(lag: Duration) -> io::Result<Cluster> {
         let folder = TempDir::new()?;
         let log = folder.path().join("platform.log");
-        let process = Process::start("standins", &["platform", "--lag-ms", "200"], &log)?;
+        let lag_ms = lag.as_millis().to_string();
+        let process = Process::start("standins", &["platform", "--lag-ms", &lag_ms], &log)?;
         let platform =
             Endpoint { address: listening(&process)?, vm: "platform".to_owned(), process };
         Ok(Cluster {
@@ -212,6 +220,7 @@
                 "peers": "127.0.0.1:0",
             },
             "platform": { "address": self.platform.address },
+            "seeds": self.daemons.iter().map(|it| it.peers.as_str()).collect::<Vec<_>>(),
             "access": {
                 "peer_secret_file": secret,
                 "operator_token_sha256": [token_sha256(OPERATOR_TOKEN)],
@@ -249,6 +258,15 @@
     response.body_mut().read_json().map_err(io::Error::other)
 }
 
+/// HTTP status of a `GET`.
+pub fn status(address: &str, path: &str) -> io::Result<u16> {
+    match ureq::get(format!("http://{address}{path}")).call() {
+        Ok(response) => Ok(response.status().as_u16()),
+        Err(ureq::Error::StatusCode(status)) => Ok(status),
+        Err(error) => Err(io::Error::other(error)),
+    }
+}
+
 /// Waits until a condition holds.
 pub fn wait_for(what: &str, mut condition: impl FnMut() -> bool) -> io::Result<()> {
     let deadline = Instant::now() + EFFECT_TIMEOUT;
@@ -261,7 +279,8 @@
     Ok(())
 }
 
-fn catalog_revision(operators: &str) -> io::Result<u64> {
+/// Revision of the configuration that a daemon has in force.
+pub fn catalog_revision(operators: &str) -> io::Result<u64> {
     let catalog = admin_call(operators, "GetCatalog", &json!({}))?;
     Ok(catalog["revision"].as_u64().unwrap_or(0))
 }
--- a/crates/lentilhook/src/daemon/catalog.rs
+++ b/crates/lentilhook/src/daemon/catalog.rs
@@ -1,21 +1,34 @@
-//! Actor that keeps the configuration in force and writes operators' changes.
+//! Actor that carries out the actions of this daemon's replica of the
+//! configuration.
 
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
 
-use admin::error::Code;
 use admin::error::Error;
 use config::catalog::Catalog;
 use config::change::Change;
 use config::log::ENTRY_PREFIX;
-use config::log::Entry;
 use config::log::HEAD_KEY;
-use config::log::Head;
-use config::log::entry_key;
-use platform::table::Check;
-use platform::table::Commit;
+use config::replica::Action;
+use config::replica::Input;
+use config::replica::Replica;
+use config::replica::ReplyTo;
+use config::replica::TICK;
+use config::replica::Ticket;
+use config::replica::message;
+use config::replica::message::Message;
+use config::replica::snapshot::INTERVAL;
+use config::replica::snapshot::POINTER_KEY;
+use config::replica::snapshot::Pointer;
+use config::replica::snapshot::Snapshot;
+use config::replica::snapshot::object_name;
+use gateway::server::Readiness;
+use peer::transport::StreamId;
+use platform::client::Client;
+use platform::objects::Objects;
+use platform::table::ABSENT;
 use platform::table::Put;
-use platform::table::Row;
 use platform::table::Table;
 use platform::table::Transaction;
 use stakker::Actor;
@@ -32,80 +45,42 @@
 use crate::daemon::fleet::Fleet;
 use crate::daemon::worker::Worker;
 
-/// Time between two reads of the head row.
-const POLL: Duration = Duration::from_secs(2);
-/// Pause before a commit without answer is sent again.
-const RESEND_PAUSE: Duration = Duration::from_millis(200);
-/// Times that a commit without answer is sent again before the operator is
-/// told that its fate is unknown.
-const RESENDS: u32 = 20;
 /// Rows read by one scan.
 const SCAN_ROWS: usize = 500;
+/// Snapshots that are kept.
+const SNAPSHOTS_KEPT: u64 = 2;
 
 /// The configuration.
 pub struct Configuration {
-    catalog: Rc<Catalog>,
-    head_version: u64,
-    refreshing: bool,
-    next_token: u64,
-    changes: Vec<Waiting>,
-    writing: Option<Writing>,
+    replica: Replica,
+    next_ticket: u64,
+    operators: HashMap<Ticket, Ret<Result<u64, Error>>>,
+    readiness: Readiness,
     worker: Worker,
     dispatch: Actor<Dispatch>,
     fleet: Actor<Fleet>,
-    answers: Channel<Answer>,
+    answers: Channel<Input>,
     _guard: ChannelGuard,
 }
 
-/// An operator's change that waits for its turn.
-struct Waiting {
-    change: Change,
-    ret: Ret<Result<u64, Error>>,
-}
-
-/// A change that is being written.
-struct Writing {
-    entry: Entry,
-    transaction: Transaction,
-    waiting: Waiting,
-    resends: u32,
-}
-
-/// A platform answer.
-enum Answer {
-    /// The head row and the entries after the known revision.
-    Refreshed(Result<Newer, platform::Error>),
-    /// The commit under way.
-    Committed(Result<Commit, platform::Error>),
-    /// Version of the entry under way, if it is in the table.
-    Settled(Result<Option<u64>, platform::Error>),
-}
-
-/// What was read of the change log.
-struct Newer {
-    head: Row,
-    entries: Vec<Entry>,
-}
-
 impl Configuration {
     /// Starts with nothing in force and reads the platform.
     pub fn init(
         cx: CX![],
         token_seed: u64,
+        readiness: Readiness,
         worker: Worker,
         dispatch: Actor<Dispatch>,
         fleet: Actor<Fleet>,
     ) -> Option<Configuration> {
-        let forward = fwd_to!([cx], answered() as (Answer));
+        let forward = fwd_to!([cx], handle() as (Input));
         let (answers, guard) = Channel::new(cx, forward);
-        call!([cx], poll());
+        call!([cx], tick());
         Some(Configuration {
-            catalog: Rc::default(),
-            head_version: 0,
-            refreshing: false,
-            next_token: token_seed,
-            changes: Vec::new(),
-            writing: None,
+            replica: Replica::new(token_seed, cx.now()),
+            next_ticket: 1,
+            operators: HashMap::new(),
+            readiness,
             worker,
             dispatch,
             fleet,
@@ -116,207 +91,139 @@
 
     /// Puts an operator's change in force; answers with its revision.
     pub fn change(&mut self, cx: CX![], change: Change, ret: Ret<Result<u64, Error>>) {
-        self.changes.push(Waiting { change, ret });
-        if self.writing.is_none() {
-            // The newest state decides who loses a race, so it is read first.
-            self.refresh(cx);
-        }
+        let ticket = Ticket(self.next_ticket);
+        self.next_ticket += 1;
+        self.operators.insert(ticket, ret);
+        self.handle(cx, Input::Change(ticket, change));
     }
 
     /// Gives the catalog in force.
     pub fn read(&mut self, _cx: CX![], ret: Ret<Rc<Catalog>>) {
-        ret!([ret], Rc::clone(&self.catalog));
+        ret!([ret], Rc::clone(self.replica.catalog()));
     }
 
-    /// A peer has this revision in force.
-    pub fn heard_of(&mut self, cx: CX![], revision: u64) {
-        if revision > self.catalog.revision {
-            self.refresh(cx);
-        }
+    /// The peer at this address has this revision in force.
+    pub fn heard_of(&mut self, cx: CX![], revision: u64, peer: String) {
+        self.handle(cx, Input::Heard { revision, peer });
     }
 
-    fn poll(&mut self, cx: CX![]) {
-        self.refresh(cx);
-        after!(POLL, [cx], poll());
+    /// A peer sent a message of the configuration on this stream.
+    pub fn received(&mut self, cx: CX![], stream: StreamId, text: String) {
+        match message::decode(&text) {
+            Ok(it) => self.handle(cx, Input::Received(ReplyTo(stream.0), it)),
+            Err(error) => spdlog::error!("peer's message on the configuration is malformed; \
+                run the same version on all daemons", kv: { error = error.to_string() }),
+        }
     }
 
-    fn refresh(&mut self, _cx: CX![]) {
-        if self.refreshing {
-            return;
-        }
-        self.refreshing = true;
-        let answers = self.answers.clone();
-        let known = self.catalog.revision;
-        self.worker.queue(move |client| {
-            answers.send(Answer::Refreshed(read_newer(client, known)));
-        });
+    fn tick(&mut self, cx: CX![]) {
+        self.handle(cx, Input::Tick);
+        after!(TICK, [cx], tick());
     }
 
-    fn answered(&mut self, cx: CX![], answer: Answer) {
-        match answer {
-            Answer::Refreshed(result) => self.refreshed(cx, result),
-            Answer::Committed(result) => self.committed(cx, result),
-            Answer::Settled(result) => self.settled(cx, result),
+    fn handle(&mut self, cx: CX![], input: Input) {
+        let actions = self.replica.handle(cx.now(), input);
+        for action in actions {
+            self.carry_out(action);
         }
     }
 
-    fn refreshed(&mut self, cx: CX![], result: Result<Newer, platform::Error>) {
-        self.refreshing = false;
-        match result {
-            Ok(newer) => {
-                self.head_version = newer.head.version;
-                self.take_entries(&newer.entries);
-                call!([self.dispatch], configured(Rc::clone(&self.catalog)));
-                call!([self.fleet], configured(self.catalog.revision));
-                self.write_next(cx);
+    fn carry_out(&mut self, action: Action) {
+        match action {
+            Action::ReadHead => self.ask_table(|client| Input::HeadRead(client.read(HEAD_KEY))),
+            Action::ReadEntries(after) => self.ask_table(move |client| {
+                Input::EntriesRead(client.scan(ENTRY_PREFIX, &after, SCAN_ROWS))
+            }),
+            Action::ReadSnapshot => {
+                self.ask_table(|client| Input::SnapshotRead(read_snapshot(client)));
+            }
+            Action::Commit(token, transaction) => {
+                self.ask_table(move |client| Input::Committed(token, client.commit(&transaction)))
             }
-            Err(error) => {
-                for waiting in self.changes.drain(..) {
-                    let msg = format!("{error}; nothing was changed, repeat the change later");
-                    ret!([waiting.ret], Err(Error::new(Code::Unavailable, msg)));
+            Action::ReadEntry(token, key) => {
+                self.ask_table(move |client| Input::EntryRead(token, client.read(&key)));
+            }
+            Action::SaveSnapshot(snapshot) => self.worker.queue(move |client| {
+                if let Err(error) = save_snapshot(client, &snapshot) {
+                    spdlog::warn!("snapshot of the configuration not saved", kv: {
+                        revision = snapshot.pointer.revision,
+                        error = error.to_string(),
+                    });
                 }
+            }),
+            Action::Tell(ticket, result) => self.tell(ticket, result),
+            Action::Publish => self.publish(),
+            Action::Ready(ready) => {
+                spdlog::info!("configuration confirmed", kv: { ready = ready });
+                self.readiness.set_configured(ready);
             }
-        }
-    }
-
-    /// Invariant: revisions in force grow one by one.
-    fn take_entries(&mut self, entries: &[Entry]) {
-        for entry in entries {
-            if entry.revision == self.catalog.revision + 1 {
-                Rc::make_mut(&mut self.catalog).apply(&entry.edit, entry.revision);
-                spdlog::info!("configured", kv: {
-                    revision = entry.revision,
-                    object = entry.edit.object().to_string(),
-                });
+            Action::Spread(message, fanout) => {
+                if let Some(text) = encode(&message) {
+                    call!([self.fleet], spread(text, fanout));
+                }
             }
-        }
-    }
-
-    fn write_next(&mut self, cx: CX![]) {
-        while self.writing.is_none() && !self.changes.is_empty() {
-            let waiting = self.changes.remove(0);
-            match self.catalog.check(&waiting.change) {
-                Ok(()) => self.write(cx, waiting),
-                Err(error) => ret!([waiting.ret], Err(error.into())),
+            Action::Ask(peer, message) => {
+                if let Some(text) = encode(&message) {
+                    call!([self.fleet], ask(peer, text));
+                }
             }
+            Action::Reply(ReplyTo(stream), message) => {
+                if let Some(text) = encode(&message) {
+                    call!([self.fleet], reply(StreamId(stream), text));
+                }
+            }
+            Action::Report(detail) => spdlog::error!("configuration", kv: { fault = detail }),
         }
     }
 
-    fn write(&mut self, _cx: CX![], waiting: Waiting) {
-        self.next_token = self.next_token.wrapping_add(1);
-        let revision = self.catalog.revision + 1;
-        let edit = waiting.change.edit.clone();
-        let entry = Entry { revision, token: self.next_token, edit };
-        let transaction = Transaction {
-            checks: vec![Check { key: HEAD_KEY.to_owned(), version: self.head_version }],
-            puts: vec![
-                json_put(HEAD_KEY, &Head { revision }),
-                json_put(&entry_key(revision), &entry),
-            ],
-            deletes: Vec::new(),
-        };
-        self.writing = Some(Writing { entry, transaction, waiting, resends: 0 });
-        self.send();
-    }
-
-    fn send(&mut self) {
-        let Some(writing) = &self.writing else { return };
-        let transaction = writing.transaction.clone();
+    fn ask_table(&self, read: impl FnOnce(&Client) -> Input + Send + 'static) {
         let answers = self.answers.clone();
         self.worker.queue(move |client| {
-            answers.send(Answer::Committed(client.commit(&transaction)));
+            answers.send(read(client));
         });
     }
 
-    fn committed(&mut self, cx: CX![], result: Result<Commit, platform::Error>) {
-        let Some(mut writing) = self.writing.take() else { return };
-        match result {
-            Ok(Commit::Done { version }) => {
-                self.head_version = version;
-                self.accept(writing);
-                self.write_next(cx);
-            }
-            // Another change came first, or this one took effect and its answer was lost.
-            Ok(Commit::Conflict { .. }) => self.settle(cx, writing),
-            Err(_) if writing.resends < RESENDS => {
-                writing.resends += 1;
-                self.writing = Some(writing);
-                after!(RESEND_PAUSE, [cx], resend());
-            }
-            Err(error) => {
-                let msg = format!("{error}; read the object before repeating the change");
-                ret!([writing.waiting.ret], Err(Error::new(Code::Unknown, msg)));
-                self.write_next(cx);
-            }
-        }
-    }
-
-    fn resend(&mut self, _cx: CX![]) {
-        self.send();
-    }
-
-    fn accept(&mut self, writing: Writing) {
-        let revision = writing.entry.revision;
-        self.take_entries(std::slice::from_ref(&writing.entry));
-        call!([self.dispatch], configured(Rc::clone(&self.catalog)));
-        call!([self.fleet], configured(self.catalog.revision));
-        ret!([writing.waiting.ret], Ok(revision));
+    fn publish(&self) {
+        let catalog = self.replica.catalog();
+        spdlog::info!("configured", kv: { revision = catalog.revision });
+        call!([self.dispatch], configured(Rc::clone(catalog)));
+        call!([self.fleet], configured(catalog.revision));
     }
 
-    fn settle(&mut self, cx: CX![], writing: Writing) {
-        if writing.resends == 0 {
-            // Answered at the first try: it surely did not take effect.
-            self.changes.insert(0, writing.waiting);
-            self.refresh(cx);
-            return;
-        }
-        let key = entry_key(writing.entry.revision);
-        let answers = self.answers.clone();
-        let token = writing.entry.token;
-        self.writing = Some(writing);
-        self.worker.queue(move |client| {
-            let found = client.read(&key).map(|row| {
-                let entry: Option<Entry> = serde_json::from_str(&row.value).ok();
-                entry.is_some_and(|it| it.token == token).then_some(row.version)
-            });
-            answers.send(Answer::Settled(found));
-        });
+    fn tell(&mut self, ticket: Ticket, result: Result<u64, config::Error>) {
+        let Some(ret) = self.operators.remove(&ticket) else { return };
+        ret!([ret], result.map_err(Error::from));
     }
+}
 
-    fn settled(&mut self, cx: CX![], result: Result<Option<u64>, platform::Error>) {
-        let Some(writing) = self.writing.take() else { return };
-        match result {
-            Ok(Some(version)) => {
-                self.head_version = version;
-                self.accept(writing);
-                self.refresh(cx);
-            }
-            Ok(None) => {
-                self.changes.insert(0, writing.waiting);
-                self.refresh(cx);
-            }
-            Err(error) => {
-                self.writing = Some(writing);
-                self.committed(cx, Err(error));
-            }
-        }
-    }
+fn encode(message: &Message) -> Option<String> {
+    message::encode(message).ok()
 }
 
-fn read_newer(table: &impl Table, known: u64) -> Result<Newer, platform::Error> {
-    let head = table.read(HEAD_KEY)?;
-    let newest: Head = serde_json::from_str(&head.value).unwrap_or_default();
-    let mut entries = Vec::new();
-    let mut after = entry_key(known);
-    while newest.revision > known + entries.len() as u64 {
-        let rows = table.scan(ENTRY_PREFIX, &after, SCAN_ROWS)?;
-        let Some(last) = rows.last() else { break };
-        after.clone_from(&last.key);
-        entries.extend(rows.iter().filter_map(|row| serde_json::from_str(&row.value).ok()));
+fn read_snapshot(client: &Client) -> Result<Option<Snapshot>, platform::Error> {
+    let row = client.read(POINTER_KEY)?;
+    if row.version == ABSENT {
+        return Ok(None);
     }
-    Ok(Newer { head, entries })
+    let pointer: Pointer = serde_json::from_str(&row.value).map_err(|error| {
+        spdlog::error!("row of the newest snapshot is malformed; remove it", kv: {
+            key = POINTER_KEY,
+            error = error.to_string(),
+        });
+        platform::Error::Malformed { detail: error.to_string() }
+    })?;
+    let content = client.get(&object_name(pointer.revision))?;
+    Ok(content.map(|content| Snapshot { pointer, content }))
 }
 
-fn json_put(key: &str, value: &impl serde::Serialize) -> Put {
-    Put { key: key.to_owned(), value: serde_json::to_string(value).unwrap_or_default() }
+fn save_snapshot(client: &Client, snapshot: &Snapshot) -> Result<(), platform::Error> {
+    let revision = snapshot.pointer.revision;
+    client.put(&object_name(revision), &snapshot.content)?;
+    let value = serde_json::to_string(&snapshot.pointer).unwrap_or_default();
+    let put = Put { key: POINTER_KEY.to_owned(), value };
+    client.commit(&Transaction { puts: vec![put], ..Transaction::default() })?;
+    if let Some(outdated) = revision.checked_sub(SNAPSHOTS_KEPT * INTERVAL) {
+        client.delete(&object_name(outdated))?;
+    }
+    Ok(())
 }
--- a/crates/lentilhook/src/daemon/fleet.rs
+++ b/crates/lentilhook/src/daemon/fleet.rs
@@ -43,6 +43,8 @@
 const ROUND: Duration = Duration::from_secs(1);
 /// Peers that are told something in a round.
 const PEERS_PER_ROUND: usize = 2;
+/// Peers that are asked for the configuration at once.
+const PEERS_ASKED: usize = 3;
 /// Rounds in a row without an answer after which a peer counts as gone.
 const MISSES: u32 = 3;
 /// Prefix of the rows by which daemons find each other.
@@ -64,6 +66,8 @@
     registered: bool,
     next_stream: u64,
     probes: HashMap<StreamId, String>,
+    questions: Vec<StreamId>,
+    late_questions: Vec<StreamId>,
     misses: HashMap<String, u32>,
     transport: Transport,
     worker: Worker,
@@ -114,6 +118,8 @@
             registered: false,
             next_stream: 2,
             probes: HashMap::new(),
+            questions: Vec::new(),
+            late_questions: Vec::new(),
             misses: HashMap::new(),
             transport,
             worker,
@@ -144,12 +150,40 @@
         ret!([ret], all);
     }
 
+    /// Sends a message of the configuration to some peers.
+    pub fn spread(&mut self, _cx: CX![], text: String, fanout: usize) {
+        for address in self.some_addresses(fanout) {
+            if let Some(stream) = self.open(&address, Frame::Config { text: text.clone() }) {
+                self.transport.command(Command::Finish { stream });
+            }
+        }
+    }
+
+    /// Asks the peer at this address, or some peers.
+    pub fn ask(&mut self, _cx: CX![], peer: Option<String>, text: String) {
+        let addresses = peer.map_or_else(|| self.some_addresses(PEERS_ASKED), |it| vec![it]);
+        for address in addresses {
+            let stream = self.open(&address, Frame::Config { text: text.clone() });
+            self.questions.extend(stream);
+        }
+    }
+
+    /// Answers a peer.
+    pub fn reply(&mut self, _cx: CX![], stream: StreamId, text: String) {
+        let frame = Frame::Config { text };
+        self.transport.command(Command::Send { stream, frame });
+        self.transport.command(Command::Finish { stream });
+    }
+
     /// An event of the transport on a stream of this actor.
     pub fn peer_event(&mut self, cx: CX![], event: Event) {
         match event {
             Event::Frame { stream, frame: Frame::Gossip(gossip) } => {
                 self.take_gossip(cx, stream, &gossip);
             }
+            Event::Frame { stream, frame: Frame::Config { text } } => {
+                call!([self.configuration], received(stream, text));
+            }
             Event::Frame { .. } => {}
             Event::Finished { stream } | Event::Failed { stream, .. } => {
                 self.transport.command(Command::Finish { stream });
@@ -159,6 +193,7 @@
 
     fn round(&mut self, cx: CX![]) {
         self.count_misses(cx);
+        self.end_questions();
         self.gossip_to_some();
         self.ask_platform();
         self.rounds += 1;
@@ -251,7 +286,10 @@
 
     fn take_gossip(&mut self, cx: CX![], stream: StreamId, gossip: &Gossip) {
         if gossip.config_revision > self.config_revision {
-            call!([self.configuration], heard_of(gossip.config_revision));
+            call!(
+                [self.configuration],
+                heard_of(gossip.config_revision, gossip.sender.address.clone())
+            );
         }
         self.learn(cx, &gossip.sender);
         for vm in &gossip.vms {
@@ -291,13 +329,36 @@
     }
 
     fn gossip_to(&mut self, vm: &Vm) {
-        let Ok(peer) = vm.address.parse::<SocketAddr>() else { return };
+        let frame = Frame::Gossip(self.message());
+        if let Some(stream) = self.open(&vm.address, frame) {
+            self.probes.insert(stream, vm.id.clone());
+        }
+    }
+
+    fn open(&mut self, address: &str, frame: Frame) -> Option<StreamId> {
+        let peer = address.parse::<SocketAddr>().ok()?;
         // Even numbers that are no multiple of four are this actor's.
         let stream = StreamId(self.next_stream);
         self.next_stream += 4;
-        self.probes.insert(stream, vm.id.clone());
-        let frame = Frame::Gossip(self.message());
         self.transport.command(Command::Open { stream, peer, frame });
+        Some(stream)
+    }
+
+    fn some_addresses(&self, count: usize) -> Vec<String> {
+        let known = self.peers().into_iter().map(|vm| vm.address);
+        let mut all: Vec<String> = known.chain(self.me.seeds.iter().cloned()).collect();
+        all.sort();
+        all.dedup();
+        all.retain(|it| *it != self.me.peer_address);
+        all.into_iter().sample(&mut rand::rng(), count)
+    }
+
+    /// Ends the streams of questions that had a whole round for an answer.
+    fn end_questions(&mut self) {
+        let late = std::mem::replace(&mut self.late_questions, std::mem::take(&mut self.questions));
+        for stream in late {
+            self.transport.command(Command::Finish { stream });
+        }
     }
 
     fn count_misses(&mut self, cx: CX![]) {
--- a/crates/lentilhook/src/daemon/identity.rs
+++ b/crates/lentilhook/src/daemon/identity.rs
@@ -16,6 +16,8 @@
     pub zone: String,
     /// Address for peers.
     pub peer_address: String,
+    /// Addresses for peers of some daemons, from the settings.
+    pub seeds: Vec<String>,
 }
 
 impl Identity {
--- a/crates/lentilhook/src/daemon/mod.rs
+++ b/crates/lentilhook/src/daemon/mod.rs
@@ -120,8 +120,8 @@
     let transport = Transport::start(&settings.listen.peers, secret, peer_sink(stakker, &actors))
         .context(PeersSnafu)?;
     let me = identity(settings, &transport);
-    start_actors(settings, charts, &actors, &me, &transport);
     let readiness = Readiness::default();
+    start_actors(settings, charts, &actors, &me, &transport, &readiness);
     let callers = gateway::server::start(
         &settings.listen.callers,
         limits(settings),
@@ -162,6 +162,7 @@
         incarnation: since_epoch.as_millis() as u64,
         zone: settings.zone.clone(),
         peer_address: transport.address.to_string(),
+        seeds: settings.seeds.clone(),
     }
 }
 
@@ -179,6 +180,7 @@
     actors: &Actors,
     me: &Identity,
     transport: &Transport,
+    readiness: &Readiness,
 ) {
     let client = Client::new(&settings.platform.address, settings.platform_timeout());
     let worker = Worker::start(&client);
@@ -191,7 +193,13 @@
     call!([dispatch], Dispatch::init(me.clone(), transport.clone(), shards));
     call!(
         [configuration],
-        Configuration::init(seed, worker.clone(), dispatch.clone(), fleet.clone())
+        Configuration::init(
+            seed,
+            readiness.clone(),
+            worker.clone(),
+            dispatch.clone(),
+            fleet.clone()
+        )
     );
     call!(
         [fleet],
@@ -216,7 +224,9 @@
 
 fn is_for_fleet(event: &Event) -> bool {
     let (stream, gossip) = match event {
-        Event::Frame { stream, frame } => (*stream, matches!(frame, Frame::Gossip(_))),
+        Event::Frame { stream, frame } => {
+            (*stream, matches!(frame, Frame::Gossip(_) | Frame::Config { .. }))
+        }
         Event::Finished { stream } | Event::Failed { stream, .. } => (*stream, false),
     };
     let StreamId(number) = stream;
--- a/crates/lentilhook/src/settings.rs
+++ b/crates/lentilhook/src/settings.rs
@@ -28,6 +28,9 @@
     /// Logs.
     #[serde(default)]
     pub log: Log,
+    /// Addresses for peers of some daemons, asked when the platform can't be.
+    #[serde(default)]
+    pub seeds: Vec<String>,
 }
 
 /// Addresses to listen on: IP and port, port 0 for any.
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -26,6 +26,12 @@
     Reply(Reply),
     /// What the sender knows of VMs; opens a stream.
     Gossip(Gossip),
+    /// A message between replicas of the configuration; opens a stream or
+    /// answers on one.
+    Config {
+        /// The message in JSON.
+        text: String,
+    },
 }
 
 /// A call sent on to the daemon that serves its key.
