--- a/crates/config/tests/replica/world.rs
+++ b/crates/config/tests/replica/world.rs
@@ -37,7 +37,9 @@
     LateCommit(Transaction),
 }
 
+/// All replicas and what is between them.
 pub struct World {
+    /// What was reported.
     pub reports: Vec<String>,
     memory: Memory,
     replicas: Vec<Replica>,
@@ -62,6 +64,7 @@
 }
 
 impl World {
+    /// Replicas that have just started, before an empty table.
     pub fn new(replicas: usize) -> World {
         let now = Instant::now();
         World {
@@ -79,6 +82,7 @@
         }
     }
 
+    /// One event, chosen at random.
     pub fn step(&mut self, u: &mut Unstructured<'_>) -> Result<()> {
         let at = u.choose_index(self.replicas.len())?;
         match u.int_in_range(0..=40)? {
@@ -112,11 +116,13 @@
         self.run_rounds(ROUNDS);
     }
 
+    /// Lets everything settle while the table is down.
     pub fn settle_in_outage(&mut self) {
         self.down = true;
         self.run_rounds(14);
     }
 
+    /// Delivers everything and ticks all replicas, some times.
     pub fn run_rounds(&mut self, rounds: usize) {
         for _ in 0..rounds {
             while let Some(flight) = self.flights.pop() {
@@ -138,6 +144,7 @@
         self.history.len() as u64 - 1
     }
 
+    /// Overwrites a row with what is no such row, and ends the outage.
     pub fn damage(&mut self, key: &str) {
         let put = Put { key: key.to_owned(), value: "{}".to_owned() };
         let transaction = Transaction { puts: vec![put], ..Transaction::default() };
@@ -145,6 +152,7 @@
         self.down = false;
     }
 
+    /// Replaces a process; what it had sent still arrives.
     pub fn restart(&mut self, at: usize) {
         self.seeds += 1;
         self.replicas[at] = Replica::new(self.seeds << 32, self.clocks[at]);
@@ -163,19 +171,23 @@
         self.lost.extend(open.filter(|it| !self.told.contains_key(it)));
     }
 
+    /// Replaces all processes and loses what was under way.
     pub fn restart_all(&mut self) {
         self.flights.clear();
         (0..self.replicas.len()).for_each(|at| self.restart(at));
     }
 
+    /// Revision in force on each replica.
     pub fn revisions(&self) -> Vec<u64> {
         self.replicas.iter().map(|it| it.catalog().revision).collect()
     }
 
+    /// Whether any replica is ready.
     pub fn any_ready(&self) -> bool {
         self.replicas.iter().any(Replica::is_ready)
     }
 
+    /// Checks that everyone agrees with the table and was told the truth.
     pub fn check_end(&self) {
         assert_eq!(self.revisions(), vec![self.history.len() as u64 - 1; self.replicas.len()]);
         assert!(self.replicas.iter().all(Replica::is_ready), "not ready after healing");
--- a/crates/lentilhook/src/daemon/dispatch/attempts.rs
+++ b/crates/lentilhook/src/daemon/dispatch/attempts.rs
@@ -3,8 +3,11 @@
 use std::time::Duration;
 
 use ::job::call::Body;
+use ::job::progress::Attempt;
+use ::job::progress::End;
 use ::job::progress::Taken;
 use ::job::reply::Reply;
+use ::job::reply::Usage;
 use ::job::reply::Whole;
 use endpoint::attempt;
 use endpoint::attempt::AttemptId;
@@ -15,10 +18,6 @@
 use endpoint::plain;
 use ledger::record::Answer;
 use ledger::record::Step;
-use membership::update::State;
-use policy::route;
-use policy::route::Candidate;
-use policy::route::Request;
 use stakker::CX;
 use stakker::call;
 
@@ -35,22 +34,29 @@
 const TRIES: u32 = 4;
 /// Longest time of a plain service to answer.
 const PLAIN_TIMEOUT: Duration = Duration::from_secs(10);
-/// Bytes of a prompt by which requests that share a prefix meet.
-const AFFINITY_BYTES: usize = 256;
 
 impl Dispatch {
     /// Starts the next attempt at a job, or ends it when there is none.
     pub(super) fn attempt(&mut self, cx: CX![], id: JobId) {
         let Some(job) = self.jobs.get(&id) else { return };
-        let Some((endpoint, address)) = self.route(id, job) else {
+        let daemons = self.live_daemons();
+        let choice = match job.tries < TRIES {
+            true => self.routing.choose(id, job, daemons, cx.now()),
+            false => None,
+        };
+        let target = choice.as_ref().and_then(|it| self.endpoints.get(&it.endpoint));
+        let (Some(address), Some(choice)) = (target.map(|it| it.vm.address.clone()), choice) else {
             self.give_up(cx, id);
             return;
         };
+        let endpoint = choice.endpoint.clone();
+        let service = job.call.service.clone();
         let attempt = AttemptId(self.take_number());
+        self.routing.sent(attempt, &service, choice, cx.now());
         let Some(job) = self.jobs.get_mut(&id) else { return };
         job.tries += 1;
-        job.progress.start_attempt();
-        let order = order(id, job);
+        let number = job.progress.start_attempt();
+        let order = order(&self.me.daemon, id, job);
         let events = self.events.clone();
         let sink = move |attempt: AttemptId, event: Event| {
             events.send(Endpoint { attempt, event });
@@ -59,7 +65,7 @@
         if let Some(target) = self.endpoints.get_mut(&endpoint) {
             target.in_flight += 1;
         }
-        job.stage = Stage::Running(Running { attempt, endpoint, cancel });
+        job.stage = Stage::Running(Running { attempt, number, endpoint, cancel });
         self.by_attempt.insert(attempt, id);
     }
 
@@ -67,85 +73,86 @@
     pub(super) fn endpoint_event(&mut self, cx: CX![], message: Endpoint) {
         let Endpoint { attempt, event } = message;
         let Some(id) = self.by_attempt.get(&attempt).copied() else { return };
+        let Some(Job { stage: Stage::Running(running), .. }) = self.jobs.get(&id) else { return };
+        // Invariant: only the open attempt of a job is heard.
+        if running.attempt != attempt {
+            return;
+        }
+        let number = running.number;
         match event {
-            Event::Token { index, text } => self.token(cx, id, attempt, index, &text),
-            Event::Finished(usage) => {
-                self.close(attempt);
-                self.end(cx, id, Reply::Finished(usage));
+            Event::Token { index, text } => {
+                self.routing.token(attempt, cx.now());
+                self.token(cx, id, number, index, &text);
             }
+            Event::Finished(usage) => self.finished(cx, id, number, usage),
             Event::Answered(whole) => {
-                self.close(attempt);
+                self.admission.succeeded();
+                self.close(cx, attempt);
                 self.answered(cx, id, whole);
             }
             Event::Failed(failure) => {
-                self.close(attempt);
+                self.close(cx, attempt);
                 self.failed(cx, id, failure);
             }
         }
     }
 
     /// Ends a job that nobody waits for.
-    pub(super) fn cancel(&mut self, id: JobId) {
+    pub(super) fn cancel(&mut self, cx: CX![], id: JobId) {
         if let Some(Job { stage: Stage::Running(running), .. }) = self.jobs.get(&id) {
             let attempt = running.attempt;
             running.cancel.cancel();
-            self.close(attempt);
+            self.close(cx, attempt);
         }
         self.forget(id);
     }
 
-    fn route(&self, id: JobId, job: &Job) -> Option<(String, String)> {
-        if job.tries >= TRIES {
-            return None;
-        }
-        let usable = self
-            .endpoints
-            .values()
-            .filter(|it| it.vm.state == State::Live && it.vm.service == job.call.service);
-        let candidates: Vec<Candidate<'_>> = usable
-            .map(|it| Candidate {
-                id: &it.vm.id,
-                in_flight: it.in_flight,
-                price_per_hour: it.vm.price_per_hour,
-            })
-            .collect();
-        let affinity = affinity(&job.call.body);
-        let request = Request { affinity, avoid: &job.avoid };
-        let decision = route::choose(&request, &candidates)?;
-        spdlog::info!("routed", kv: {
-            job = id.0,
-            workspace = job.call.workspace.as_str(),
-            service = job.call.service.as_str(),
-            endpoint = decision.chosen,
-            runner_up = decision.runner_up.unwrap_or("none"),
-            reason = decision.reason.to_string(),
-            attempt = job.tries + 1,
-            resumed_at = job.progress.len(),
-        });
-        let target = self.endpoints.get(decision.chosen)?;
-        Some((target.vm.id.clone(), target.vm.address.clone()))
-    }
-
-    fn token(&mut self, cx: CX![], id: JobId, attempt: AttemptId, index: u32, text: &str) {
+    fn token(&mut self, cx: CX![], id: JobId, number: Attempt, index: u32, text: &str) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
-        let current = job.progress.attempt();
-        match job.progress.take(current, index, text) {
+        match job.progress.take(number, index, text) {
             Taken::Next => {
                 let transport = &self.transport;
                 let progress = &job.progress;
                 job.waiters.iter_mut().for_each(|it| it.catch_up(transport, progress));
             }
             Taken::Ignored => {}
-            Taken::Gap => {
-                if let Stage::Running(running) = &job.stage {
-                    running.cancel.cancel();
-                }
-                self.close(attempt);
-                self.failed(cx, id, Failure::Broken("a token is missing".to_owned()));
+            Taken::Gap => self.leave(cx, id, Failure::Broken("a token is missing".to_owned())),
+        }
+    }
+
+    fn finished(&mut self, cx: CX![], id: JobId, number: Attempt, usage: Usage) {
+        let Some(job) = self.jobs.get(&id) else { return };
+        match job.progress.finish(number, usage.completion_tokens) {
+            End::Complete => {
+                let usage = Usage { completion_tokens: job.progress.len(), ..usage };
+                self.remember_cached(cx, id);
+                self.admission.succeeded();
+                self.close_running(cx, id);
+                self.end(cx, id, Reply::Finished(usage));
+            }
+            End::Ignored => {}
+            End::Incomplete => {
+                let detail = "the last event came before the last token".to_owned();
+                self.leave(cx, id, Failure::Broken(detail));
             }
         }
     }
 
+    /// Leaves the open attempt of a job, which can't be used further.
+    fn leave(&mut self, cx: CX![], id: JobId, failure: Failure) {
+        let Some(Job { stage: Stage::Running(running), .. }) = self.jobs.get(&id) else { return };
+        running.cancel.cancel();
+        self.close_running(cx, id);
+        self.failed(cx, id, failure);
+    }
+
+    /// Stops hearing the open attempt of a job.
+    fn close_running(&mut self, cx: CX![], id: JobId) {
+        let Some(Job { stage: Stage::Running(running), .. }) = self.jobs.get(&id) else { return };
+        let attempt = running.attempt;
+        self.close(cx, attempt);
+    }
+
     fn answered(&mut self, cx: CX![], id: JobId, whole: Whole) {
         self.record(id, Step::Done(Answer::from(&whole)));
         self.end(cx, id, Reply::Whole(whole));
@@ -172,11 +179,11 @@
             self.end(cx, id, Reply::Problem(problems::unknown(detail)));
             return;
         }
-        self.attempt(cx, id);
+        self.retry(cx, id);
     }
 
     /// No endpoint is left to try.
-    fn give_up(&mut self, cx: CX![], id: JobId) {
+    pub(super) fn give_up(&mut self, cx: CX![], id: JobId) {
         let Some(job) = self.jobs.get(&id) else { return };
         let service = job.call.service.clone();
         if job.call.is_non_idempotent() || job.tries == 0 {
@@ -198,19 +205,31 @@
         }
     }
 
-    fn close(&mut self, attempt: AttemptId) {
+    /// The engine has the finished completion cached.
+    fn remember_cached(&mut self, cx: CX![], id: JobId) {
+        let Some(job) = self.jobs.get(&id) else { return };
+        if let (Body::Chat(chat), Stage::Running(running)) = (&job.call.body, &job.stage) {
+            let text = format!("{}{}", chat.prompt, job.progress.text());
+            self.routing.finished(running.attempt, &text, cx.now());
+        }
+    }
+
+    pub(super) fn close(&mut self, cx: CX![], attempt: AttemptId) {
+        self.routing.closed(attempt, cx.now());
         let Some(id) = self.by_attempt.remove(&attempt) else { return };
         let Some(Job { stage: Stage::Running(running), .. }) = self.jobs.get(&id) else { return };
         if let Some(target) = self.endpoints.get_mut(&running.endpoint) {
             target.in_flight = target.in_flight.saturating_sub(1);
+            let service = target.vm.service.clone();
+            call!([cx], place_freed(service));
         }
     }
 }
 
-fn order(id: JobId, job: &Job) -> Order {
+fn order(daemon: &str, id: JobId, job: &Job) -> Order {
     match &job.call.body {
         Body::Chat(chat) => Order::Chat(chat::Order {
-            request: format!("{}-{}-{}", job.call.workspace, id.0, job.tries),
+            request: format!("{daemon}-{}-{}", id.0, job.tries),
             messages: chat.messages.clone(),
             max_tokens: chat.max_tokens,
             priority: job.service.priority,
@@ -225,15 +244,3 @@
         }),
     }
 }
-
-fn affinity(body: &Body) -> &str {
-    let text = match body {
-        Body::Chat(chat) => chat.prompt.as_str(),
-        Body::Plain(plain) => plain.target.as_str(),
-    };
-    let mut end = text.len().min(AFFINITY_BYTES);
-    while !text.is_char_boundary(end) {
-        end -= 1;
-    }
-    &text[..end]
-}
--- a/crates/lentilhook/src/daemon/dispatch/job.rs
+++ b/crates/lentilhook/src/daemon/dispatch/job.rs
@@ -1,12 +1,14 @@
 //! Jobs: calls that this daemon serves itself.
 
 use std::sync::mpsc::Sender;
+use std::time::Instant;
 
 use config::object::Service;
 use endpoint::attempt::AttemptId;
 use endpoint::attempt::Cancel;
 use gateway::arrival::ArrivalId;
 use job::call::Call;
+use job::progress::Attempt;
 use job::progress::Progress;
 use job::reply::Reply;
 use peer::transport::Command;
@@ -34,14 +36,18 @@
     pub tries: u32,
     /// Endpoints where an attempt failed.
     pub avoid: Vec<String>,
+    /// When it was taken.
+    pub opened: Instant,
     /// Fencing number under which it may leave, when recorded in the ledger.
     pub fence: Option<u64>,
 }
 
 /// Where a job stands.
 pub enum Stage {
-    /// Waits for the ledger.
+    /// Waits for the ledger, or for a place at an endpoint.
     Recording,
+    /// Handed over by another daemon; goes on when it is asked for.
+    Kept,
     /// An attempt is open.
     Running(Running),
     /// Ended; the last reply is kept for callers who ask again.
@@ -52,6 +58,8 @@
 pub struct Running {
     /// Attempt.
     pub attempt: AttemptId,
+    /// Its number among the attempts at the job.
+    pub number: Attempt,
     /// Endpoint.
     pub endpoint: String,
     /// Ends it.
--- a/crates/lentilhook/src/daemon/fleet.rs
+++ b/crates/lentilhook/src/daemon/fleet.rs
@@ -35,6 +35,7 @@
 use stakker::sync::ChannelGuard;
 
 use crate::daemon::catalog::Configuration;
+use crate::daemon::departure::Departure;
 use crate::daemon::dispatch::Dispatch;
 use crate::daemon::identity::Identity;
 use crate::daemon::worker::Worker;
@@ -71,12 +72,21 @@
     misses: HashMap<String, u32>,
     transport: Transport,
     worker: Worker,
-    dispatch: Actor<Dispatch>,
-    configuration: Actor<Configuration>,
+    links: Links,
     answers: Channel<Answer>,
     _guard: ChannelGuard,
 }
 
+/// Whom the fleet tells.
+pub struct Links {
+    /// Learns the changes of VMs.
+    pub dispatch: Actor<Dispatch>,
+    /// Learns the revisions that peers have in force.
+    pub configuration: Actor<Configuration>,
+    /// Takes this daemon's own departure.
+    pub departures: Channel<Departure>,
+}
+
 /// A platform answer.
 enum Answer {
     /// Rows of the daemons.
@@ -97,15 +107,14 @@
         chart: Chart,
         transport: Transport,
         worker: Worker,
-        dispatch: Actor<Dispatch>,
-        configuration: Actor<Configuration>,
+        links: Links,
     ) -> Option<Fleet> {
         let forward = fwd_to!([cx], answered() as (Answer));
         let (answers, guard) = Channel::new(cx, forward);
         let mut view = View::new(chart);
         let myself = me.vm(State::Live);
         view.merge(&myself);
-        call!([dispatch], vm_changed(myself));
+        call!([links.dispatch], vm_changed(myself));
         call!([cx], round());
         Some(Fleet {
             me,
@@ -123,8 +132,7 @@
             misses: HashMap::new(),
             transport,
             worker,
-            dispatch,
-            configuration,
+            links,
             answers,
             _guard: guard,
         })
@@ -182,7 +190,7 @@
                 self.take_gossip(cx, stream, &gossip);
             }
             Event::Frame { stream, frame: Frame::Config { text } } => {
-                call!([self.configuration], received(stream, text));
+                call!([self.links.configuration], received(stream, text));
             }
             Event::Frame { .. } => {}
             Event::Finished { stream } | Event::Failed { stream, .. } => {
@@ -250,6 +258,10 @@
     }
 
     fn take_notice(&mut self, cx: CX![], notice: &Notice) {
+        if notice.vm == self.me.daemon {
+            self.take_own_notice(notice);
+            return;
+        }
         let known = self.view.get(&notice.vm).cloned();
         if let Some(vm) = known
             && vm.incarnation == notice.incarnation
@@ -258,6 +270,16 @@
         }
     }
 
+    /// This daemon's own VM will be reclaimed.
+    fn take_own_notice(&mut self, notice: &Notice) {
+        // An older notice was for an earlier VM of this name.
+        if notice.left_ms == 0 || self.state != State::Live {
+            return;
+        }
+        let left = Duration::from_millis(notice.left_ms);
+        self.links.departures.send(Departure::Reclaim(left));
+    }
+
     fn learn(&mut self, cx: CX![], vm: &Vm) {
         if vm.id == self.me.daemon && vm.state > self.state {
             self.refute(cx, vm);
@@ -270,7 +292,7 @@
                 state: ? = vm.state,
                 address = vm.address.as_str(),
             });
-            call!([self.dispatch], vm_changed(vm.clone()));
+            call!([self.links.dispatch], vm_changed(vm.clone()));
         }
     }
 
@@ -287,7 +309,7 @@
     fn take_gossip(&mut self, cx: CX![], stream: StreamId, gossip: &Gossip) {
         if gossip.config_revision > self.config_revision {
             call!(
-                [self.configuration],
+                [self.links.configuration],
                 heard_of(gossip.config_revision, gossip.sender.address.clone())
             );
         }
