Answer peers by whole catalogs sooner, and test what a freeze does

Cause: with the mechanism off, three mutants of the replica passed: an older catalog taken from a peer, peers never asked, and a woken daemon that stays ready. 64 recent entries covered every question of the tests, the restart in the outage was reached by pushes under way, and nothing looked at readiness.

With the mutants: "replica went back", revisions [0, 1, 1, 1, 1] instead of [1, 1, 1, 1, 1], and "ready && !ready_by_old_answer" fails.

Conclusion: each mechanism of the replica is seen by a test.

--- a/crates/config/src/replica/mod.rs
+++ b/crates/config/src/replica/mod.rs
@@ -39,7 +39,7 @@
 /// Time for which a starting daemon collects answers of peers.
 const COLLECT: Duration = Duration::from_secs(1);
 /// Newest entries that are kept to answer peers.
-const RECENT_ENTRIES: usize = 64;
+const RECENT_ENTRIES: usize = 8;
 /// Entries ahead of the own revision that are kept until the gap is filled.
 const EARLY_ENTRIES: usize = 64;
 /// Peers to which an accepting daemon sends an entry.
--- a/crates/config/tests/replica/main.rs
+++ b/crates/config/tests/replica/main.rs
@@ -2,10 +2,20 @@
 
 mod world;
 
+use std::time::Instant;
+
 use arbtest::arbitrary::Result;
 use arbtest::arbitrary::Unstructured;
 use arbtest::arbtest;
+use config::log::HEAD_KEY;
+use config::replica::Action;
+use config::replica::FREEZE;
+use config::replica::Input;
+use config::replica::READ_INTERVAL;
+use config::replica::Replica;
 use config::replica::snapshot::Snapshot;
+use platform::table::ABSENT;
+use platform::table::Row;
 
 use crate::world::World;
 
@@ -42,11 +52,13 @@
         world.heal();
         let accepting = u.choose_index(5)?;
         let revision = world.accept_then_outage(accepting);
+        world.settle_in_outage();
         world.restart(u.choose_index(5)?);
 
         world.settle_in_outage();
 
         assert_eq!(world.revisions(), vec![revision; 5]);
+        assert!(world.all_ready(), "unready though peers could be asked");
         Ok(())
     });
 }
@@ -78,3 +90,26 @@
     assert_eq!(sound.catalog(), Ok(catalog));
     assert!(cut.catalog().expect_err("cut").contains("checksum"));
 }
+
+#[test]
+fn a_woken_daemon_is_ready_only_after_an_answer_to_a_later_question() {
+    let start = Instant::now();
+    let absent = Row { key: HEAD_KEY.to_owned(), version: ABSENT, value: String::new() };
+    let mut replica = Replica::new(1, start);
+    replica.handle(start, Input::Tick);
+    replica.handle(start, Input::SnapshotRead(Ok(None)));
+    replica.handle(start, Input::HeadRead(Ok(absent.clone())));
+    let ready = replica.is_ready();
+    let before = start + READ_INTERVAL;
+    // Asked before the freeze, answered after it.
+    assert!(replica.handle(before, Input::Tick).contains(&Action::ReadHead));
+    let woken = before + FREEZE;
+
+    let actions = replica.handle(woken, Input::HeadRead(Ok(absent.clone())));
+    let ready_by_old_answer = replica.is_ready();
+    replica.handle(woken, Input::HeadRead(Ok(absent)));
+
+    assert!(ready && !ready_by_old_answer && replica.is_ready());
+    assert!(actions.contains(&Action::Ready(false)) && actions.contains(&Action::ReadHead));
+    assert!(actions.iter().any(|it| matches!(it, Action::Ask(None, _))));
+}
--- a/crates/config/tests/replica/world.rs
+++ b/crates/config/tests/replica/world.rs
@@ -182,6 +182,11 @@
         self.replicas.iter().map(|it| it.catalog().revision).collect()
     }
 
+    /// Whether all replicas are ready.
+    pub fn all_ready(&self) -> bool {
+        self.replicas.iter().all(Replica::is_ready)
+    }
+
     /// Whether any replica is ready.
     pub fn any_ready(&self) -> bool {
         self.replicas.iter().any(Replica::is_ready)
@@ -190,7 +195,7 @@
     /// Checks that everyone agrees with the table and was told the truth.
     pub fn check_end(&self) {
         assert_eq!(self.revisions(), vec![self.history.len() as u64 - 1; self.replicas.len()]);
-        assert!(self.replicas.iter().all(Replica::is_ready), "not ready after healing");
+        assert!(self.all_ready(), "not ready after healing");
         assert_eq!(self.reports, Vec::<String>::new());
         for (ticket, change) in &self.asked {
             let written = self.entries().iter().filter(|it| it.edit == change.edit).count();
