Tell of leaving VMs at once, poll the list by zone, object to false deaths

Cause: a notice for a VM that the lagging list had not shown was dropped. A daemon taken for gone by one peer was gone for all, and after a freeze it never learned of it, since its record was no longer told. At 420 daemons a silent one would have been probed three times by the same peer only after minutes. Changes were told in order of name, so those late in the alphabet waited. All daemons read list and notices each second (840 reads/s at 420) and all daemon rows each 10 s (about 8 KB/s).

Ruled out: full mesh (420 messages a second each); gone by one daemon's word; a row of liveness per daemon in the table (420 writes a second).

Change: notices are kept until the VM is known; leaving and gone are told first and each 100 ms until told 8 times; a silent peer is probed each round, after 3 rounds 3 others tell it that it is suspected, after 4 more it is gone; a larger incarnation refutes; who shows that it doesn't know its own record is told again. One daemon of a zone (rendezvous) reads list and notices each second, the others when they hear of no read for 6 s, and each 30 s.

--- a/crates/lentilhook/src/daemon/fleet.rs
+++ b/crates/lentilhook/src/daemon/fleet/mod.rs
@@ -1,12 +1,17 @@
 //! Actor that keeps the view of daemons and endpoints: reads the VM list and
 //! the notices, gossips with peers and finds silent ones.
 
+mod gossip;
+mod watch;
+
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
+use std::time::Instant;
 
 use membership::lifecycle::Chart;
-use membership::update::Gossip;
+use membership::liveness::Liveness;
+use membership::poll::Poll;
 use membership::update::Role;
 use membership::update::State;
 use membership::update::Vm;
@@ -17,10 +22,6 @@
 use peer::transport::StreamId;
 use peer::transport::Transport;
 use peer::wire::Frame;
-use platform::table::Put;
-use platform::table::Table;
-use platform::table::Transaction;
-use platform::vm::Cloud;
 use platform::vm::Notice;
 use platform::vm::Page;
 use rand::seq::IteratorRandom;
@@ -42,18 +43,10 @@
 
 /// Time between two rounds of gossip and looks at the VM list.
 const ROUND: Duration = Duration::from_secs(1);
-/// Peers that are told something in a round.
-const PEERS_PER_ROUND: usize = 2;
+/// Gap between two rounds after which this daemon counts as having been frozen.
+const FREEZE: Duration = Duration::from_secs(3);
 /// Peers that are asked for the configuration at once.
 const PEERS_ASKED: usize = 3;
-/// Rounds in a row without an answer after which a peer counts as gone.
-const MISSES: u32 = 3;
-/// Prefix of the rows by which daemons find each other.
-const DAEMON_PREFIX: &str = "daemon/";
-/// Most daemons read at the start.
-const DAEMON_ROWS: usize = 1000;
-/// Rounds between two reads of the daemons' rows.
-const ROUNDS_PER_SCAN: u64 = 10;
 
 /// The view of all VMs.
 pub struct Fleet {
@@ -69,7 +62,10 @@
     probes: HashMap<StreamId, String>,
     questions: Vec<StreamId>,
     late_questions: Vec<StreamId>,
-    misses: HashMap<String, u32>,
+    liveness: Liveness,
+    poll: Poll,
+    last_round: Instant,
+    is_hurrying: bool,
     transport: Transport,
     worker: Worker,
     links: Links,
@@ -129,7 +125,10 @@
             probes: HashMap::new(),
             questions: Vec::new(),
             late_questions: Vec::new(),
-            misses: HashMap::new(),
+            liveness: Liveness::default(),
+            poll: Poll::default(),
+            last_round: cx.now(),
+            is_hurrying: false,
             transport,
             worker,
             links,
@@ -200,76 +199,20 @@
     }
 
     fn round(&mut self, cx: CX![]) {
-        self.count_misses(cx);
+        if cx.now().duration_since(self.last_round) >= FREEZE {
+            // Whoever was frozen itself can't tell who was silent.
+            self.liveness.forget();
+            self.probes.clear();
+        }
+        self.last_round = cx.now();
+        self.poll.round();
         self.end_questions();
-        self.gossip_to_some();
+        self.gossip_round(cx);
         self.ask_platform();
         self.rounds += 1;
         after!(ROUND, [cx], round());
     }
 
-    fn ask_platform(&mut self) {
-        let answers = self.answers.clone();
-        let (revision, notice) = (self.list_revision, self.notice);
-        self.worker.queue(move |client| {
-            if let Ok(page) = client.list(revision) {
-                answers.send(Answer::Listed(page));
-            }
-            if let Ok(notices) = client.notices(notice) {
-                answers.send(Answer::Noticed(notices));
-            }
-        });
-        if !self.registered || self.rounds.is_multiple_of(ROUNDS_PER_SCAN) {
-            self.register();
-        }
-    }
-
-    fn register(&self) {
-        let answers = self.answers.clone();
-        let registered = self.registered;
-        let put = daemon_put(&self.me);
-        self.worker.queue(move |client| {
-            if !registered {
-                let transaction = Transaction { puts: vec![put], ..Transaction::default() };
-                answers.send(Answer::Registered(client.commit(&transaction).is_ok()));
-            }
-            if let Ok(rows) = client.scan(DAEMON_PREFIX, "", DAEMON_ROWS) {
-                let parsed = rows.iter().filter_map(|row| parse_daemon(&row.value));
-                answers.send(Answer::Daemons(parsed.collect()));
-            }
-        });
-    }
-
-    fn answered(&mut self, cx: CX![], answer: Answer) {
-        match answer {
-            Answer::Registered(done) => self.registered = done,
-            Answer::Daemons(daemons) => daemons.iter().for_each(|vm| self.learn(cx, vm)),
-            Answer::Listed(page) => {
-                self.list_revision = page.revision;
-                page.vms.iter().for_each(|vm| self.learn(cx, &from_list(vm)));
-            }
-            Answer::Noticed(notices) => {
-                for notice in notices {
-                    self.notice = self.notice.max(notice.sequence);
-                    self.take_notice(cx, &notice);
-                }
-            }
-        }
-    }
-
-    fn take_notice(&mut self, cx: CX![], notice: &Notice) {
-        if notice.vm == self.me.daemon {
-            self.take_own_notice(notice);
-            return;
-        }
-        let known = self.view.get(&notice.vm).cloned();
-        if let Some(vm) = known
-            && vm.incarnation == notice.incarnation
-        {
-            self.learn(cx, &Vm { state: State::Leaving.max(vm.state), ..vm });
-        }
-    }
-
     /// This daemon's own VM will be reclaimed.
     fn take_own_notice(&mut self, notice: &Notice) {
         // An older notice was for an earlier VM of this name.
@@ -281,79 +224,45 @@
     }
 
     fn learn(&mut self, cx: CX![], vm: &Vm) {
-        if vm.id == self.me.daemon && vm.state > self.state {
+        if vm.id == self.me.daemon && vm != &self.me.vm(self.state) {
             self.refute(cx, vm);
             return;
         }
         if self.view.merge(vm) == Change::Changed {
-            spdlog::info!("vm", kv: {
-                vm = vm.id.as_str(),
-                incarnation = vm.incarnation,
-                state: ? = vm.state,
-                address = vm.address.as_str(),
-            });
-            call!([self.links.dispatch], vm_changed(vm.clone()));
-        }
-    }
-
-    /// A peer took this daemon for gone: a larger incarnation shows that it is not.
-    fn refute(&mut self, cx: CX![], vm: &Vm) {
-        if vm.incarnation < self.me.incarnation {
-            return;
+            self.changed(cx, &vm.id);
         }
-        self.me.incarnation = vm.incarnation + 1;
-        let myself = self.me.vm(self.state);
-        self.learn(cx, &myself);
     }
 
-    fn take_gossip(&mut self, cx: CX![], stream: StreamId, gossip: &Gossip) {
-        if gossip.config_revision > self.config_revision {
-            call!(
-                [self.links.configuration],
-                heard_of(gossip.config_revision, gossip.sender.address.clone())
-            );
-        }
-        self.learn(cx, &gossip.sender);
-        for vm in &gossip.vms {
-            self.learn(cx, vm);
-        }
-        let answered = self.probes.remove(&stream);
-        if let Some(id) = answered {
-            self.misses.remove(&id);
-        } else {
-            let frame = Frame::Gossip(self.message());
-            self.transport.command(Command::Send { stream, frame });
+    fn changed(&mut self, cx: CX![], id: &str) {
+        let Some(vm) = self.view.get(id).cloned() else { return };
+        self.liveness.learned(id, vm.incarnation);
+        spdlog::info!("vm", kv: {
+            vm = vm.id.as_str(),
+            incarnation = vm.incarnation,
+            state: ? = vm.state,
+            address = vm.address.as_str(),
+        });
+        call!([self.links.dispatch], vm_changed(vm));
+        if !self.is_hurrying {
+            self.is_hurrying = true;
+            call!([cx], hurry());
         }
-        self.transport.command(Command::Finish { stream });
     }
 
-    fn message(&mut self) -> Gossip {
-        Gossip {
-            sender: self.me.vm(self.state),
-            config_revision: self.config_revision,
-            vms: self.view.take_changes(),
+    /// A peer took this daemon for gone, or knows a later life of its name: a
+    /// larger incarnation shows what is true.
+    fn refute(&mut self, cx: CX![], vm: &Vm) {
+        let is_taken_for_gone = vm.incarnation == self.me.incarnation && vm.state == State::Gone;
+        if is_taken_for_gone || vm.incarnation > self.me.incarnation {
+            self.refute_up_to(cx, vm.incarnation);
         }
     }
 
-    fn gossip_to_some(&mut self) {
-        let peers = self.peers();
-        let chosen = peers.into_iter().sample(&mut rand::rng(), PEERS_PER_ROUND);
-        chosen.iter().for_each(|vm| self.gossip_to(vm));
-    }
-
-    fn gossip_to_all(&mut self) {
-        self.peers().iter().for_each(|vm| self.gossip_to(vm));
-    }
-
-    fn peers(&self) -> Vec<Vm> {
-        let others = self.view.live(Role::Daemon).filter(|vm| vm.id != self.me.daemon);
-        others.cloned().collect()
-    }
-
-    fn gossip_to(&mut self, vm: &Vm) {
-        let frame = Frame::Gossip(self.message());
-        if let Some(stream) = self.open(&vm.address, frame) {
-            self.probes.insert(stream, vm.id.clone());
+    fn refute_up_to(&mut self, cx: CX![], incarnation: u64) {
+        self.me.incarnation = incarnation + 1;
+        let myself = self.me.vm(self.state);
+        if self.view.merge(&myself) == Change::Changed {
+            self.changed(cx, &myself.id);
         }
     }
 
@@ -382,59 +291,4 @@
             self.transport.command(Command::Finish { stream });
         }
     }
-
-    fn count_misses(&mut self, cx: CX![]) {
-        for (stream, id) in std::mem::take(&mut self.probes) {
-            self.transport.command(Command::Finish { stream });
-            let misses = self.misses.entry(id.clone()).or_default();
-            *misses += 1;
-            if *misses >= MISSES
-                && let Some(vm) = self.view.get(&id).cloned()
-            {
-                self.misses.remove(&id);
-                self.learn(cx, &Vm { state: State::Gone, ..vm });
-            }
-        }
-    }
-}
-
-fn from_list(vm: &platform::vm::Vm) -> Vm {
-    Vm {
-        id: vm.id.clone(),
-        incarnation: vm.incarnation,
-        role: match vm.role {
-            platform::vm::Role::Daemon => Role::Daemon,
-            platform::vm::Role::Endpoint => Role::Endpoint,
-        },
-        service: vm.service.clone(),
-        zone: vm.zone.clone(),
-        address: vm.address.clone(),
-        price_per_hour: vm.price_per_hour,
-        state: match vm.state {
-            platform::vm::State::Live => State::Live,
-            platform::vm::State::Leaving => State::Leaving,
-            platform::vm::State::Gone => State::Gone,
-        },
-    }
-}
-
-fn daemon_put(me: &Identity) -> Put {
-    let vm = platform::vm::Vm {
-        id: me.daemon.clone(),
-        incarnation: me.incarnation,
-        role: platform::vm::Role::Daemon,
-        service: String::new(),
-        zone: me.zone.clone(),
-        class: String::new(),
-        address: me.peer_address.clone(),
-        price_per_hour: 0.0,
-        reclaimable: true,
-        state: platform::vm::State::Live,
-    };
-    let value = serde_json::to_string(&vm).unwrap_or_default();
-    Put { key: format!("{DAEMON_PREFIX}{}", me.daemon), value }
-}
-
-fn parse_daemon(value: &str) -> Option<Vm> {
-    serde_json::from_str(value).ok().map(|vm| from_list(&vm))
 }
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -2,5 +2,7 @@
 //! notices and the word of peers. Pure: knows neither sockets nor the clock.
 
 pub mod lifecycle;
+pub mod liveness;
+pub mod poll;
 pub mod update;
 pub mod view;
--- a/crates/membership/src/update.rs
+++ b/crates/membership/src/update.rs
@@ -52,6 +52,23 @@
     pub sender: Vm,
     /// Newest revision of the configuration that the sender has in force.
     pub config_revision: u64,
+    /// Rounds since a daemon of the sender's zone read the VM list.
+    pub list_age: Option<u32>,
     /// VMs that changed lately.
     pub vms: Vec<Vm>,
+    /// Daemons that don't answer.
+    pub suspects: Vec<Suspect>,
+}
+
+/// A daemon that doesn't answer another one.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct Suspect {
+    /// Name.
+    pub id: String,
+    /// Incarnation that doesn't answer; a larger one refutes the suspicion.
+    pub incarnation: u64,
+    /// Address for peers.
+    pub address: String,
+    /// Whether the receiver is asked to tell the suspect.
+    pub relay: bool,
 }
--- a/crates/membership/src/view.rs
+++ b/crates/membership/src/view.rs
@@ -1,6 +1,7 @@
 //! The merged view of all VMs.
 
 use std::cmp::Ordering;
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 
 use crate::lifecycle::Chart;
@@ -8,18 +9,20 @@
 use crate::update::State;
 use crate::update::Vm;
 
-/// Number of peers to which a change is passed on before it is dropped from
-/// gossip.
-const SPREAD: u32 = 8;
+/// Messages that carry a change before it is dropped from gossip.
+pub const SPREAD: u32 = 8;
 /// Most changes in one message.
-const CHANGES_PER_MESSAGE: usize = 32;
+pub const CHANGES_PER_MESSAGE: usize = 24;
 
 /// The merged view of all VMs.
 #[derive(Clone, Debug)]
 pub struct View {
     chart: Chart,
     vms: BTreeMap<String, Vm>,
+    /// Messages that are still to carry a change.
     spreading: BTreeMap<String, u32>,
+    /// Incarnations that were noticed before they were known.
+    noticed: BTreeMap<String, u64>,
 }
 
 /// What an update did to the view.
@@ -34,12 +37,12 @@
 impl View {
     /// A view without VMs, in which VMs live as the chart says.
     pub fn new(chart: Chart) -> View {
-        View { chart, vms: BTreeMap::new(), spreading: BTreeMap::new() }
+        View { chart, vms: BTreeMap::new(), spreading: BTreeMap::new(), noticed: BTreeMap::new() }
     }
 
     /// Merges what a list, a notice or a peer says.
     ///
-    /// Invariant: a newer incarnation wins; within one incarnation a VM goes
+    /// Invariant: a newer incarnation wins; within one incarnation a VM
     /// moves along its chart and never back.
     pub fn merge(&mut self, vm: &Vm) -> Change {
         if let Some(known) = self.vms.get(&vm.id)
@@ -47,11 +50,23 @@
         {
             return Change::Stale;
         }
+        let mut vm = vm.clone();
+        if self.noticed.get(&vm.id) == Some(&vm.incarnation) {
+            vm.state = vm.state.max(State::Leaving);
+        }
         self.vms.insert(vm.id.clone(), vm.clone());
         self.spreading.insert(vm.id.clone(), SPREAD);
         Change::Changed
     }
 
+    /// The platform gave notice of an incarnation, which may not be known yet
+    /// since the VM list lags.
+    pub fn notice(&mut self, id: &str, incarnation: u64) -> Change {
+        let newest = self.noticed.get(id).copied().unwrap_or(0).max(incarnation);
+        self.noticed.insert(id.to_owned(), newest);
+        self.mark(id, incarnation, State::Leaving)
+    }
+
     /// Marks an incarnation of a VM with a later state, if it is known.
     pub fn mark(&mut self, id: &str, incarnation: u64, state: State) -> Change {
         let Some(known) = self.vms.get(id) else { return Change::Stale };
@@ -62,6 +77,13 @@
         self.merge(&vm)
     }
 
+    /// Tells a change again, since a peer has shown that it doesn't know it.
+    pub fn tell_again(&mut self, id: &str) {
+        if self.vms.contains_key(id) {
+            self.spreading.insert(id.to_owned(), SPREAD);
+        }
+    }
+
     /// A VM by name.
     pub fn get(&self, id: &str) -> Option<&Vm> {
         self.vms.get(id)
@@ -77,13 +99,27 @@
         self.vms.values().filter(move |vm| vm.role == role && vm.state == State::Live)
     }
 
-    /// The changes that the next message to a peer carries.
+    /// The changes that the next message to a peer carries: those that end
+    /// work first, then those told least.
     pub fn take_changes(&mut self) -> Vec<Vm> {
-        let ids: Vec<String> = self.spreading.keys().take(CHANGES_PER_MESSAGE).cloned().collect();
-        for id in &ids {
-            self.count_down(id);
+        let mut changes: Vec<(&Vm, u32)> = self
+            .spreading
+            .iter()
+            .filter_map(|(id, left)| self.vms.get(id).map(|vm| (vm, *left)))
+            .collect();
+        changes.sort_by_key(|(vm, left)| (vm.state == State::Live, Reverse(*left)));
+        let taken = changes.iter().take(CHANGES_PER_MESSAGE).map(|(vm, _)| (*vm).clone());
+        let taken: Vec<Vm> = taken.collect();
+        for vm in &taken {
+            self.count_down(&vm.id);
         }
-        ids.iter().filter_map(|id| self.vms.get(id).cloned()).collect()
+        taken
+    }
+
+    /// Whether a VM that takes no more work is still to be told of.
+    pub fn has_urgent(&self) -> bool {
+        let vms = self.spreading.keys().filter_map(|id| self.vms.get(id));
+        vms.into_iter().any(|vm| vm.state != State::Live)
     }
 
     fn follows(&self, known: &Vm, vm: &Vm) -> bool {
--- /dev/null
+++ b/crates/membership/tests/fleet/main.rs
@@ -0,0 +1,205 @@
+//! Views of the fleet under interleavings, and what gossip costs.
+
+mod cost;
+
+use arbtest::arbitrary::Result;
+use arbtest::arbitrary::Unstructured;
+use arbtest::arbtest;
+use membership::lifecycle::Chart;
+use membership::liveness::Liveness;
+use membership::liveness::Verdict;
+use membership::poll::Poll;
+use membership::update::Role;
+use membership::update::State;
+use membership::update::Vm;
+use membership::view::View;
+
+const SEEDS: u64 = 200;
+const RANDOM_BYTES: u64 = 1024;
+const NAMES: [&str; 3] = ["vm-a", "vm-b", "vm-c"];
+
+/// Runs a property with fixed seeds; `SEEDS` asks for another number.
+fn check(property: fn(&mut Unstructured<'_>) -> Result<()>) {
+    let seeds = std::env::var("SEEDS").ok().and_then(|it| it.parse().ok()).unwrap_or(SEEDS);
+    for seed in 0..seeds {
+        arbtest(property).seed((seed << 32) | RANDOM_BYTES).run();
+    }
+}
+
+/// The chart of the daemon.
+fn chart() -> Chart {
+    let text = include_str!("../../../lentilhook/charts/vm.json");
+    Chart::parse("charts/vm.json", text).expect("a sound chart")
+}
+
+/// An endpoint; all incarnations of a name have the same address.
+fn vm(id: &str, incarnation: u64, state: State) -> Vm {
+    Vm {
+        id: id.to_owned(),
+        incarnation,
+        role: Role::Endpoint,
+        service: "assistant".to_owned(),
+        zone: "tema-a".to_owned(),
+        address: format!("10.0.0.1:{}", 1000 + id.len()),
+        price_per_hour: 1.0,
+        state,
+    }
+}
+
+#[test]
+fn views_agree_and_never_go_back() {
+    check(|u| {
+        let mut views = vec![View::new(chart()); 4];
+        // Newest truth for each name: incarnation and state.
+        let mut truth = [(1, State::Live); 3];
+        let mut listed: Vec<Vm> = NAMES.iter().map(|id| vm(id, 1, State::Live)).collect();
+        let mut noticed: Vec<(usize, u64)> = Vec::new();
+
+        while !u.is_empty() {
+            let at = u.choose_index(views.len())?;
+            let name = u.choose_index(NAMES.len())?;
+            let before: Vec<Option<Vm>> =
+                NAMES.iter().map(|id| views[at].get(id).cloned()).collect();
+            match u.int_in_range(0..=9)? {
+                // A notice that only this daemon reads; the list shows nothing yet.
+                0 if truth[name].1 == State::Live => {
+                    truth[name].1 = State::Leaving;
+                    views[at].notice(NAMES[name], truth[name].0);
+                    noticed.push((at, name as u64));
+                }
+                // The VM is replaced; the list learns of the new one first.
+                1 if truth[name].1 == State::Leaving => {
+                    truth[name] = (truth[name].0 + 1, State::Live);
+                    listed.push(vm(NAMES[name], truth[name].0, State::Live));
+                }
+                // The lagging list, in any order.
+                2..=4 => {
+                    let row = u.choose(&listed)?.clone();
+                    views[at].merge(&row);
+                }
+                _ => {
+                    let other = u.choose_index(views.len())?;
+                    let changes = views[other].take_changes();
+                    let is_lost = u.ratio(1, 4)?;
+                    changes.iter().filter(|_| !is_lost).for_each(|it| {
+                        views[at].merge(it);
+                    });
+                }
+            }
+            for (known, id) in before.iter().zip(NAMES) {
+                let Some(known) = known else { continue };
+                let now = views[at].get(id).expect("not forgotten");
+                assert!((known.incarnation, known.state) <= (now.incarnation, now.state));
+            }
+        }
+        settle(&mut views, &listed);
+
+        for (name, id) in NAMES.iter().enumerate() {
+            for view in &views {
+                let known = view.get(id).map(|it| (it.incarnation, it.state));
+                assert_eq!(known, Some(truth[name]), "{id}");
+            }
+        }
+        Ok(())
+    });
+}
+
+/// Everyone reads the whole list and hears of everyone.
+fn settle(views: &mut [View], listed: &[Vm]) {
+    for view in views.iter_mut() {
+        listed.iter().for_each(|row| {
+            view.merge(row);
+        });
+    }
+    for from in 0..views.len() {
+        let known: Vec<Vm> = views[from].present(Role::Endpoint).cloned().collect();
+        views.iter_mut().for_each(|view| {
+            known.iter().for_each(|it| {
+                view.merge(it);
+            });
+        });
+    }
+}
+
+#[test]
+fn a_notice_is_kept_until_the_list_shows_the_vm() {
+    let mut view = View::new(chart());
+
+    view.notice("vm-a", 2);
+    view.merge(&vm("vm-a", 1, State::Live));
+    let old = view.get("vm-a").map(|it| it.state);
+    view.merge(&vm("vm-a", 2, State::Live));
+    let noticed = view.get("vm-a").map(|it| it.state);
+    view.merge(&vm("vm-a", 3, State::Live));
+
+    assert_eq!(old, Some(State::Live));
+    assert_eq!(noticed, Some(State::Leaving));
+    assert_eq!(view.get("vm-a").map(|it| it.state), Some(State::Live));
+}
+
+#[test]
+fn a_wave_of_leaving_vms_is_told_before_anything_else() {
+    let mut view = View::new(chart());
+    for number in 0..100 {
+        view.merge(&vm(&format!("new-{number:03}"), 1, State::Live));
+    }
+    view.merge(&vm("zone-1", 1, State::Live));
+    view.notice("zone-1", 1);
+
+    let told = view.take_changes();
+
+    assert_eq!(told[0], vm("zone-1", 1, State::Leaving));
+}
+
+#[test]
+fn silence_counts_only_after_others_were_asked() {
+    let mut liveness = Liveness::default();
+    let verdicts: Vec<Verdict> = (0..7).map(|_| liveness.missed("a", 1)).collect();
+
+    let probe = Verdict::Probe("a".to_owned());
+    let suspect = Verdict::Suspect("a".to_owned(), 1);
+    let expected = [&probe, &probe, &suspect, &probe, &probe, &probe];
+    assert!(verdicts[..6].iter().eq(expected));
+    assert_eq!(verdicts[6], Verdict::Gone("a".to_owned(), 1));
+}
+
+#[test]
+fn a_newer_incarnation_or_an_answer_ends_the_suspicion() {
+    for answer in [true, false] {
+        let mut liveness = Liveness::default();
+        (0..5).for_each(|_| {
+            liveness.missed("a", 1);
+        });
+
+        if answer {
+            liveness.answered("a")
+        } else {
+            liveness.learned("a", 2)
+        }
+
+        assert_eq!(liveness.missed("a", 2), Verdict::Probe("a".to_owned()));
+    }
+}
+
+#[test]
+fn the_others_read_the_list_when_the_chosen_one_is_silent() {
+    let mut chosen = Poll::default();
+    let mut other = Poll::default();
+    other.done();
+    let mut reads = Vec::new();
+    for round in 0..40 {
+        chosen.round();
+        other.round();
+        if round < 20 {
+            chosen.done();
+        }
+        other.heard(chosen.age());
+        if other.is_due(false) {
+            other.done();
+            reads.push(round);
+        }
+    }
+
+    assert!(chosen.is_due(true));
+    assert_eq!(reads, [25, 31, 37]);
+}
--- a/crates/peer/src/transport.rs
+++ b/crates/peer/src/transport.rs
@@ -22,6 +22,13 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct StreamId(pub u64);
 
+impl StreamId {
+    /// Whether a peer opened the stream.
+    pub fn is_peers(self) -> bool {
+        !self.0.is_multiple_of(2)
+    }
+}
+
 /// What the transport is told to do.
 #[derive(Debug)]
 pub enum Command {
