--- a/crates/lentilhook/src/daemon/dispatch/attempts.rs
+++ b/crates/lentilhook/src/daemon/dispatch/attempts.rs
@@ -184,7 +184,7 @@
         }
     }
 
-    fn close(&mut self, cx: CX![], attempt: AttemptId) {
+    pub(super) fn close(&mut self, cx: CX![], attempt: AttemptId) {
         self.routing.closed(attempt, cx.now());
         let Some(id) = self.by_attempt.remove(&attempt) else { return };
         let Some(Job { stage: Stage::Running(running), .. }) = self.jobs.get(&id) else { return };
--- a/crates/lentilhook/src/daemon/dispatch/mod.rs
+++ b/crates/lentilhook/src/daemon/dispatch/mod.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod attempts;
 mod check;
+mod handover;
 mod job;
 mod load;
 mod problems;
@@ -51,6 +52,7 @@
 use crate::daemon::shards::Shards;
 
 use self::admission::Admission;
+use self::handover::Sent;
 use self::job::Job;
 use self::job::JobId;
 use self::job::Stage;
@@ -88,6 +90,7 @@
     admission: Admission,
     poller: Poller,
     _poll_guard: ChannelGuard,
+    handovers: HashMap<StreamId, Sent>,
     next: u64,
     draining: bool,
 }
@@ -135,6 +138,7 @@
             admission: Admission::new(cx.now()),
             poller: Poller::start(answers, cx.now()),
             _poll_guard: poll_guard,
+            handovers: HashMap::new(),
             next: 4,
             draining: false,
         })
@@ -180,14 +184,21 @@
     pub fn peer_event(&mut self, cx: CX![], event: Event) {
         match event {
             Event::Frame { stream, frame: Frame::Forward(forward) } => {
-                self.forwarded(cx, stream, forward);
+                self.forwarded(cx, stream, *forward);
             }
             Event::Frame { stream, frame: Frame::Reply(reply) } => {
                 self.relayed(stream, reply);
             }
+            Event::Frame { stream, frame: Frame::Handover(handover) } => {
+                self.take_over(cx, stream, *handover);
+            }
+            Event::Frame { stream, frame: Frame::HandoverTaken } => {
+                self.handover_taken(cx, stream);
+            }
             Event::Frame { .. } => {}
             Event::Finished { stream } => self.relay_ended(cx, stream, true),
             Event::Failed { stream, sent, .. } => {
+                self.handover_failed(cx, stream);
                 self.relay_ended(cx, stream, sent);
                 self.drop_waiters(cx, |way| matches!(way, Way::Peer(it) if *it == stream));
             }
@@ -249,6 +260,9 @@
             let open = self.open_count();
             spdlog::info!("draining", kv: { open = open });
         }
+        if self.open_count() == 0 {
+            self.hand_over_ended();
+        }
         if self.open_count() == 0 {
             ret!([ret]);
             return;
@@ -262,8 +276,9 @@
     }
 
     fn open_count(&self) -> usize {
-        let open = self.jobs.values().filter(|it| !matches!(it.stage, Stage::Ended(_)));
-        open.count() + self.relays.len()
+        let idle = |it: &&Job| matches!(it.stage, Stage::Ended(_) | Stage::Kept);
+        let kept = self.jobs.values().filter(idle).count();
+        self.jobs.len() - kept + self.relays.len() + self.handovers.len()
     }
 
     fn forwarded(&mut self, cx: CX![], stream: StreamId, forward: Forward) {
@@ -280,7 +295,7 @@
     fn place(&mut self, cx: CX![], call: Call, service: Service, way: Way, hops: u8) {
         if let Some(identity) = call.identity() {
             if let Some(id) = self.by_identity.get(&identity).copied() {
-                self.join(id, &call, way);
+                self.join(cx, id, &call, way);
                 return;
             }
             let owner = self.owner(&call, &identity);
@@ -310,7 +325,7 @@
         self.daemons.get(id).cloned()
     }
 
-    fn join(&mut self, id: JobId, call: &Call, way: Way) {
+    fn join(&mut self, cx: CX![], id: JobId, call: &Call, way: Way) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
         if !same_request(&job.call, call) {
             way.send(&self.transport, Reply::Problem(problems::key_reused()));
@@ -324,6 +339,10 @@
         waiter.catch_up(&self.transport, &job.progress);
         match &job.stage {
             Stage::Ended(reply) => waiter.way.send(&self.transport, reply.clone()),
+            Stage::Kept => {
+                job.waiters.push(waiter);
+                self.attempt(cx, id);
+            }
             _ => job.waiters.push(waiter),
         }
     }
@@ -344,6 +363,7 @@
             stage: Stage::Recording,
             tries: 0,
             avoid: Vec::new(),
+            opened: cx.now(),
             fence: None,
         };
         self.jobs.insert(id, job);
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod admission;
 pub mod blocks;
 pub mod budget;
+pub mod handover;
 pub mod hints;
 pub mod pool;
 pub mod retry;
