Replay traces against running processes and judge stated outcomes

Cause: no figure on cost, latency or recomputed tokens could be had, and no decision could be compared with another under the same load and faults.

--- a/crates/harness/src/cluster.rs
+++ b/crates/harness/src/cluster.rs
@@ -65,6 +65,8 @@
     pub services: Vec<Endpoint>,
     /// Daemons.
     pub daemons: Vec<Daemon>,
+    /// How daemons that are started choose endpoints.
+    pub routing: String,
 }
 
 impl Cluster {
@@ -81,6 +83,7 @@
             engines: Vec::new(),
             services: Vec::new(),
             daemons: Vec::new(),
+            routing: "scored".to_owned(),
         })
     }
 
@@ -228,6 +231,7 @@
                 "peers": "127.0.0.1:0",
             },
             "platform": { "address": self.platform.address },
+            "routing": { "mode": self.routing },
             "access": {
                 "peer_secret_file": secret,
                 "operator_token_sha256": [token_sha256(OPERATOR_TOKEN)],
--- a/crates/harness/src/lib.rs
+++ b/crates/harness/src/lib.rs
@@ -5,5 +5,8 @@
 pub mod caller;
 pub mod cluster;
 pub mod demo;
+pub mod deployment;
 pub mod measure;
 pub mod process;
+pub mod replays;
+pub mod traces;
--- a/crates/lentilhook/src/command/mod.rs
+++ b/crates/lentilhook/src/command/mod.rs
@@ -1,6 +1,7 @@
 //! The command line.
 
 mod admin;
+mod replay;
 mod serve;
 
 use std::path::PathBuf;
@@ -20,6 +21,7 @@
 enum Command {
     Serve(Serve),
     Admin(admin::Admin),
+    Replay(replay::Replay),
     Version(Version),
 }
 
@@ -43,6 +45,7 @@
     let result = match arguments.command {
         Command::Serve(it) => serve::run(&it),
         Command::Admin(it) => admin::run(&it),
+        Command::Replay(it) => replay::run(&it),
         Command::Version(_) => {
             println!("lentilhook {}", env!("CARGO_PKG_VERSION"));
             Ok(())
--- /dev/null
+++ b/crates/lentilhook/src/command/replay.rs
@@ -0,0 +1,64 @@
+//! `lentilhook replay`: a trace against running processes.
+
+use std::io;
+use std::path::PathBuf;
+
+use argh::FromArgs;
+use indicatif::ProgressBar;
+use replay::drive;
+use replay::drive::Host;
+use replay::report::Report;
+use replay::targets::Targets;
+use replay::trace::Trace;
+use replay::verdict;
+
+/// replay a trace against running processes and judge its stated outcomes
+#[derive(FromArgs)]
+#[argh(subcommand, name = "replay")]
+pub struct Replay {
+    /// trace, one JSON object a line
+    #[argh(positional)]
+    pub trace: PathBuf,
+    /// JSON file with the addresses of the running processes
+    #[argh(option)]
+    pub targets: PathBuf,
+    /// print the report as JSON
+    #[argh(switch)]
+    pub json: bool,
+}
+
+/// Asks whoever started the VMs to end them, one line each.
+struct Printed;
+
+impl Host for Printed {
+    fn kill(&mut self, vm: &str) -> io::Result<()> {
+        eprintln!("end {vm} now");
+        Ok(())
+    }
+}
+
+/// Replays; the error says how many stated outcomes were missed.
+pub fn run(arguments: &Replay) -> Result<(), String> {
+    let trace = Trace::read(&arguments.trace).map_err(|it| it.to_string())?;
+    let targets = Targets::read(&arguments.targets).map_err(|it| it.to_string())?;
+    // Shown on a terminal only.
+    let bar = ProgressBar::new(0);
+    let progress = |ended: usize, total: usize| {
+        bar.set_length(total as u64);
+        bar.set_position(ended as u64);
+    };
+    let ran = drive::run(&trace, &targets, &mut Printed, &progress);
+    bar.finish_and_clear();
+    let ran = ran.map_err(|it| it.to_string())?;
+    let verdicts = trace.outcomes.iter().map(|it| verdict::judge(it, &ran, &targets)).collect();
+    let report = Report::new(&trace.name, &ran, &targets, verdicts);
+    if arguments.json {
+        println!("{}", serde_json::to_string(&report).map_err(|it| it.to_string())?);
+    } else {
+        println!("{report}");
+    }
+    match report.verdicts.iter().filter(|it| !it.met).count() {
+        0 => Ok(()),
+        missed => Err(format!("{missed} stated outcomes were missed")),
+    }
+}
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,6 +1,7 @@
-//! Tasks of the repository: `cargo xtask demo|generate|measure|tidy`.
+//! Tasks of the repository: `cargo xtask demo|generate|measure|replay|tidy|trace`.
 
 mod generate;
+mod replay;
 mod tidy;
 
 use std::path::PathBuf;
@@ -21,7 +22,9 @@
     Demo(Demo),
     Generate(Generate),
     Measure(Measure),
+    Replay(replay::Replay),
     Tidy(Tidy),
+    Trace(replay::Trace),
 }
 
 /// start everything on loopback, serve a draft and a renewal, stop
@@ -54,6 +57,8 @@
         Command::Demo(_) => harness::demo::run().map_err(|it| it.to_string()),
         Command::Generate(it) => generate::run(&root(), it.check),
         Command::Measure(_) => harness::measure::run().map_err(|it| it.to_string()),
+        Command::Replay(it) => replay::run(&it),
+        Command::Trace(it) => replay::print(&it),
         Command::Tidy(_) => tidy::run(&root()),
     };
     match result {
