--- a/crates/endpoint/src/lib.rs
+++ b/crates/endpoint/src/lib.rs
@@ -7,6 +7,6 @@
 pub mod chat;
 pub mod load;
 pub mod plain;
+pub mod sse;
 
 mod agent;
-mod sse;
--- a/crates/lentilhook/src/daemon/dispatch/relays.rs
+++ b/crates/lentilhook/src/daemon/dispatch/relays.rs
@@ -82,9 +82,9 @@
             state: State::Live,
         };
         for waiter in job.waiters.drain(..) {
-            let hops = match waiter.way {
-                Way::Gateway { .. } => 0,
+            let hops = match waiter.way.end() {
                 Way::Peer(_) => 1,
+                _ => 0,
             };
             if hops >= HOPS_LIMIT {
                 let problem = problems::owner_unreachable();
@@ -97,12 +97,20 @@
     }
 
     /// A piece of the answer came from the daemon that serves the call.
-    pub(super) fn relayed(&mut self, stream: StreamId, reply: Reply) {
+    pub(super) fn relayed(&mut self, cx: CX![], stream: StreamId, reply: Reply) {
         let Some(relay) = self.relays.get_mut(&stream) else { return };
         let last = reply.is_last();
         match &reply {
             // Invariant: every token goes to the caller once and in order.
-            Reply::Token(token) if token.index != relay.next_index => return,
+            Reply::Token(token) if token.index < relay.next_index => return,
+            Reply::Token(token) if token.index > relay.next_index => {
+                self.relay_ended(cx, stream, true);
+                return;
+            }
+            Reply::Finished(usage) if usage.completion_tokens > relay.next_index => {
+                self.relay_ended(cx, stream, true);
+                return;
+            }
             Reply::Token(_) => relay.next_index += 1,
             _ => {}
         }
@@ -125,11 +133,13 @@
             self.serve(cx, call, service, way);
             return;
         }
-        let problem = match sent {
-            true => problems::owner_lost(),
-            false => problems::owner_unreachable(),
-        };
-        way.send(&self.transport, Reply::Problem(problem));
+        if !call.is_non_idempotent() {
+            self.serve(cx, call, service, way);
+        } else if sent {
+            self.owner_lost(cx, call, service, way);
+        } else {
+            way.send(&self.transport, Reply::Problem(problems::owner_unreachable()));
+        }
     }
 
     /// Drops relays whose caller went away.
--- a/crates/lentilhook/src/daemon/fleet.rs
+++ b/crates/lentilhook/src/daemon/fleet.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use membership::lifecycle::Chart;
 use membership::update::Gossip;
 use membership::update::Role;
 use membership::update::State;
@@ -67,13 +68,21 @@
     misses: HashMap<String, u32>,
     transport: Transport,
     worker: Worker,
-    dispatch: Actor<Dispatch>,
-    configuration: Actor<Configuration>,
-    departures: Channel<Departure>,
+    links: Links,
     answers: Channel<Answer>,
     _guard: ChannelGuard,
 }
 
+/// Whom the fleet tells.
+pub struct Links {
+    /// Learns the changes of VMs.
+    pub dispatch: Actor<Dispatch>,
+    /// Learns the revisions that peers have in force.
+    pub configuration: Actor<Configuration>,
+    /// Takes this daemon's own departure.
+    pub departures: Channel<Departure>,
+}
+
 /// A platform answer.
 enum Answer {
     /// Rows of the daemons.
@@ -91,18 +100,17 @@
     pub fn init(
         cx: CX![],
         me: Identity,
+        chart: Chart,
         transport: Transport,
         worker: Worker,
-        dispatch: Actor<Dispatch>,
-        configuration: Actor<Configuration>,
-        departures: Channel<Departure>,
+        links: Links,
     ) -> Option<Fleet> {
         let forward = fwd_to!([cx], answered() as (Answer));
         let (answers, guard) = Channel::new(cx, forward);
-        let mut view = View::default();
+        let mut view = View::new(chart);
         let myself = me.vm(State::Live);
         view.merge(&myself);
-        call!([dispatch], vm_changed(myself));
+        call!([links.dispatch], vm_changed(myself));
         call!([cx], round());
         Some(Fleet {
             me,
@@ -118,9 +126,7 @@
             misses: HashMap::new(),
             transport,
             worker,
-            dispatch,
-            configuration,
-            departures,
+            links,
             answers,
             _guard: guard,
         })
@@ -236,7 +242,7 @@
             return;
         }
         let left = Duration::from_millis(notice.left_ms);
-        self.departures.send(Departure::Reclaim(left));
+        self.links.departures.send(Departure::Reclaim(left));
     }
 
     fn learn(&mut self, cx: CX![], vm: &Vm) {
@@ -251,7 +257,7 @@
                 state: ? = vm.state,
                 address = vm.address.as_str(),
             });
-            call!([self.dispatch], vm_changed(vm.clone()));
+            call!([self.links.dispatch], vm_changed(vm.clone()));
         }
     }
 
@@ -267,7 +273,7 @@
 
     fn take_gossip(&mut self, cx: CX![], stream: StreamId, gossip: &Gossip) {
         if gossip.config_revision > self.config_revision {
-            call!([self.configuration], heard_of(gossip.config_revision));
+            call!([self.links.configuration], heard_of(gossip.config_revision));
         }
         self.learn(cx, &gossip.sender);
         for vm in &gossip.vms {
--- a/crates/lentilhook/src/daemon/mod.rs
+++ b/crates/lentilhook/src/daemon/mod.rs
@@ -5,6 +5,7 @@
 mod dispatch;
 mod fleet;
 mod identity;
+pub mod lifecycle;
 mod operators;
 mod runtime;
 mod shards;
@@ -42,24 +43,26 @@
 use stakker::ret_do;
 use stakker::ret_nop;
 use stakker::sync::Channel;
+use statechart::Names;
 use web::server::Limits;
 
 use crate::settings::Settings;
 
 use self::catalog::Configuration;
 use self::departure::Departure;
+use self::departure::Departures;
+use self::departure::Parts;
 use self::dispatch::Dispatch;
 use self::fleet::Fleet;
+use self::fleet::Links;
 use self::identity::Identity;
+use self::lifecycle::Charts;
 use self::operators::Operation;
 use self::operators::Query;
 use self::runtime::Runtime;
 use self::shards::Shards;
 use self::worker::Worker;
 
-/// Time between saying that the daemon is not ready and taking no more
-/// requests, so that the balancer can notice.
-const DRAIN_NOTICE: Duration = Duration::from_millis(500);
 /// Time for the last answers to reach their callers after a drain.
 const DRAIN_LINGER: Duration = Duration::from_millis(300);
 
@@ -69,6 +72,12 @@
 /// Why a daemon could not run.
 #[derive(Debug, Snafu)]
 pub enum Error {
+    /// A state chart is wrong.
+    #[snafu(display("{source}"))]
+    Lifecycle {
+        /// Cause.
+        source: statechart::Error,
+    },
     /// An HTTP server could not start.
     #[snafu(display("{source}"))]
     Server {
@@ -95,10 +104,18 @@
     shards: ActorOwn<Shards>,
     configuration: ActorOwn<Configuration>,
     fleet: ActorOwn<Fleet>,
+    departures: ActorOwn<Departures>,
 }
 
 /// Runs a daemon until it has drained.
 pub fn run(settings: &Settings, secret: &str) -> Result<(), Error> {
+    let charts = lifecycle::load().context(LifecycleSnafu)?;
+    spdlog::debug!("charts", kv: {
+        drain = charts.drain.initial().name(),
+        vm = charts.vm.initial().name(),
+        lease = charts.lease.initial().name(),
+        request = charts.request.initial().name(),
+    });
     let mut runtime = Runtime::new();
     let stakker = &mut runtime.stakker;
     let actors = Actors {
@@ -106,13 +123,21 @@
         shards: actor_new!(stakker, Shards, ret_nop!()),
         configuration: actor_new!(stakker, Configuration, ret_nop!()),
         fleet: actor_new!(stakker, Fleet, ret_nop!()),
+        departures: actor_new!(stakker, Departures, ret_nop!()),
     };
     let transport = Transport::start(&settings.listen.peers, secret, peer_sink(stakker, &actors))
         .context(PeersSnafu)?;
     let me = identity(settings, &transport);
     let readiness = Readiness::default();
-    let departures = departure_channel(stakker, &actors, readiness.clone());
-    start_actors(settings, &actors, &me, &transport, &departures);
+    let departures = departure_channel(stakker, &actors);
+    let parts = Parts {
+        dispatch: actors.dispatch.clone(),
+        shards: actors.shards.clone(),
+        fleet: actors.fleet.clone(),
+    };
+    let chart = charts.drain.clone();
+    call!([actors.departures], Departures::init(chart, readiness.clone(), parts));
+    start_actors(settings, charts, &actors, &me, &transport, &departures);
     let callers = gateway::server::start(
         &settings.listen.callers,
         limits(settings),
@@ -128,7 +153,7 @@
     )
     .context(ServerSnafu)?;
     watch_signals(departures)?;
-    readiness.set(true);
+    call!([actors.departures], ready());
     println!(
         "ready daemon={} callers={} operators={} peers={}",
         settings.daemon, callers.address, operators.address, transport.address
@@ -166,6 +191,7 @@
 
 fn start_actors(
     settings: &Settings,
+    charts: Charts,
     actors: &Actors,
     me: &Identity,
     transport: &Transport,
@@ -185,17 +211,8 @@
         [configuration],
         Configuration::init(seed, worker.clone(), dispatch.clone(), fleet.clone())
     );
-    call!(
-        [fleet],
-        Fleet::init(
-            me.clone(),
-            transport.clone(),
-            worker,
-            dispatch,
-            configuration,
-            departures.clone()
-        )
-    );
+    let links = Links { dispatch, configuration, departures: departures.clone() };
+    call!([fleet], Fleet::init(me.clone(), charts.vm, transport.clone(), worker, links));
 }
 
 /// Sends the transport's events to the actor whose stream it is.
@@ -294,30 +311,9 @@
 }
 
 /// A message on this channel makes the daemon leave.
-fn departure_channel(
-    stakker: &mut Stakker,
-    actors: &Actors,
-    readiness: Readiness,
-) -> Channel<Departure> {
-    let dispatch = actors.dispatch.clone();
-    let shards = actors.shards.clone();
-    let fleet = actors.fleet.clone();
-    let begin = fwd_do!(move |departure: Departure| {
-        spdlog::info!("departing", kv: { cause: ? = departure });
-        readiness.set(false);
-        call!([fleet], leave());
-        let shards = shards.clone();
-        let ret = ret_do!(move |done: Option<()>| {
-            if done.is_some() {
-                call!([shards], release_and_stop());
-            }
-        });
-        if let Departure::Reclaim(left) = departure {
-            call!([dispatch], reclaimed(left));
-        }
-        call!([dispatch], drain_after(DRAIN_NOTICE, ret));
-    });
-    let (channel, guard) = Channel::new(stakker, begin);
+fn departure_channel(stakker: &mut Stakker, actors: &Actors) -> Channel<Departure> {
+    let depart = fwd_to!([actors.departures], depart() as (Departure));
+    let (channel, guard) = Channel::new(stakker, depart);
     std::mem::forget(guard);
     channel
 }
