--- a/crates/lentilhook/src/command/mod.rs
+++ b/crates/lentilhook/src/command/mod.rs
@@ -3,6 +3,7 @@
 mod admin;
 mod check;
 mod failure;
+mod replay;
 mod serve;
 
 use std::path::PathBuf;
@@ -33,6 +34,7 @@
     Serve(Serve),
     Check(check::Check),
     Admin(admin::Admin),
+    Replay(replay::Replay),
     Version(Version),
 }
 
@@ -66,6 +68,7 @@
         Command::Serve(it) => serve::run(&it),
         Command::Check(it) => check::run(&it),
         Command::Admin(it) => admin::run(&it),
+        Command::Replay(it) => replay::run(&it),
         Command::Version(_) => {
             println!("{PROGRAM} {}", env!("CARGO_PKG_VERSION"));
             Ok(())
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,6 +1,7 @@
-//! Tasks of the repository: `cargo xtask demo|generate|measure|tidy`.
+//! Tasks of the repository: `cargo xtask demo|generate|measure|replay|tidy|trace`.
 
 mod generate;
+mod replay;
 mod tidy;
 
 use std::path::PathBuf;
@@ -22,7 +23,9 @@
     Generate(Generate),
     Measure(Measure),
     Scale(Scale),
+    Replay(replay::Replay),
     Tidy(Tidy),
+    Trace(replay::Trace),
 }
 
 /// start everything on loopback, serve a draft and a renewal, stop
@@ -70,6 +73,8 @@
         Command::Scale(it) => {
             harness::scale::run(&it.daemons, it.endpoints).map_err(|it| it.to_string())
         }
+        Command::Replay(it) => replay::run(&it),
+        Command::Trace(it) => replay::print(&it),
         Command::Tidy(_) => tidy::run(&root()),
     };
     match result {
