--- a/crates/standins/src/platform/mod.rs
+++ b/crates/standins/src/platform/mod.rs
@@ -86,6 +86,9 @@
             return Some(Err(Problem::not_run(503, "down", "switched off by a test")));
         }
         let answer = self.serve_platform(request);
+        if request.path == "/table/commit" && self.switches.faults().lose_commits {
+            return None;
+        }
         match self.switches.take_answer() {
             Answer::Send => Some(answer),
             Answer::Lose => None,
--- a/crates/standins/src/service/mod.rs
+++ b/crates/standins/src/service/mod.rs
@@ -3,6 +3,8 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 
@@ -44,10 +46,13 @@
     pub echo: String,
 }
 
+#[derive(Default)]
 struct Fake {
     checks_fence: bool,
     record: Mutex<Record>,
     switches: Switches,
+    /// Calls that arrived, executed or not.
+    arrived: AtomicU64,
 }
 
 #[derive(Default)]
@@ -59,7 +64,7 @@
 /// Starts the stand-in. With `checks_fence` it refuses a call whose fencing
 /// number is older than the newest it has seen.
 pub fn start(address: &str, checks_fence: bool) -> Result<Server, web::Error> {
-    let fake = Fake { checks_fence, record: Mutex::default(), switches: Switches::default() };
+    let fake = Fake { checks_fence, ..Fake::default() };
     let handler = move |request: Request, responder: Responder| fake.serve(&request, responder);
     Server::start(address, crate::limits(), Arc::new(handler))
 }
@@ -68,6 +73,7 @@
     fn serve(&self, request: &Request, responder: Responder) {
         let _ = match request.path.as_str() {
             "/fake/switches" => self.switch(request, responder),
+            "/fake/arrived" => responder.send_json(200, &self.arrived.load(Ordering::Relaxed)),
             "/fake/record" => responder.send_json(200, &self.record().executions),
             _ => self.call(request, responder),
         };
@@ -87,6 +93,7 @@
     }
 
     fn call(&self, request: &Request, responder: Responder) -> std::io::Result<()> {
+        self.arrived.fetch_add(1, Ordering::Relaxed);
         self.switches.hold();
         if self.switches.faults().down {
             let problem = Problem::not_run(503, "down", "switched off by a test");
--- a/crates/standins/src/switches.rs
+++ b/crates/standins/src/switches.rs
@@ -22,6 +22,8 @@
     pub slow_ms: u64,
     /// Number of coming calls whose effect takes place and whose answer is lost.
     pub lose_answers: u32,
+    /// Every commit takes effect and its answer is lost.
+    pub lose_commits: bool,
     /// Exit when a request contains this text; empty for never.
     pub crash_on: String,
     /// Stream nothing more on the open connections; new calls are served.
