--- a/crates/lentilhook/src/daemon/dispatch/mod.rs
+++ b/crates/lentilhook/src/daemon/dispatch/mod.rs
@@ -1,11 +1,15 @@
 //! Actor that takes calls, places them and carries answers back.
 
+mod admission;
 mod attempts;
 mod check;
+mod handover;
 mod job;
+mod load;
 mod problems;
 mod recorded;
 mod relays;
+mod routing;
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
@@ -31,6 +35,7 @@
 use peer::transport::Transport;
 use peer::wire::Forward;
 use peer::wire::Frame;
+use policy::route::Mode;
 use stakker::Actor;
 use stakker::CX;
 use stakker::Ret;
@@ -44,15 +49,20 @@
 use crate::daemon::identity;
 use crate::daemon::shards::Shards;
 
+use self::admission::Admission;
+use self::handover::Sent;
 use self::job::Job;
 use self::job::JobId;
 use self::job::Stage;
 use self::job::Waiter;
 use self::job::Way;
+use self::load::Answer;
+use self::load::Poller;
 use self::recorded::Again;
 use self::recorded::Words;
 use self::recorded::ledger_identity;
 use self::relays::Relay;
+use self::routing::Routing;
 
 /// Longest wait for the ledger before a call is turned away.
 const RECORD_TIMEOUT: Duration = Duration::from_secs(2);
@@ -77,6 +87,11 @@
     by_identity: HashMap<String, JobId>,
     by_attempt: HashMap<AttemptId, JobId>,
     relays: HashMap<StreamId, Relay>,
+    handovers: HashMap<StreamId, Sent>,
+    routing: Routing,
+    admission: Admission,
+    poller: Poller,
+    _poll_guard: ChannelGuard,
     next: u64,
     draining: bool,
     words: Words,
@@ -104,11 +119,15 @@
         me: identity::Identity,
         transport: Transport,
         shards: Actor<Shards>,
+        mode: Mode,
     ) -> Option<Dispatch> {
         let forward = fwd_to!([cx], endpoint_event() as (Endpoint));
         let (events, guard) = Channel::new(cx, forward);
         let again = fwd_to!([cx], ask_again() as (Again));
         let (retries, retries_guard) = Channel::new(cx, again);
+        let polled = fwd_to!([cx], polled() as (Answer));
+        let (answers, poll_guard) = Channel::new(cx, polled);
+        call!([cx], poll_turn());
         Some(Dispatch {
             me,
             transport,
@@ -122,6 +141,11 @@
             by_identity: HashMap::new(),
             by_attempt: HashMap::new(),
             relays: HashMap::new(),
+            handovers: HashMap::new(),
+            routing: Routing::new(mode, cx.now()),
+            admission: Admission::new(cx.now()),
+            poller: Poller::start(answers, cx.now()),
+            _poll_guard: poll_guard,
             next: 4,
             draining: false,
             words: Words::default(),
@@ -143,6 +167,7 @@
                 self.daemons.insert(vm.id.clone(), vm);
             }
             Role::Endpoint => {
+                self.routing.vm_changed(&vm);
                 let in_flight = self.endpoints.get(&vm.id).map_or(0, |it| it.in_flight);
                 self.endpoints.insert(vm.id.clone(), Target { vm, in_flight });
             }
@@ -160,26 +185,33 @@
     }
 
     /// A caller went away before its answer was complete.
-    pub fn gone(&mut self, _cx: CX![], arrival: ArrivalId) {
+    pub fn gone(&mut self, cx: CX![], arrival: ArrivalId) {
         let leaves = |way: &Way| matches!(way.end(), Way::Gateway { id, .. } if *id == arrival);
         self.drop_relays(leaves);
-        self.drop_waiters(leaves);
+        self.drop_waiters(cx, leaves);
     }
 
     /// An event of the transport on a stream of this actor.
     pub fn peer_event(&mut self, cx: CX![], event: Event) {
         match event {
             Event::Frame { stream, frame: Frame::Forward(forward) } => {
-                self.forwarded(cx, stream, forward);
+                self.forwarded(cx, stream, *forward);
             }
             Event::Frame { stream, frame: Frame::Reply(reply) } => {
-                self.relayed(stream, reply);
+                self.relayed(cx, stream, reply);
+            }
+            Event::Frame { stream, frame: Frame::Handover(handover) } => {
+                self.take_over(cx, stream, *handover);
+            }
+            Event::Frame { stream, frame: Frame::HandoverTaken } => {
+                self.handover_taken(cx, stream);
             }
             Event::Frame { .. } => {}
             Event::Finished { stream } => self.relay_ended(cx, stream, true),
             Event::Failed { stream, sent, .. } => {
+                self.handover_failed(cx, stream);
                 self.relay_ended(cx, stream, sent);
-                self.drop_waiters(|way| matches!(way.end(), Way::Peer(it) if *it == stream));
+                self.drop_waiters(cx, |way| matches!(way.end(), Way::Peer(it) if *it == stream));
             }
         }
     }
@@ -195,6 +227,9 @@
             let open = self.open_count();
             spdlog::info!("draining", kv: { open = open });
         }
+        if self.open_count() == 0 {
+            self.hand_over_ended();
+        }
         if self.open_count() == 0 {
             ret!([ret]);
             return;
@@ -208,8 +243,9 @@
     }
 
     fn open_count(&self) -> usize {
-        let open = self.jobs.values().filter(|it| !matches!(it.stage, Stage::Ended(_)));
-        open.count() + self.relays.len() + self.asking_again
+        let idle = |it: &&Job| matches!(it.stage, Stage::Ended(_) | Stage::Kept);
+        let kept = self.jobs.values().filter(idle).count();
+        self.jobs.len() - kept + self.relays.len() + self.handovers.len() + self.asking_again
     }
 
     fn forwarded(&mut self, cx: CX![], stream: StreamId, forward: Forward) {
@@ -226,7 +262,7 @@
     fn place(&mut self, cx: CX![], call: Call, service: Service, way: Way, hops: u8) {
         if let Some(identity) = call.identity() {
             if let Some(id) = self.by_identity.get(&identity).copied() {
-                self.join(id, &call, way);
+                self.join(cx, id, &call, way);
                 return;
             }
             let owner = self.owner(&call, &identity);
@@ -256,7 +292,7 @@
         self.daemons.get(id).cloned()
     }
 
-    fn join(&mut self, id: JobId, call: &Call, way: Way) {
+    fn join(&mut self, cx: CX![], id: JobId, call: &Call, way: Way) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
         if !same_request(&job.call, call) {
             way.send(&self.transport, Reply::Problem(problems::key_reused()));
@@ -270,6 +306,10 @@
         waiter.catch_up(&self.transport, &job.progress);
         match &job.stage {
             Stage::Ended(reply) => waiter.way.send(&self.transport, reply.clone()),
+            Stage::Kept => {
+                job.waiters.push(waiter);
+                self.attempt(cx, id);
+            }
             _ => job.waiters.push(waiter),
         }
     }
@@ -290,6 +330,7 @@
             stage: Stage::Recording,
             tries: 0,
             avoid: Vec::new(),
+            opened: cx.now(),
             fence: None,
         };
         self.jobs.insert(id, job);
@@ -301,7 +342,7 @@
                 call!([self.shards], begin(Ticket(id.0), identity));
                 after!(RECORD_TIMEOUT, [cx], record_timed_out(id));
             }
-            None => self.attempt(cx, id),
+            None => self.admit(cx, id),
         }
     }
 
@@ -344,7 +385,7 @@
     }
 
     /// Drops waiters; a job without key that nobody waits for is cancelled.
-    fn drop_waiters(&mut self, leaves: impl Fn(&Way) -> bool) {
+    fn drop_waiters(&mut self, cx: CX![], leaves: impl Fn(&Way) -> bool) {
         let mut abandoned = Vec::new();
         for (id, job) in &mut self.jobs {
             let before = job.waiters.len();
@@ -355,7 +396,7 @@
             }
         }
         for id in abandoned {
-            self.cancel(id);
+            self.cancel(cx, id);
         }
     }
 
--- a/crates/lentilhook/src/daemon/fleet.rs
+++ b/crates/lentilhook/src/daemon/fleet.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use membership::lifecycle::Chart;
 use membership::update::Gossip;
 use membership::update::Role;
 use membership::update::State;
@@ -34,6 +35,7 @@
 use stakker::sync::ChannelGuard;
 
 use crate::daemon::catalog::Configuration;
+use crate::daemon::departure::Departure;
 use crate::daemon::dispatch::Dispatch;
 use crate::daemon::identity::Identity;
 use crate::daemon::worker::Worker;
@@ -66,12 +68,21 @@
     misses: HashMap<String, u32>,
     transport: Transport,
     worker: Worker,
-    dispatch: Actor<Dispatch>,
-    configuration: Actor<Configuration>,
+    links: Links,
     answers: Channel<Answer>,
     _guard: ChannelGuard,
 }
 
+/// Whom the fleet tells.
+pub struct Links {
+    /// Learns the changes of VMs.
+    pub dispatch: Actor<Dispatch>,
+    /// Learns the revisions that peers have in force.
+    pub configuration: Actor<Configuration>,
+    /// Takes this daemon's own departure.
+    pub departures: Channel<Departure>,
+}
+
 /// A platform answer.
 enum Answer {
     /// Rows of the daemons.
@@ -89,17 +100,17 @@
     pub fn init(
         cx: CX![],
         me: Identity,
+        chart: Chart,
         transport: Transport,
         worker: Worker,
-        dispatch: Actor<Dispatch>,
-        configuration: Actor<Configuration>,
+        links: Links,
     ) -> Option<Fleet> {
         let forward = fwd_to!([cx], answered() as (Answer));
         let (answers, guard) = Channel::new(cx, forward);
-        let mut view = View::default();
+        let mut view = View::new(chart);
         let myself = me.vm(State::Live);
         view.merge(&myself);
-        call!([dispatch], vm_changed(myself));
+        call!([links.dispatch], vm_changed(myself));
         call!([cx], round());
         Some(Fleet {
             me,
@@ -115,8 +126,7 @@
             misses: HashMap::new(),
             transport,
             worker,
-            dispatch,
-            configuration,
+            links,
             answers,
             _guard: guard,
         })
@@ -213,6 +223,10 @@
     }
 
     fn take_notice(&mut self, cx: CX![], notice: &Notice) {
+        if notice.vm == self.me.daemon {
+            self.take_own_notice(notice);
+            return;
+        }
         let known = self.view.get(&notice.vm).cloned();
         if let Some(vm) = known
             && vm.incarnation == notice.incarnation
@@ -221,6 +235,16 @@
         }
     }
 
+    /// This daemon's own VM will be reclaimed.
+    fn take_own_notice(&mut self, notice: &Notice) {
+        // An older notice was for an earlier VM of this name.
+        if notice.left_ms == 0 || self.state != State::Live {
+            return;
+        }
+        let left = Duration::from_millis(notice.left_ms);
+        self.links.departures.send(Departure::Reclaim(left));
+    }
+
     fn learn(&mut self, cx: CX![], vm: &Vm) {
         if vm.id == self.me.daemon && vm.state > self.state {
             self.refute(cx, vm);
@@ -233,7 +257,7 @@
                 state: ? = vm.state,
                 address = vm.address.as_str(),
             });
-            call!([self.dispatch], vm_changed(vm.clone()));
+            call!([self.links.dispatch], vm_changed(vm.clone()));
         }
     }
 
@@ -249,7 +273,7 @@
 
     fn take_gossip(&mut self, cx: CX![], stream: StreamId, gossip: &Gossip) {
         if gossip.config_revision > self.config_revision {
-            call!([self.configuration], heard_of(gossip.config_revision));
+            call!([self.links.configuration], heard_of(gossip.config_revision));
         }
         self.learn(cx, &gossip.sender);
         for vm in &gossip.vms {
--- a/crates/lentilhook/src/daemon/mod.rs
+++ b/crates/lentilhook/src/daemon/mod.rs
@@ -1,9 +1,11 @@
 //! A daemon: its actors, the threads at its edges and their wiring.
 
 mod catalog;
+mod departure;
 mod dispatch;
 mod fleet;
 mod identity;
+pub mod lifecycle;
 mod operators;
 mod runtime;
 mod shards;
@@ -12,6 +14,7 @@
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
@@ -40,14 +43,18 @@
 use stakker::ret_do;
 use stakker::ret_nop;
 use stakker::sync::Channel;
+use statechart::Names;
 use web::server::Limits;
 
 use crate::settings::Settings;
 
 use self::catalog::Configuration;
+use self::departure::Departure;
 use self::dispatch::Dispatch;
 use self::fleet::Fleet;
+use self::fleet::Links;
 use self::identity::Identity;
+use self::lifecycle::Charts;
 use self::operators::Operation;
 use self::operators::Query;
 use self::runtime::Runtime;
@@ -60,9 +67,18 @@
 /// Time for the last answers to reach their callers after a drain.
 const DRAIN_LINGER: Duration = Duration::from_millis(300);
 
+/// Longest time for them to do so.
+const FLUSH_LIMIT: Duration = Duration::from_secs(5);
+
 /// Why a daemon could not run.
 #[derive(Debug, Snafu)]
 pub enum Error {
+    /// A state chart is wrong.
+    #[snafu(display("{source}"))]
+    Lifecycle {
+        /// Cause.
+        source: statechart::Error,
+    },
     /// An HTTP server could not start.
     #[snafu(display("{source}"))]
     Server {
@@ -93,6 +109,13 @@
 
 /// Runs a daemon until it has drained.
 pub fn run(settings: &Settings, secret: &str) -> Result<(), Error> {
+    let charts = lifecycle::load().context(LifecycleSnafu)?;
+    spdlog::debug!("charts", kv: {
+        drain = charts.drain.initial().name(),
+        vm = charts.vm.initial().name(),
+        lease = charts.lease.initial().name(),
+        request = charts.request.initial().name(),
+    });
     let mut runtime = Runtime::new();
     let stakker = &mut runtime.stakker;
     let actors = Actors {
@@ -104,8 +127,9 @@
     let transport = Transport::start(&settings.listen.peers, secret, peer_sink(stakker, &actors))
         .context(PeersSnafu)?;
     let me = identity(settings, &transport);
-    start_actors(settings, &actors, &me, &transport);
     let readiness = Readiness::default();
+    let departures = departure_channel(stakker, &actors, readiness.clone());
+    start_actors(settings, charts, &actors, &me, &transport, &departures);
     let callers = gateway::server::start(
         &settings.listen.callers,
         limits(settings),
@@ -113,15 +137,14 @@
         gateway_sink(stakker, &actors),
     )
     .context(ServerSnafu)?;
-    let drain = drain_channel(stakker, &actors, readiness.clone());
     let operators = operators::start(
         &settings.listen.operators,
         limits(settings),
         settings.access.operator_token_sha256.clone(),
-        operators_sink(stakker, &actors, drain.clone()),
+        operators_sink(stakker, &actors, departures.clone()),
     )
     .context(ServerSnafu)?;
-    watch_signals(drain)?;
+    watch_signals(departures)?;
     readiness.set(true);
     println!(
         "ready daemon={} callers={} operators={} peers={}",
@@ -131,7 +154,8 @@
     callers.stop();
     operators.stop();
     // Request threads still write the last pieces of their answers.
-    while callers.open_requests() > 0 {
+    let deadline = Instant::now() + FLUSH_LIMIT;
+    while callers.open_requests() > 0 && Instant::now() < deadline {
         thread::sleep(DRAIN_LINGER);
     }
     thread::sleep(DRAIN_LINGER);
@@ -157,7 +181,14 @@
     }
 }
 
-fn start_actors(settings: &Settings, actors: &Actors, me: &Identity, transport: &Transport) {
+fn start_actors(
+    settings: &Settings,
+    charts: Charts,
+    actors: &Actors,
+    me: &Identity,
+    transport: &Transport,
+    departures: &Channel<Departure>,
+) {
     let client = Client::new(&settings.platform.address, settings.platform_timeout());
     let worker = Worker::start(&client);
     let dispatch = actors.dispatch.clone();
@@ -166,12 +197,14 @@
     let configuration = actors.configuration.clone();
     let seed = me.incarnation.rotate_left(32) ^ xxhash_rust::xxh3::xxh3_64(me.daemon.as_bytes());
     call!([shards], Shards::init(me.clone(), worker.clone(), dispatch.clone()));
-    call!([dispatch], Dispatch::init(me.clone(), transport.clone(), shards));
+    let mode = settings.routing.mode;
+    call!([dispatch], Dispatch::init(me.clone(), transport.clone(), shards, mode));
     call!(
         [configuration],
         Configuration::init(seed, worker.clone(), dispatch.clone(), fleet.clone())
     );
-    call!([fleet], Fleet::init(me.clone(), transport.clone(), worker, dispatch, configuration));
+    let links = Links { dispatch, configuration, departures: departures.clone() };
+    call!([fleet], Fleet::init(me.clone(), charts.vm, transport.clone(), worker, links));
 }
 
 /// Sends the transport's events to the actor whose stream it is.
@@ -211,7 +244,11 @@
     })
 }
 
-fn operators_sink(stakker: &mut Stakker, actors: &Actors, drain: Channel<()>) -> operators::Sink {
+fn operators_sink(
+    stakker: &mut Stakker,
+    actors: &Actors,
+    departures: Channel<Departure>,
+) -> operators::Sink {
     let configuration = actors.configuration.clone();
     let fleet = actors.fleet.clone();
     let dispatch = actors.dispatch.clone();
@@ -242,12 +279,12 @@
                 call!([fleet], read(ret));
             }
             Operation::Drain => {
-                let drain = drain.clone();
+                let departures = departures.clone();
                 let ret = ret_do!(move |open: Option<usize>| {
                     let open_requests = open.unwrap_or_default() as u32;
                     let _ =
                         answers.send(operators::encode(&generated::DrainReply { open_requests }));
-                    drain.send(());
+                    departures.send(Departure::Stop);
                 });
                 call!([dispatch], count_open(ret));
             }
@@ -265,12 +302,17 @@
     admin::error::Error::new(admin::error::Code::Unavailable, msg)
 }
 
-/// A message on this channel starts the graceful shutdown.
-fn drain_channel(stakker: &mut Stakker, actors: &Actors, readiness: Readiness) -> Channel<()> {
+/// A message on this channel makes the daemon leave.
+fn departure_channel(
+    stakker: &mut Stakker,
+    actors: &Actors,
+    readiness: Readiness,
+) -> Channel<Departure> {
     let dispatch = actors.dispatch.clone();
     let shards = actors.shards.clone();
     let fleet = actors.fleet.clone();
-    let begin = fwd_do!(move |()| {
+    let begin = fwd_do!(move |departure: Departure| {
+        spdlog::info!("departing", kv: { cause: ? = departure });
         readiness.set(false);
         call!([fleet], leave());
         let shards = shards.clone();
@@ -279,6 +321,9 @@
                 call!([shards], release_and_stop());
             }
         });
+        if let Departure::Reclaim(left) = departure {
+            call!([dispatch], reclaimed(left));
+        }
         call!([dispatch], drain_after(DRAIN_NOTICE, ret));
     });
     let (channel, guard) = Channel::new(stakker, begin);
@@ -286,11 +331,11 @@
     channel
 }
 
-fn watch_signals(drain: Channel<()>) -> Result<(), Error> {
+fn watch_signals(departures: Channel<Departure>) -> Result<(), Error> {
     let mut signals = Signals::new([SIGINT, SIGTERM]).context(SignalSnafu)?;
     thread::spawn(move || {
         for _ in signals.forever() {
-            drain.send(());
+            departures.send(Departure::Stop);
         }
     });
     Ok(())
