--- /dev/null
+++ b/crates/ledger/tests/shard/main.rs
@@ -0,0 +1,116 @@
+//! One shard over one table, step by step on paused time.
+
+mod store;
+
+use std::time::Duration;
+
+use ledger::message::Input;
+use ledger::message::Ticket;
+use ledger::message::Verdict;
+use ledger::record::COMMIT_PACE;
+use ledger::record::IDLE_AFTER;
+use ledger::record::RETENTION_S;
+use ledger::record::batch_key;
+use ledger::record::head_key;
+use platform::objects::Objects;
+
+use store::SHARD;
+use store::Store;
+
+#[test]
+fn what_cannot_be_read_is_refused() {
+    let check = |broken: &str, spoil: &dyn Fn(&Store)| {
+        let mut store = Store::default();
+        let mut first = store.shard("entry-1");
+        (0..8).for_each(|it| store.run_one(&mut first, it, &format!("key {it}")));
+        store.drive(&mut first, Input::Release);
+        spoil(&store);
+
+        let mut second = store.shard("entry-2");
+        let told = store.begin(&mut second, 20, "key 0");
+
+        assert!(matches!(told, Some(Verdict::NotNow { .. })), "{broken}: {told:?}");
+        assert_eq!(store.reports.len(), 1, "{broken}: {:?}", store.reports);
+    };
+    let last = |store: &Store| batch_key(SHARD, store.head().next_batch - 1);
+    let snapshot = |store: &Store| store.head().snapshot.unwrap().name;
+
+    check("empty head", &|it| it.write(&head_key(SHARD), ""));
+    check("head without fields", &|it| it.write(&head_key(SHARD), "{}"));
+    check("batch of another form", &|it| it.write(&last(it), "[]"));
+    check("batch missing", &|it| it.delete(&last(it)));
+    check("batch too many", &|it| it.write(&batch_key(SHARD, 99), r#"{"records":[]}"#));
+    check("snapshot missing", &|it| it.memory.delete(&snapshot(it)).unwrap());
+    check("snapshot cut", &|it| it.memory.put(&snapshot(it), b"{").unwrap());
+}
+
+#[test]
+fn rows_and_objects_stay_bounded_and_nothing_is_forgotten() {
+    let mut store = Store::default();
+    let mut first = store.shard("entry-1");
+
+    (0..100).for_each(|it| store.run_one(&mut first, it, &format!("key {it}")));
+
+    assert!(store.rows() <= 2 * store::COMPACT_ROWS as usize + 1, "{} rows", store.rows());
+    assert_eq!(store.objects_written - store.objects_deleted, 1);
+    let mut second = store.shard("entry-2");
+    store.drive(&mut first, Input::Release);
+    for key in 0..100 {
+        let told = store.begin(&mut second, 200 + key, &format!("key {key}"));
+        assert!(matches!(told, Some(Verdict::Done(_))), "key {key}: {told:?}");
+    }
+}
+
+#[test]
+fn ended_calls_expire() {
+    let check = |age_s: u64, expected: bool| {
+        let mut store = Store::default();
+        let mut first = store.shard("entry-1");
+        store.run_one(&mut first, 1, "a");
+        store.drive(&mut first, Input::Release);
+        store.pass(Duration::from_secs(age_s));
+
+        let mut second = store.shard("entry-2");
+        let told = store.begin(&mut second, 2, "a");
+
+        let is_known = matches!(told, Some(Verdict::Done(_)));
+        assert_eq!(is_known, expected, "after {age_s} s: {told:?}");
+    };
+
+    check(RETENTION_S - 60, true);
+    check(RETENTION_S + 60, false);
+}
+
+#[test]
+fn a_busy_shard_commits_at_its_pace_and_a_lone_call_at_once() {
+    let mut store = Store::default();
+    let mut shard = store.shard("entry-1");
+    let start = store.now();
+    assert!(matches!(store.begin(&mut shard, 0, "lone"), Some(Verdict::Granted { .. })));
+    assert_eq!(store.now(), start, "a lone call waited");
+    let commits = store.commits;
+
+    for ticket in 1..=1000 {
+        store.start(&mut shard, Input::Begin(Ticket(ticket), store::identity(&ticket.to_string())));
+        store.pass(Duration::from_millis(1));
+        store.wake(&mut shard);
+    }
+
+    let most = 1000 / COMMIT_PACE.as_millis() as u64 + 1;
+    assert!(store.commits - commits <= most, "{} commits", store.commits - commits);
+}
+
+#[test]
+fn an_idle_holder_gives_its_lease_up_and_takes_it_again() {
+    let mut store = Store::default();
+    let mut shard = store.shard("entry-1");
+    store.run_one(&mut shard, 1, "a");
+    store.pass(IDLE_AFTER);
+
+    store.drive(&mut shard, Input::Tick);
+
+    assert!(!shard.is_held());
+    assert_eq!(store.head().holder.daemon, "");
+    let told = store.begin(&mut shard, 2, "a");
+    assert!(matches!(told, Some(Verdict::Done(_))), "{told:?}");
+}
