Place VMs of services under a lease

Cause: nothing started a VM when load grew or a zone was reclaimed; the cloud API's start and stop had no caller.

Change: crate placement (sizing, mix, plan, lease; pure) and an actor that reads everything each round and orders the difference; services get min_vms and max_vms; engines are ordered to load their model under the fencing number; the stand-in starts spare VMs and refuses what it has not. Code generation moved to a crate of its own: xtask could not be built while the generated code was behind.

--- a/crates/admin/src/convert.rs
+++ b/crates/admin/src/convert.rs
@@ -40,6 +40,8 @@
         token_target_ms: it.token_target_ms,
         cost_weight: it.cost_weight,
         recompute_weight: it.recompute_weight,
+        min_vms: it.min_vms,
+        max_vms: it.max_vms,
     };
     let edit = Edit::PutService(service);
     Ok(Change { edit, expected_revision: request.expected_revision })
@@ -112,6 +114,8 @@
         token_target_ms: it.token_target_ms,
         cost_weight: it.cost_weight,
         recompute_weight: it.recompute_weight,
+        min_vms: it.min_vms,
+        max_vms: it.max_vms,
         revision: revised.revision,
     }
 }
--- a/xtask/src/generate.rs
+++ b/crates/codegen/src/generate.rs
@@ -8,7 +8,7 @@
 const GENERATED: &str = "crates/admin/src/generated/mod.rs";
 const PACKAGE_FILE: &str = "lentilhook.admin.v1.rs";
 const HEADING: &str = "//! Types of the administration API, generated from `proto/admin.proto` by\n\
-    //! `cargo xtask generate`.\n\n";
+    //! `cargo codegen`.\n\n";
 
 /// Generates, or with `check` compares with what is committed.
 pub fn run(root: &Path, check: bool) -> Result<(), String> {
@@ -21,13 +21,13 @@
     if committed == fresh {
         return Ok(());
     }
-    Err(format!("{GENERATED} differs from {SCHEMA}; run `cargo xtask generate` and commit"))
+    Err(format!("{GENERATED} differs from {SCHEMA}; run `cargo codegen` and commit"))
 }
 
 fn generate(root: &Path) -> Result<String, String> {
     let files = protox::compile([root.join(SCHEMA)], [root.join(SCHEMA_FOLDER)])
         .map_err(|it| it.to_string())?;
-    let out = root.join("target/xtask-generate");
+    let out = root.join("target/codegen");
     fs::create_dir_all(&out).map_err(|it| it.to_string())?;
     let mut settings = prost_build::Config::new();
     settings.out_dir(&out);
--- a/crates/config/src/catalog.rs
+++ b/crates/config/src/catalog.rs
@@ -216,6 +216,10 @@
             return Err(invalid(&object, field, &weight.to_string(), remedy));
         }
     }
+    if service.max_vms > 0 && service.min_vms > service.max_vms {
+        let remedy = "give at most max_vms, or max_vms 0 for no placement";
+        return Err(invalid(&object, "min_vms", &service.min_vms.to_string(), remedy));
+    }
     if service.first_token_target_ms == 0 {
         return Err(invalid(&object, "first_token_target_ms", "0", "give at least 1 ms"));
     }
--- a/crates/config/src/object.rs
+++ b/crates/config/src/object.rs
@@ -43,6 +43,12 @@
     pub cost_weight: f64,
     /// Weight of recomputed tokens.
     pub recompute_weight: f64,
+    /// Fewest VMs that are kept running.
+    #[serde(default)]
+    pub min_vms: u32,
+    /// Most VMs that are kept running; 0 leaves placement to the operators.
+    #[serde(default)]
+    pub max_vms: u32,
 }
 
 /// Whether requests may be executed more than once.
--- a/crates/endpoint/src/load.rs
+++ b/crates/endpoint/src/load.rs
@@ -94,3 +94,11 @@
     reader.read_to_end(&mut body).ok()?;
     Some(body)
 }
+
+/// Orders an engine to load a model under a fencing number; whether it took
+/// the order.
+pub fn order_model(address: &str, fence: u64, model: &str) -> bool {
+    let order = serde_json::json!({ "fence": fence, "model": model });
+    let sent = agent::pooled().post(format!("http://{address}/v1/orders")).send_json(order);
+    sent.is_ok_and(|response| response.status().is_success())
+}
--- a/crates/harness/src/cluster.rs
+++ b/crates/harness/src/cluster.rs
@@ -144,7 +144,8 @@
         self.wait_until_settled()
     }
 
-    fn create_objects(&self) -> io::Result<()> {
+    /// Creates a workspace, both services and rules.
+    pub fn create_objects(&self) -> io::Result<()> {
         self.admin(
             "PutWorkspace",
             &json!({ "workspace": {
@@ -180,7 +181,7 @@
                 "path": "/*", "repeat": "idempotent",
             }}),
         )?;
-        self.wait_until_settled()
+        Ok(())
     }
 
     /// Waits until every daemon has the newest configuration in force and
@@ -290,8 +291,17 @@
 }
 
 /// Waits until a condition holds.
-pub fn wait_for(what: &str, mut condition: impl FnMut() -> bool) -> io::Result<()> {
-    let deadline = Instant::now() + EFFECT_TIMEOUT;
+pub fn wait_for(what: &str, condition: impl FnMut() -> bool) -> io::Result<()> {
+    wait_within(EFFECT_TIMEOUT, what, condition)
+}
+
+/// Waits until a condition holds, for so long.
+pub fn wait_within(
+    timeout: Duration,
+    what: &str,
+    mut condition: impl FnMut() -> bool,
+) -> io::Result<()> {
+    let deadline = Instant::now() + timeout;
     while !condition() {
         if Instant::now() > deadline {
             return Err(io::Error::other(format!("waited in vain for {what}")));
@@ -313,7 +323,8 @@
     Ok(vms.iter().filter(|vm| vm["state"] == "live").count())
 }
 
-fn listening(process: &Process) -> io::Result<String> {
+/// Address in the greeting of a stand-in.
+pub fn listening(process: &Process) -> io::Result<String> {
     let address = process.greeting.trim().strip_prefix("listening on ");
     address.map(str::to_owned).ok_or_else(|| io::Error::other("unexpected greeting"))
 }
--- a/crates/harness/src/lib.rs
+++ b/crates/harness/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod demo;
 pub mod deployment;
 pub mod measure;
+pub mod placed;
 pub mod process;
 pub mod replays;
 pub mod scale;
--- /dev/null
+++ b/crates/harness/tests/placement/main.rs
@@ -0,0 +1,77 @@
+//! Placement by running processes: starts, refusals, a lost holder, models.
+
+use std::io;
+use std::time::Duration;
+
+use harness::cluster;
+use harness::cluster::Cluster;
+use harness::cluster::MODEL_SERVICE;
+use platform::vm::Start;
+use serde_json::json;
+use standins::engine::protocol::Order;
+
+/// In order of name.
+const ZONES: [&str; 3] = ["kpone", "tema-a", "tema-b"];
+/// Longest time for a placement to be reached, a lost holder included.
+const PLACED_WITHIN: Duration = Duration::from_secs(60);
+
+#[test]
+fn a_service_is_placed_over_zones_and_a_lost_holder_is_replaced() -> io::Result<()> {
+    let mut cluster = deployment()?;
+    cluster.set_vms(MODEL_SERVICE, 3, 4)?;
+
+    cluster::wait_within(PLACED_WITHIN, "three runners", || cluster.endpoint_zones().len() >= 3)?;
+    let mut zones = cluster.endpoint_zones();
+    zones.sort();
+    cluster::wait_within(PLACED_WITHIN, "models to be ordered", || {
+        orders(&cluster).iter().filter(|it| !it.is_empty()).count() >= 3
+    })?;
+    let first_fence = highest_fence(&cluster);
+    let holder = cluster.holder("placement lease")?;
+    cluster.daemons[holder].process.kill()?;
+    cluster.daemons.remove(holder);
+    cluster.set_vms(MODEL_SERVICE, 4, 4)?;
+    cluster::wait_within(PLACED_WITHIN, "a fourth runner", || cluster.endpoint_zones().len() >= 4)?;
+    cluster::wait_within(PLACED_WITHIN, "orders of the new holder", || {
+        highest_fence(&cluster) > first_fence
+    })?;
+
+    assert_eq!(zones, ZONES, "one zone's loss must leave 70 in 100");
+    let starts: Vec<Start> = cluster::get(&cluster.platform.address, "/fake/starts")?;
+    let mut tokens: Vec<&String> = starts.iter().map(|it| &it.token).collect();
+    tokens.sort();
+    tokens.dedup();
+    assert_eq!(tokens.len(), starts.len(), "a token was used twice: {starts:?}");
+    Ok(())
+}
+
+fn orders(cluster: &Cluster) -> Vec<Vec<Order>> {
+    let engines = cluster.engines.iter();
+    engines.map(|it| cluster::get(&it.address, "/fake/orders").unwrap_or_default()).collect()
+}
+
+fn highest_fence(cluster: &Cluster) -> u64 {
+    orders(cluster).iter().flatten().map(|it| it.fence).max().unwrap_or(0)
+}
+
+/// Daemons, and five engines that wait to be started; one kind of offer is
+/// shown without a VM behind it, so that its starts are refused.
+fn deployment() -> io::Result<Cluster> {
+    let mut cluster = Cluster::start()?;
+    let spares = ["tema-a", "tema-b", "kpone", "tema-a", "tema-b"];
+    for (number, zone) in spares.iter().enumerate() {
+        let vm = format!("runner-{number}");
+        cluster.add_spare_engine(&vm, zone, number % 2 == 0)?;
+    }
+    let refused = json!({
+        "id": "none", "incarnation": 1, "role": "endpoint", "service": "another",
+        "zone": "tema-a", "class": "accelerator", "address": "127.0.0.1:1",
+        "price_per_hour": 0.5, "reclaimable": true, "state": "live",
+    });
+    cluster::post(&cluster.platform.address, "/fake/spare", &refused)?;
+    for number in 1..=3 {
+        cluster.add_daemon(&format!("entry-{number}"), ZONES[number - 1])?;
+    }
+    cluster.create_objects()?;
+    Ok(cluster)
+}
--- a/crates/lentilhook/src/daemon/catalog.rs
+++ b/crates/lentilhook/src/daemon/catalog.rs
@@ -44,6 +44,7 @@
 use crate::daemon::dispatch::Dispatch;
 use crate::daemon::fleet::Fleet;
 use crate::daemon::metrics;
+use crate::daemon::placement::Placement;
 use crate::daemon::worker::Worker;
 
 /// Rows read by one scan.
@@ -60,6 +61,7 @@
     worker: Worker,
     dispatch: Actor<Dispatch>,
     fleet: Actor<Fleet>,
+    placement: Actor<Placement>,
     answers: Channel<Input>,
     _guard: ChannelGuard,
 }
@@ -73,6 +75,7 @@
         worker: Worker,
         dispatch: Actor<Dispatch>,
         fleet: Actor<Fleet>,
+        placement: Actor<Placement>,
     ) -> Option<Configuration> {
         let forward = fwd_to!([cx], handle() as (Input));
         let (answers, guard) = Channel::new(cx, forward);
@@ -85,6 +88,7 @@
             worker,
             dispatch,
             fleet,
+            placement,
             answers,
             _guard: guard,
         })
@@ -189,6 +193,7 @@
         spdlog::info!("configured", kv: { revision = catalog.revision });
         call!([self.dispatch], configured(Rc::clone(catalog)));
         call!([self.fleet], configured(catalog.revision));
+        call!([self.placement], configured(Rc::clone(catalog)));
         metrics::set_revision(catalog.revision);
     }
 
--- a/crates/lentilhook/src/daemon/departure.rs
+++ b/crates/lentilhook/src/daemon/departure.rs
@@ -17,6 +17,7 @@
 use crate::daemon::lifecycle::drain::Event;
 use crate::daemon::lifecycle::drain::State;
 use crate::daemon::metrics;
+use crate::daemon::placement::Placement;
 use crate::daemon::shards::Shards;
 
 /// Time between saying that the daemon is not ready and taking no more
@@ -48,6 +49,8 @@
     pub shards: Actor<Shards>,
     /// Tells the other daemons.
     pub fleet: Actor<Fleet>,
+    /// Gives the placement lease up.
+    pub placement: Actor<Placement>,
 }
 
 impl Departures {
@@ -101,6 +104,11 @@
     }
 
     fn release(&mut self, cx: CX![]) {
+        let released: Ret<()> = ret_some_to!([cx], placement_released() as ());
+        call!([self.parts.placement], release(released));
+    }
+
+    fn placement_released(&mut self, cx: CX![]) {
         let released: Ret<()> = ret_some_to!([cx], released() as ());
         call!([self.parts.shards], release(released));
     }
--- a/crates/lentilhook/src/daemon/mod.rs
+++ b/crates/lentilhook/src/daemon/mod.rs
@@ -8,6 +8,7 @@
 pub mod lifecycle;
 mod metrics;
 mod operators;
+mod placement;
 mod runtime;
 mod shards;
 mod worker;
@@ -60,10 +61,15 @@
 use self::lifecycle::Charts;
 use self::operators::Operation;
 use self::operators::Query;
+use self::placement::Placement;
 use self::runtime::Runtime;
 use self::shards::Shards;
 use self::worker::Worker;
 
+/// Threads for the platform calls of all actors but placement.
+const PLATFORM_THREADS: usize = 4;
+/// Threads for placement.
+const PLACEMENT_THREADS: usize = 2;
 /// Time for the last answers to reach their callers after a drain.
 const DRAIN_LINGER: Duration = Duration::from_millis(300);
 
@@ -112,6 +118,7 @@
     configuration: ActorOwn<Configuration>,
     fleet: ActorOwn<Fleet>,
     departures: ActorOwn<Departures>,
+    placement: ActorOwn<Placement>,
 }
 
 /// Runs a daemon until it has drained.
@@ -132,6 +139,7 @@
         configuration: actor_new!(stakker, Configuration, ret_nop!()),
         fleet: actor_new!(stakker, Fleet, ret_nop!()),
         departures: actor_new!(stakker, Departures, ret_nop!()),
+        placement: actor_new!(stakker, Placement, ret_nop!()),
     };
     let transport = Transport::start(&settings.listen.peers, secret, peer_sink(stakker, &actors))
         .context(PeersSnafu)?;
@@ -142,6 +150,7 @@
         dispatch: actors.dispatch.clone(),
         shards: actors.shards.clone(),
         fleet: actors.fleet.clone(),
+        placement: actors.placement.clone(),
     };
     let chart = charts.drain.clone();
     call!([actors.departures], Departures::init(chart, readiness.clone(), parts));
@@ -217,7 +226,9 @@
 ) {
     let client = Client::new(&settings.platform.address, settings.platform_timeout())
         .observed(metrics::platform_called);
-    let worker = Worker::start(&client);
+    let worker = Worker::start(&client, PLATFORM_THREADS);
+    // Endpoints that don't answer must not hold up the ledger's commits.
+    let placement_worker = Worker::start(&client, PLACEMENT_THREADS);
     let dispatch = actors.dispatch.clone();
     let shards = actors.shards.clone();
     let fleet = actors.fleet.clone();
@@ -233,9 +244,12 @@
             readiness.clone(),
             worker.clone(),
             dispatch.clone(),
-            fleet.clone()
+            fleet.clone(),
+            actors.placement.clone()
         )
     );
+    let placement = actors.placement.clone();
+    call!([placement], Placement::init(me.clone(), placement_worker, fleet.clone()));
     let links = Links { dispatch, configuration, departures: departures.clone() };
     call!([fleet], Fleet::init(me.clone(), charts.vm, transport.clone(), worker, links));
 }
--- a/crates/lentilhook/src/daemon/worker.rs
+++ b/crates/lentilhook/src/daemon/worker.rs
@@ -9,9 +9,6 @@
 
 use platform::client::Client;
 
-/// Number of threads.
-const THREADS: usize = 4;
-
 /// A call to carry out; it tells its result itself.
 type Task = Box<dyn FnOnce(&Client) + Send>;
 
@@ -22,11 +19,11 @@
 }
 
 impl Worker {
-    /// Starts the threads.
-    pub fn start(client: &Client) -> Worker {
+    /// Starts so many threads.
+    pub fn start(client: &Client, threads: usize) -> Worker {
         let (tasks, received) = channel();
         let received = Arc::new(Mutex::new(received));
-        for _ in 0..THREADS {
+        for _ in 0..threads {
             let received = Arc::clone(&received);
             let client = client.clone();
             thread::spawn(move || run(&received, &client));
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -2,6 +2,7 @@
 //!
 //! Paths: `GET /table/row?key=`, `GET /table/scan?prefix=&after=&limit=`,
 //! `POST /table/commit`, `GET|PUT|DELETE /objects/NAME`, `GET /vms?since=`,
+//! `GET /offers`,
 //! `GET /notices?after=`, `POST /vms/start`, `POST /vms/stop`.
 
 use std::time::Duration;
@@ -21,6 +22,7 @@
 use crate::table::Transaction;
 use crate::vm::Cloud;
 use crate::vm::Notice;
+use crate::vm::Offer;
 use crate::vm::Page;
 use crate::vm::Start;
 use crate::vm::Vm;
@@ -157,6 +159,10 @@
         self.observe("notices", || self.get_json("/notices", &[("after", &after)]))
     }
 
+    fn offers(&self) -> Result<Vec<Offer>, Error> {
+        self.get_json("/offers", &[])
+    }
+
     fn start(&self, order: &Start) -> Result<Vm, Error> {
         self.post_json("/vms/start", order)
     }
--- a/crates/platform/src/vm.rs
+++ b/crates/platform/src/vm.rs
@@ -89,12 +89,27 @@
     pub reclaimable: bool,
 }
 
+/// A kind of VM that the platform offers.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Offer {
+    /// Availability zone.
+    pub zone: String,
+    /// Machine class.
+    pub class: String,
+    /// Whether the platform may reclaim it.
+    pub reclaimable: bool,
+    /// Price in currency units an hour.
+    pub price_per_hour: f64,
+}
+
 /// The cloud API and the VM list.
 pub trait Cloud: Send + Sync {
     /// Lists the VMs changed after `since`; 0 gives all.
     fn list(&self, since: u64) -> Result<Page, Error>;
     /// Lists the notices with a number larger than `after`.
     fn notices(&self, after: u64) -> Result<Vec<Notice>, Error>;
+    /// Lists what may be started; a start may still be refused.
+    fn offers(&self) -> Result<Vec<Offer>, Error>;
     /// Starts a VM.
     fn start(&self, order: &Start) -> Result<Vm, Error>;
     /// Stops a VM.
--- a/crates/standins/src/platform/mod.rs
+++ b/crates/standins/src/platform/mod.rs
@@ -1,5 +1,6 @@
 //! Stand-in of the platform: table, object store, VM list with lag, notices.
 
+mod spares;
 mod vms;
 
 use std::sync::Arc;
@@ -8,10 +9,12 @@
 use std::thread;
 use std::time::Duration;
 
+use platform::client::Stop;
 use platform::memory::Memory;
 use platform::objects::Objects;
 use platform::table::Table;
 use platform::table::Transaction;
+use platform::vm::Start;
 use platform::vm::Vm;
 use serde::Deserialize;
 use serde::Serialize;
@@ -53,6 +56,7 @@
 struct Fake {
     memory: Memory,
     vms: vms::List,
+    spares: spares::Spares,
     switches: Switches,
     reads: AtomicU64,
     commits: AtomicU64,
@@ -101,8 +105,8 @@
         let path = request.path.as_str();
         match (request.method.as_str(), path) {
             ("POST", "/table/commit") => return self.commit(&request.body),
-            ("POST", "/vms/start") => return Err(Problem::not_run(503, "refused", "no capacity")),
-            ("POST", "/vms/stop") => return json(&()),
+            ("POST", "/vms/start") => return self.start_vm(&request.body),
+            ("POST", "/vms/stop") => return self.stop_vm(&request.body),
             _ => {}
         }
         if let Some(name) = path.strip_prefix("/objects/") {
@@ -117,11 +121,27 @@
                 json(&rows.map_err(broken)?)
             }
             "/vms" => json(&self.vms.page(number("since"))),
+            "/offers" => json(&self.spares.offers()),
             "/notices" => json(&self.vms.notices(number("after"))),
             _ => Err(Problem::not_run(404, "no such path", path)),
         }
     }
 
+    /// Starts a spare VM of the wanted kind, if there is one.
+    fn start_vm(&self, body: &[u8]) -> Result<Vec<u8>, Problem> {
+        let order: Start = parse(body)?;
+        let refused = || Problem::not_run(503, "refused", "no capacity of this kind");
+        let vm = self.spares.take(&order).ok_or_else(refused)?;
+        self.vms.add(vm.clone());
+        json(&vm)
+    }
+
+    fn stop_vm(&self, body: &[u8]) -> Result<Vec<u8>, Problem> {
+        let order: Stop = parse(body)?;
+        self.vms.leave(&order.vm, order.incarnation);
+        json(&())
+    }
+
     fn commit(&self, body: &[u8]) -> Result<Vec<u8>, Problem> {
         let transaction: Transaction = parse(body)?;
         self.commits.fetch_add(1, Ordering::Relaxed);
@@ -146,6 +166,8 @@
         match request.path.as_str() {
             "/fake/switches" => self.switches.set(parse::<Faults>(&request.body)?),
             "/fake/vm" => self.vms.add(parse::<Vm>(&request.body)?),
+            "/fake/spare" => self.spares.add(parse::<Vm>(&request.body)?),
+            "/fake/starts" => return json(&self.spares.starts()),
             "/fake/reclaim" => self.vms.reclaim(&parse::<Reclaim>(&request.body)?),
             "/fake/calls" => return json(&self.calls()),
             path => return Err(Problem::not_run(404, "no such path", path)),
--- a/crates/standins/src/platform/vms.rs
+++ b/crates/standins/src/platform/vms.rs
@@ -61,6 +61,13 @@
         }
     }
 
+    /// Shows a VM as leaving, after the lag, without a notice.
+    pub fn leave(&self, id: &str, incarnation: u64) {
+        if let Some(vm) = self.latest(id).filter(|vm| vm.incarnation == incarnation) {
+            self.add(Vm { state: State::Leaving, ..vm });
+        }
+    }
+
     /// What became visible after a revision. The revision counts changes.
     pub fn page(&self, since: u64) -> Page {
         let now = Instant::now();
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,6 +1,5 @@
-//! Tasks of the repository: `cargo xtask demo|generate|measure|replay|tidy|trace`.
+//! Tasks of the repository: `cargo xtask demo|measure|replay|tidy|trace`.
 
-mod generate;
 mod replay;
 mod tidy;
 
@@ -20,7 +19,6 @@
 #[argh(subcommand)]
 enum Command {
     Demo(Demo),
-    Generate(Generate),
     Measure(Measure),
     Scale(Scale),
     Replay(replay::Replay),
@@ -33,15 +31,6 @@
 #[argh(subcommand, name = "demo")]
 struct Demo {}
 
-/// generate code from schema files, or check that it is up to date
-#[derive(FromArgs)]
-#[argh(subcommand, name = "generate")]
-struct Generate {
-    /// change nothing; fail when the committed code differs
-    #[argh(switch)]
-    check: bool,
-}
-
 /// print the figures that the capacity page is made from; build with --release
 #[derive(FromArgs)]
 #[argh(subcommand, name = "measure")]
@@ -68,7 +57,6 @@
     let arguments: Arguments = argh::from_env();
     let result = match arguments.command {
         Command::Demo(_) => harness::demo::run().map_err(|it| it.to_string()),
-        Command::Generate(it) => generate::run(&root(), it.check),
         Command::Measure(_) => harness::measure::run().map_err(|it| it.to_string()),
         Command::Scale(it) => {
             harness::scale::run(&it.daemons, it.endpoints).map_err(|it| it.to_string())
