--- a/crates/harness/src/cluster.rs
+++ b/crates/harness/src/cluster.rs
@@ -2,6 +2,7 @@
 
 use std::fs;
 use std::io;
+use std::os::unix::fs::PermissionsExt;
 use std::path::PathBuf;
 use std::thread;
 use std::time::Duration;
@@ -67,6 +68,8 @@
     pub services: Vec<Endpoint>,
     /// Daemons.
     pub daemons: Vec<Daemon>,
+    /// How daemons that are started choose endpoints.
+    pub routing: String,
 }
 
 impl Cluster {
@@ -89,6 +92,7 @@
             engines: Vec::new(),
             services: Vec::new(),
             daemons: Vec::new(),
+            routing: "scored".to_owned(),
         })
     }
 
@@ -227,6 +231,7 @@
     fn write_settings(&self, name: &str, zone: &str) -> io::Result<PathBuf> {
         let secret = self.folder.path().join("peer-secret");
         fs::write(&secret, "peer secret of this run\n")?;
+        fs::set_permissions(&secret, fs::Permissions::from_mode(0o600))?;
         let settings = json!({
             "daemon": name,
             "zone": zone,
@@ -237,6 +242,7 @@
             },
             "platform": { "address": self.platform.address },
             "seeds": self.daemons.iter().map(|it| it.peers.as_str()).collect::<Vec<_>>(),
+            "routing": { "mode": self.routing },
             "access": {
                 "peer_secret_file": secret,
                 "operator_token_sha256": [token_sha256(OPERATOR_TOKEN)],
--- a/crates/lentilhook/src/daemon/catalog.rs
+++ b/crates/lentilhook/src/daemon/catalog.rs
@@ -43,6 +43,7 @@
 
 use crate::daemon::dispatch::Dispatch;
 use crate::daemon::fleet::Fleet;
+use crate::daemon::metrics;
 use crate::daemon::worker::Worker;
 
 /// Rows read by one scan.
@@ -188,6 +189,7 @@
         spdlog::info!("configured", kv: { revision = catalog.revision });
         call!([self.dispatch], configured(Rc::clone(catalog)));
         call!([self.fleet], configured(catalog.revision));
+        metrics::set_revision(catalog.revision);
     }
 
     fn tell(&mut self, ticket: Ticket, result: Result<u64, config::Error>) {
--- a/crates/lentilhook/src/daemon/dispatch/job.rs
+++ b/crates/lentilhook/src/daemon/dispatch/job.rs
@@ -1,6 +1,5 @@
 //! Jobs: calls that this daemon serves itself.
 
-use std::sync::mpsc::Sender;
 use std::time::Instant;
 
 use config::object::Service;
@@ -15,6 +14,10 @@
 use peer::transport::StreamId;
 use peer::transport::Transport;
 use peer::wire::Frame;
+use tokio::sync::mpsc::UnboundedSender;
+
+use crate::daemon::metrics;
+use crate::daemon::metrics::Timing;
 
 use crate::daemon::dispatch::recorded::Again;
 
@@ -40,6 +43,8 @@
     pub avoid: Vec<String>,
     /// When it was taken.
     pub opened: Instant,
+    /// Times of its tokens.
+    pub timing: Timing,
     /// Fencing number under which it may leave, when recorded in the ledger.
     pub fence: Option<u64>,
 }
@@ -84,7 +89,7 @@
         /// Arrival.
         id: ArrivalId,
         /// Where replies go.
-        replies: Sender<Reply>,
+        replies: UnboundedSender<Reply>,
     },
     /// Through the peer that sent the call on.
     Peer(StreamId),
@@ -105,6 +110,9 @@
     pub fn send(&self, transport: &Transport, reply: Reply) {
         match self {
             Way::Gateway { replies, .. } => {
+                if reply.is_last() {
+                    metrics::answered(&reply);
+                }
                 let _ = replies.send(reply);
             }
             Way::Again(again) => again.send(transport, reply),
