--- a/crates/lentilhook/src/settings/schema.rs
+++ b/crates/lentilhook/src/settings/schema.rs
@@ -28,6 +28,8 @@
     Listen,
     /// IP and port.
     Remote,
+    /// A list of IP and port.
+    Remotes,
     /// A whole number of a unit.
     Number { least: u64, most: u64, unit: &'static str },
     /// Path of a file.
@@ -55,6 +57,7 @@
     optional("limits.read_timeout_ms", number(100, 600_000, "milliseconds")),
     optional("limits.write_timeout_ms", number(100, 600_000, "milliseconds")),
     optional("routing.mode", Form::Word(MODES)),
+    optional("seeds", Form::Remotes),
     optional("log.format", Form::Word(&["text", "json"])),
     optional("log.level", Form::Word(LEVELS)),
 ];
@@ -79,6 +82,10 @@
             Form::Remote => {
                 Some("give IP and port, not a name and no port 0, such as \"10.0.0.9:9000\"".into())
             }
+            Form::Remotes if are_remotes(value) => None,
+            Form::Remotes => {
+                Some("give a list of IP and port, such as [\"10.0.0.5:8082\"]".to_owned())
+            }
             Form::Number { least, most, unit } => {
                 let fits = value.as_u64().is_some_and(|it| (least..=most).contains(&it));
                 let remedy = || format!("give a whole number of {unit} from {least} to {most}");
@@ -120,6 +127,14 @@
     (1..=NAME_LIMIT_BYTES).contains(&text.len()) && text.chars().all(allowed)
 }
 
+fn are_remotes(value: &Value) -> bool {
+    let is_remote = |it: &Value| {
+        let given = it.as_str().and_then(address);
+        given.is_some_and(|it| it.port() != 0)
+    };
+    value.as_array().is_some_and(|it| it.iter().all(is_remote))
+}
+
 fn are_sums(value: &Value) -> bool {
     let is_sum = |it: &Value| {
         let text = it.as_str().unwrap_or_default();
