Answer later on Prefer: respond-async

Cause: the interface was promised to callers and missing.

Ruled out: a body variant for the question (each match on bodies grows, and whether the call was recorded isn't known when asking).

Change: 202 with Location for a call with a key; GET .../jobs/KEY tells the state or the answer. The daemon that is asked looks in its own jobs, then asks the owner of the key and the owner of its shard by a frame of its own.

--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -15,6 +15,8 @@
 use web::answer::Stream;
 use web::answer::field;
 
+/// Time for a call that is answered later to be refused at once.
+const REFUSAL_WAIT: Duration = Duration::from_millis(100);
 /// Longest time without an event before a keep-alive comment is sent.
 const KEEP_ALIVE: Duration = Duration::from_secs(1);
 
@@ -75,6 +77,22 @@
     }
 }
 
+/// Says that the answer is to be looked up at `location`, unless the call is
+/// refused at once.
+pub async fn later(
+    replies: &mut UnboundedReceiver<Reply>,
+    mut responder: Responder,
+    location: &str,
+) -> io::Result<()> {
+    let first = timeout(REFUSAL_WAIT, next(replies, &mut responder)).await;
+    if let Ok(Ok(Reply::Problem(problem))) = first {
+        return responder.send_problem(&problem);
+    }
+    let body = json!({ "state": "running" }).to_string();
+    let fields = [field("Content-Type", "application/json"), field("Location", location)];
+    responder.send(202, &fields, body.as_bytes())
+}
+
 /// Next piece for a caller that has got nothing yet.
 async fn next(
     replies: &mut UnboundedReceiver<Reply>,
--- a/crates/gateway/src/arrival.rs
+++ b/crates/gateway/src/arrival.rs
@@ -41,6 +41,8 @@
         /// Index of the first token that the caller still wants.
         from_index: u32,
     },
+    /// The job that was started under the key.
+    Job,
     /// A call of a plain service.
     Plain {
         /// Method in upper case.
--- a/crates/gateway/src/parse.rs
+++ b/crates/gateway/src/parse.rs
@@ -4,17 +4,20 @@
 use serde::Deserialize;
 use serde_json::value::RawValue;
 use web::request::Request;
+use web::request::percent_decode;
 
 use crate::arrival::Content;
 
 /// Prefix of calls to a service by name.
-const SERVICES: &str = "/services/";
+pub const SERVICES: &str = "/services/";
 /// Path of completions, below a service or alone.
 const COMPLETIONS: &str = "/v1/chat/completions";
 /// Tokens generated when the caller names no limit.
 const DEFAULT_MAX_TOKENS: u32 = 256;
 /// Largest number of tokens that a caller may ask for.
 const MAX_TOKENS_LIMIT: u32 = 65_536;
+/// Path below a service under which jobs are looked up by key.
+pub const JOBS: &str = "/jobs/";
 /// Longest `Idempotency-Key`, in bytes.
 const KEY_LIMIT_BYTES: usize = 200;
 
@@ -27,13 +30,24 @@
     pub key: Option<String>,
     /// What is called.
     pub content: Content,
-    /// Whether the answer is to be streamed.
-    pub stream: bool,
+    /// How the answer is to be sent.
+    pub form: Form,
     /// Milliseconds that the caller will wait for a start (`Prefer: wait`), 0
     /// when not given.
     pub wait_ms: u64,
 }
 
+/// How an answer is to be sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Form {
+    /// Whole.
+    Whole,
+    /// As a stream of events.
+    Stream,
+    /// Later, as a job to look up.
+    Later,
+}
+
 #[derive(Deserialize)]
 struct Completion<'a> {
     #[serde(default)]
@@ -53,6 +67,23 @@
 
 /// Parses a request of a caller.
 pub fn parse(request: &Request) -> Result<Parsed, Problem> {
+    let mut parsed = parse_call(request)?;
+    if prefers_later(request) && parsed.content != Content::Job {
+        if parsed.key.is_none() {
+            let detail = "send an Idempotency-Key with Prefer: respond-async";
+            return Err(Problem::not_run(400, "key required", detail));
+        }
+        parsed.form = Form::Later;
+    }
+    Ok(parsed)
+}
+
+fn prefers_later(request: &Request) -> bool {
+    let preferences = request.field("prefer").unwrap_or_default();
+    preferences.split(',').any(|it| it.trim().eq_ignore_ascii_case("respond-async"))
+}
+
+fn parse_call(request: &Request) -> Result<Parsed, Problem> {
     let key = parse_key(request)?;
     if request.path == COMPLETIONS {
         return parse_chat(request, None, key);
@@ -68,6 +99,19 @@
     if path == COMPLETIONS {
         return parse_chat(request, Some(service), key);
     }
+    if let Some(key) = path.strip_prefix(JOBS)
+        && request.method == "GET"
+    {
+        let key = Some(check_key(&percent_decode(key))?);
+        let service = service.to_owned();
+        return Ok(Parsed {
+            service,
+            key,
+            content: Content::Job,
+            form: Form::Whole,
+            wait_ms: wait_ms(request),
+        });
+    }
     let content = Content::Plain {
         method: request.method.clone(),
         path: path.to_owned(),
@@ -79,18 +123,21 @@
         service: service.to_owned(),
         key,
         content,
-        stream: false,
+        form: Form::Whole,
         wait_ms: wait_ms(request),
     })
 }
 
 fn parse_key(request: &Request) -> Result<Option<String>, Problem> {
-    let Some(key) = request.field("idempotency-key") else { return Ok(None) };
+    request.field("idempotency-key").map(check_key).transpose()
+}
+
+fn check_key(key: &str) -> Result<String, Problem> {
     if key.is_empty() || key.len() > KEY_LIMIT_BYTES {
         let detail = format!("give an Idempotency-Key of 1 to {KEY_LIMIT_BYTES} bytes");
         return Err(Problem::not_run(400, "bad key", detail));
     }
-    Ok(Some(key.to_owned()))
+    Ok(key.to_owned())
 }
 
 /// A preference that can't be read is passed over, as RFC 7240 asks.
@@ -128,7 +175,8 @@
         from_index: parse_from_index(request)?,
     };
     let service = service.map_or(body.model, str::to_owned);
-    Ok(Parsed { service, key, content, stream: body.stream, wait_ms: wait_ms(request) })
+    let form = if body.stream { Form::Stream } else { Form::Whole };
+    Ok(Parsed { service, key, content, form, wait_ms: wait_ms(request) })
 }
 
 fn parse_from_index(request: &Request) -> Result<u32, Problem> {
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -18,6 +18,10 @@
 use crate::arrival::Arrival;
 use crate::arrival::ArrivalId;
 use crate::arrival::Event;
+use crate::parse::Form;
+use crate::parse::JOBS;
+use crate::parse::Parsed;
+use crate::parse::SERVICES;
 use crate::parse::parse;
 
 /// Takes the gateway's events; called on the server's thread.
@@ -85,6 +89,7 @@
         Ok(parsed) => parsed,
         Err(problem) => return responder.send_problem(&problem),
     };
+    let location = format!("{SERVICES}{}{JOBS}{}", parsed.service, request_key(&parsed));
     let (replies, mut received) = unbounded_channel();
     sink(Event::Arrived(Box::new(Arrival {
         id,
@@ -95,13 +100,23 @@
         wait_ms: parsed.wait_ms,
         replies,
     })));
-    let sent = if parsed.stream {
-        answer::stream(&mut received, responder).await
-    } else {
-        answer::whole(&mut received, responder).await
+    let sent = match parsed.form {
+        Form::Stream => answer::stream(&mut received, responder).await,
+        Form::Whole => answer::whole(&mut received, responder).await,
+        // A job with a key goes on when nobody waits for it.
+        Form::Later => return answer::later(&mut received, responder, &location).await,
     };
     if sent.is_err() {
         sink(Event::Gone(id));
     }
     sent
 }
+
+/// Key of a request as a part of a path.
+fn request_key(parsed: &Parsed) -> String {
+    let key = parsed.key.as_deref().unwrap_or_default();
+    let plain = |it: u8| it.is_ascii_alphanumeric() || b"-._~".contains(&it);
+    key.bytes()
+        .map(|it| if plain(it) { char::from(it).to_string() } else { format!("%{it:02X}") })
+        .collect()
+}
--- a/crates/harness/src/measure.rs
+++ b/crates/harness/src/measure/mod.rs
@@ -1,4 +1,7 @@
-//! Measurements of one daemon between callers and an engine on loopback.
+//! Measurements of daemons between callers and endpoints on loopback.
+
+mod control;
+mod requests;
 
 use std::fs;
 use std::io;
@@ -29,7 +32,19 @@
     for streams in [100, 1000] {
         load(&cluster, streams)?;
     }
-    Ok(())
+    drop(cluster);
+    requests::run()?;
+    control::idle()?;
+    control::changes()
+}
+
+/// Sum of a metric over all its labels.
+fn metric(operators: &str, name: &str) -> io::Result<f64> {
+    let called = ureq::get(format!("http://{operators}/metrics")).call();
+    let text = called.map_err(io::Error::other)?.body_mut().read_to_string();
+    let text = text.map_err(io::Error::other)?;
+    let lines = text.lines().filter(|it| it.starts_with(name));
+    Ok(lines.filter_map(|it| it.rsplit(' ').next()?.parse::<f64>().ok()).sum())
 }
 
 /// Time to the first token through the daemon and direct, by turns.
--- a/crates/harness/tests/operating/main.rs
+++ b/crates/harness/tests/operating/main.rs
@@ -1,6 +1,7 @@
 //! A deployment as an operator runs it: command line, metrics, logs, access.
 
 mod bad_input;
+mod later;
 mod peer_access;
 
 use std::collections::BTreeSet;
--- a/crates/job/src/call.rs
+++ b/crates/job/src/call.rs
@@ -70,7 +70,7 @@
     /// Name that identifies the call across resubmissions, when it has a key.
     pub fn identity(&self) -> Option<String> {
         let key = self.key.as_ref()?;
-        Some(format!("{}/{}/{key}", self.workspace, self.service))
+        Some(identity(&self.workspace, &self.service, key))
     }
 
     /// Whether it must not be executed twice.
@@ -78,3 +78,8 @@
         matches!(&self.body, Body::Plain(plain) if plain.repeat == Repeat::NonIdempotent)
     }
 }
+
+/// Name that identifies calls with a key across resubmissions.
+pub fn identity(workspace: &str, service: &str, key: &str) -> String {
+    format!("{workspace}/{service}/{key}")
+}
--- a/crates/lentilhook/src/daemon/dispatch/check.rs
+++ b/crates/lentilhook/src/daemon/dispatch/check.rs
@@ -4,6 +4,7 @@
 use config::object;
 use config::object::Kind;
 use config::object::Service;
+use config::object::Workspace;
 use gateway::arrival::Arrival;
 use gateway::arrival::Content;
 use job::call::Body;
@@ -23,14 +24,7 @@
 
 /// Checks who calls what; the problem names the remedy.
 pub fn check(catalog: &Catalog, arrival: &Arrival) -> Result<Checked, Problem> {
-    let Some(workspace) = catalog.workspace_of_token(&arrival.token) else {
-        let detail = "send the token of a workspace as bearer token";
-        return Err(Problem::not_run(401, "unknown workspace", detail));
-    };
-    let Some(service) = catalog.service(&arrival.service) else {
-        let detail = format!("there is no service {:?}; ask the operator", arrival.service);
-        return Err(Problem::not_run(404, "unknown service", detail));
-    };
+    let (workspace, service) = parties(catalog, arrival)?;
     let body = match (&arrival.content, service.kind) {
         (Content::Chat { messages, prompt, max_tokens, from_index }, Kind::Model) => {
             Body::Chat(Chat {
@@ -58,6 +52,7 @@
                 },
             })
         }
+        (Content::Job, _) => return Err(Problem::not_run(404, "no such path", "look it up")),
         (_, Kind::Model) => {
             let detail = "send completions to /v1/chat/completions below a model service";
             return Err(Problem::not_run(404, "no such path", detail));
@@ -77,3 +72,25 @@
     };
     Ok(Checked { call, service: service.clone() })
 }
+
+/// Identity of the job that an arrival asks for.
+pub fn job_identity(catalog: &Catalog, arrival: &Arrival) -> Result<String, Problem> {
+    let (workspace, service) = parties(catalog, arrival)?;
+    let key = arrival.key.as_deref().unwrap_or_default();
+    Ok(job::call::identity(&workspace.name, &service.name, key))
+}
+
+fn parties<'a>(
+    catalog: &'a Catalog,
+    arrival: &Arrival,
+) -> Result<(&'a Workspace, &'a Service), Problem> {
+    let Some(workspace) = catalog.workspace_of_token(&arrival.token) else {
+        let detail = "send the token of a workspace as bearer token";
+        return Err(Problem::not_run(401, "unknown workspace", detail));
+    };
+    let Some(service) = catalog.service(&arrival.service) else {
+        let detail = format!("there is no service {:?}; ask the operator", arrival.service);
+        return Err(Problem::not_run(404, "unknown service", detail));
+    };
+    Ok((workspace, service))
+}
--- a/crates/lentilhook/src/daemon/dispatch/mod.rs
+++ b/crates/lentilhook/src/daemon/dispatch/mod.rs
@@ -6,6 +6,7 @@
 mod handover;
 mod job;
 mod load;
+mod lookup;
 mod problems;
 mod recorded;
 mod relays;
@@ -26,6 +27,7 @@
 use endpoint::attempt::AttemptId;
 use gateway::arrival::Arrival;
 use gateway::arrival::ArrivalId;
+use gateway::arrival::Content;
 use ledger::message::Ticket;
 use membership::update::Role;
 use membership::update::State;
@@ -59,6 +61,7 @@
 use self::job::Way;
 use self::load::Answer;
 use self::load::Poller;
+use self::lookup::Lookup;
 use self::recorded::Again;
 use self::recorded::Words;
 use self::recorded::ledger_identity;
@@ -88,6 +91,7 @@
     by_identity: HashMap<String, JobId>,
     by_attempt: HashMap<AttemptId, JobId>,
     relays: HashMap<StreamId, Relay>,
+    lookups: HashMap<StreamId, Lookup>,
     handovers: HashMap<StreamId, Sent>,
     routing: Routing,
     admission: Admission,
@@ -142,6 +146,7 @@
             by_identity: HashMap::new(),
             by_attempt: HashMap::new(),
             relays: HashMap::new(),
+            lookups: HashMap::new(),
             handovers: HashMap::new(),
             routing: Routing::new(mode, cx.now()),
             admission: Admission::new(cx.now()),
@@ -177,6 +182,10 @@
 
     /// A caller's request arrived.
     pub fn arrived(&mut self, cx: CX![], arrival: Arrival) {
+        if arrival.content == Content::Job {
+            self.look_up(arrival);
+            return;
+        }
         let checked = check::check(&self.catalog, &arrival);
         let way = Way::Gateway { id: arrival.id, replies: arrival.replies };
         match checked {
@@ -198,7 +207,13 @@
             Event::Frame { stream, frame: Frame::Forward(forward) } => {
                 self.forwarded(cx, stream, *forward);
             }
+            Event::Frame { stream, frame: Frame::Look(identity) } => {
+                self.tell_job(&identity, Way::Peer(stream));
+            }
             Event::Frame { stream, frame: Frame::Reply(reply) } => {
+                if self.looked_up(stream, &reply) {
+                    return;
+                }
                 self.relayed(cx, stream, reply);
             }
             Event::Frame { stream, frame: Frame::Handover(handover) } => {
@@ -208,6 +223,11 @@
                 self.handover_taken(cx, stream);
             }
             Event::Frame { .. } => {}
+            Event::Finished { stream } | Event::Failed { stream, .. }
+                if self.lookups.contains_key(&stream) =>
+            {
+                self.lookup_ended(stream);
+            }
             Event::Finished { stream } => self.relay_ended(cx, stream, true),
             Event::Failed { stream, sent, .. } => {
                 self.handover_failed(cx, stream);
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -31,6 +31,8 @@
     Handover(Box<Handover>),
     /// The completion of the stream's handover was taken.
     HandoverTaken,
+    /// Asks what became of the job with this identity; opens a stream.
+    Look(String),
 }
 
 /// A completion whose daemon will end.
--- a/crates/web/src/request.rs
+++ b/crates/web/src/request.rs
@@ -92,7 +92,8 @@
     Problem::not_run(408, "body too slow", detail)
 }
 
-fn percent_decode(text: &str) -> String {
+/// Decodes the percent signs and plus signs of a part of a URL.
+pub fn percent_decode(text: &str) -> String {
     let bytes = text.as_bytes();
     let mut decoded = Vec::with_capacity(bytes.len());
     let mut at = 0;
