--- a/crates/lentilhook/src/daemon/dispatch/mod.rs
+++ b/crates/lentilhook/src/daemon/dispatch/mod.rs
@@ -128,11 +128,11 @@
     ) -> Option<Dispatch> {
         let forward = fwd_to!([cx], endpoint_event() as (Endpoint));
         let (events, guard) = Channel::new(cx, forward);
+        let again = fwd_to!([cx], ask_again() as (Again));
+        let (retries, retries_guard) = Channel::new(cx, again);
         let polled = fwd_to!([cx], polled() as (Answer));
         let (answers, poll_guard) = Channel::new(cx, polled);
         call!([cx], poll_turn());
-        let again = fwd_to!([cx], ask_again() as (Again));
-        let (retries, retries_guard) = Channel::new(cx, again);
         Some(Dispatch {
             me,
             transport,
--- a/crates/lentilhook/src/daemon/mod.rs
+++ b/crates/lentilhook/src/daemon/mod.rs
@@ -145,7 +145,7 @@
     };
     let chart = charts.drain.clone();
     call!([actors.departures], Departures::init(chart, readiness.clone(), parts));
-    start_actors(settings, charts, &actors, &me, &transport, &departures);
+    start_actors(settings, charts, &actors, &me, &transport, &readiness, &departures);
     let callers = gateway::server::start(
         &settings.listen.callers,
         limits(settings),
@@ -192,6 +192,7 @@
         incarnation: since_epoch.as_millis() as u64,
         zone: settings.zone.clone(),
         peer_address: transport.address.to_string(),
+        seeds: settings.seeds.clone(),
     }
 }
 
@@ -211,6 +212,7 @@
     actors: &Actors,
     me: &Identity,
     transport: &Transport,
+    readiness: &Readiness,
     departures: &Channel<Departure>,
 ) {
     let client = Client::new(&settings.platform.address, settings.platform_timeout())
@@ -226,7 +228,13 @@
     call!([dispatch], Dispatch::init(me.clone(), transport.clone(), shards, mode));
     call!(
         [configuration],
-        Configuration::init(seed, worker.clone(), dispatch.clone(), fleet.clone())
+        Configuration::init(
+            seed,
+            readiness.clone(),
+            worker.clone(),
+            dispatch.clone(),
+            fleet.clone()
+        )
     );
     let links = Links { dispatch, configuration, departures: departures.clone() };
     call!([fleet], Fleet::init(me.clone(), charts.vm, transport.clone(), worker, links));
@@ -249,7 +257,9 @@
 
 fn is_for_fleet(event: &Event) -> bool {
     let (stream, gossip) = match event {
-        Event::Frame { stream, frame } => (*stream, matches!(frame, Frame::Gossip(_))),
+        Event::Frame { stream, frame } => {
+            (*stream, matches!(frame, Frame::Gossip(_) | Frame::Config { .. }))
+        }
         Event::Finished { stream } | Event::Failed { stream, .. } => (*stream, false),
     };
     let StreamId(number) = stream;
