Build jobs, stand-ins' VMs and offers in one place each

Cause: duplicates named the same lines twice in handover.rs and mod.rs, in both starts of the stand-ins, and Offer in placement and platform.

Change: Job::new, register takes a Place, placement uses platform's Offer.

--- a/crates/lentilhook/src/daemon/dispatch/handover.rs
+++ b/crates/lentilhook/src/daemon/dispatch/handover.rs
@@ -28,7 +28,6 @@
 use crate::daemon::dispatch::job::Stage;
 use crate::daemon::dispatch::job::Way;
 use crate::daemon::dispatch::problems;
-use crate::daemon::metrics::Timing;
 
 /// Time before the reclaim at which callers are told to go elsewhere.
 const LAST_WORD: Duration = Duration::from_millis(800);
@@ -192,16 +191,9 @@
             copy: ? = handover.copy,
         });
         let job = Job {
-            call: handover.call,
-            service,
-            waiters: Vec::new(),
             progress: handover.progress,
             stage: handover.ended.map_or(Stage::Kept, Stage::Ended),
-            tries: 0,
-            avoid: Vec::new(),
-            opened: cx.now(),
-            timing: Timing::default(),
-            fence: None,
+            ..Job::new(handover.call, service, cx.now())
         };
         self.jobs.insert(id, job);
         self.by_identity.insert(identity, id);
--- a/crates/lentilhook/src/daemon/dispatch/job.rs
+++ b/crates/lentilhook/src/daemon/dispatch/job.rs
@@ -16,11 +16,10 @@
 use peer::wire::Frame;
 use tokio::sync::mpsc::UnboundedSender;
 
+use crate::daemon::dispatch::recorded::Again;
 use crate::daemon::metrics;
 use crate::daemon::metrics::Timing;
 
-use crate::daemon::dispatch::recorded::Again;
-
 /// Names a job on this daemon.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct JobId(pub u64);
@@ -49,6 +48,24 @@
     pub fence: Option<u64>,
 }
 
+impl Job {
+    /// A job that was just taken, without anyone who waits for it.
+    pub fn new(call: Call, service: Service, opened: Instant) -> Job {
+        Job {
+            call,
+            service,
+            waiters: Vec::new(),
+            progress: Progress::default(),
+            stage: Stage::Recording,
+            tries: 0,
+            avoid: Vec::new(),
+            opened,
+            timing: Timing::default(),
+            fence: None,
+        }
+    }
+}
+
 /// Where a job stands.
 pub enum Stage {
     /// Waits for the ledger, or for a place at an endpoint.
--- a/crates/lentilhook/src/daemon/dispatch/mod.rs
+++ b/crates/lentilhook/src/daemon/dispatch/mod.rs
@@ -20,7 +20,6 @@
 use ::job::call::Body;
 use ::job::call::Call;
 use ::job::problem::Problem;
-use ::job::progress::Progress;
 use ::job::reply::Reply;
 use config::catalog::Catalog;
 use config::object::Service;
@@ -49,7 +48,6 @@
 use stakker::sync::ChannelGuard;
 
 use crate::daemon::identity;
-use crate::daemon::metrics::Timing;
 use crate::daemon::shards::Shards;
 
 use self::admission::Admission;
@@ -343,18 +341,8 @@
             Body::Chat(chat) => chat.from_index,
             Body::Plain(_) => 0,
         };
-        let job = Job {
-            call,
-            service,
-            waiters: vec![Waiter { way, next_index }],
-            progress: Progress::default(),
-            stage: Stage::Recording,
-            tries: 0,
-            avoid: Vec::new(),
-            opened: cx.now(),
-            timing: Timing::default(),
-            fence: None,
-        };
+        let mut job = Job::new(call, service, cx.now());
+        job.waiters.push(Waiter { way, next_index });
         self.jobs.insert(id, job);
         if let Some(identity) = identity {
             self.by_identity.insert(identity, id);
--- a/crates/lentilhook/src/daemon/placement/round.rs
+++ b/crates/lentilhook/src/daemon/placement/round.rs
@@ -8,7 +8,6 @@
 use ::placement::lease::Seen;
 use ::placement::lease::Step;
 use ::placement::mix::Need;
-use ::placement::mix::Offer;
 use ::placement::plan;
 use ::placement::plan::Order;
 use ::placement::plan::View;
@@ -28,6 +27,7 @@
 use platform::table::Table;
 use platform::table::Transaction;
 use platform::vm::Cloud;
+use platform::vm::Offer;
 use platform::vm::Start;
 use stakker::CX;
 
@@ -114,7 +114,6 @@
                 load::ask(&vm.address, None).load.map(|load| (vm.id.clone(), load))
             });
             let loads = loads.collect();
-            let offers = offers.into_iter().map(from_platform).collect();
             answers.send(Answer::Gathered(Gathered { vms, offers, loads }));
         });
     }
@@ -230,12 +229,3 @@
 fn ordered(vm: &Vm) -> Ordered {
     Ordered { vm: vm.id.clone(), incarnation: vm.incarnation }
 }
-
-fn from_platform(offer: platform::vm::Offer) -> Offer {
-    Offer {
-        zone: offer.zone,
-        class: offer.class,
-        reclaimable: offer.reclaimable,
-        price_per_hour: offer.price_per_hour,
-    }
-}
--- a/crates/placement/src/mix.rs
+++ b/crates/placement/src/mix.rs
@@ -2,21 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use serde::Deserialize;
-use serde::Serialize;
-
-/// A kind of VM that the platform offers.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Offer {
-    /// Availability zone.
-    pub zone: String,
-    /// Machine class.
-    pub class: String,
-    /// Whether the platform may reclaim it.
-    pub reclaimable: bool,
-    /// Price in currency units an hour.
-    pub price_per_hour: f64,
-}
+use platform::vm::Offer;
 
 /// What is needed of a mix.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/placement/src/plan.rs
+++ b/crates/placement/src/plan.rs
@@ -3,9 +3,10 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use platform::vm::Offer;
+
 use crate::mix;
 use crate::mix::Need;
-use crate::mix::Offer;
 
 /// First pause of an offer after a refusal; it doubles with each further one.
 const FIRST_PAUSE: Duration = Duration::from_secs(5);
--- a/crates/standins/src/main.rs
+++ b/crates/standins/src/main.rs
@@ -160,43 +160,57 @@
         checks_fence: arguments.checks_fence,
     };
     let server = engine::start(&arguments.listen, shape).map_err(|it| it.to_string())?;
-    let vm = Vm {
-        id: arguments.vm.clone(),
+    let place = Place {
+        vm: &arguments.vm,
         incarnation: arguments.incarnation,
-        role: Role::Endpoint,
-        service: arguments.service.clone(),
-        zone: arguments.zone.clone(),
-        class: "accelerator".to_owned(),
-        address: server.address.to_string(),
+        service: &arguments.service,
+        zone: &arguments.zone,
+        class: "accelerator",
         price_per_hour: arguments.price,
-        reclaimable: true,
-        state: State::Live,
     };
-    register(arguments.platform.as_deref(), &vm)?;
+    register(arguments.platform.as_deref(), &server, &place)?;
     Ok(server)
 }
 
 fn start_service(arguments: &Service) -> Result<Server, String> {
     let started = standins::service::start(&arguments.listen, arguments.checks_fence);
     let server = started.map_err(|it| it.to_string())?;
-    let vm = Vm {
-        id: arguments.vm.clone(),
+    let place = Place {
+        vm: &arguments.vm,
         incarnation: arguments.incarnation,
-        role: Role::Endpoint,
-        service: arguments.service.clone(),
-        zone: arguments.zone.clone(),
-        class: "general".to_owned(),
-        address: server.address.to_string(),
+        service: &arguments.service,
+        zone: &arguments.zone,
+        class: "general",
         price_per_hour: arguments.price,
-        reclaimable: true,
-        state: State::Live,
     };
-    register(arguments.platform.as_deref(), &vm)?;
+    register(arguments.platform.as_deref(), &server, &place)?;
     Ok(server)
 }
 
-fn register(platform: Option<&str>, vm: &Vm) -> Result<(), String> {
+/// Where an endpoint stands in the platform's VM list.
+struct Place<'a> {
+    vm: &'a str,
+    incarnation: u64,
+    service: &'a str,
+    zone: &'a str,
+    class: &'a str,
+    price_per_hour: f64,
+}
+
+fn register(platform: Option<&str>, server: &Server, place: &Place<'_>) -> Result<(), String> {
     let Some(platform) = platform else { return Ok(()) };
+    let vm = Vm {
+        id: place.vm.to_owned(),
+        incarnation: place.incarnation,
+        role: Role::Endpoint,
+        service: place.service.to_owned(),
+        zone: place.zone.to_owned(),
+        class: place.class.to_owned(),
+        address: server.address.to_string(),
+        price_per_hour: place.price_per_hour,
+        reclaimable: true,
+        state: State::Live,
+    };
     let sent = ureq::post(format!("http://{platform}/fake/vm")).send_json(vm);
     sent.map(|_| ()).map_err(|it| format!("platform {platform} did not take the VM: {it}"))
 }
