--- a/crates/ledger/src/message.rs
+++ b/crates/ledger/src/message.rs
@@ -79,6 +79,16 @@
     Report(Error),
 }
 
+/// Calls of which this daemon knows that they were not run, and of which the
+/// ledger may say "unknown" all the same.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// The lease was lost while their intent was being written.
+    pub intents_lost: u64,
+    /// The lease was lost before the end of a call that was not run.
+    pub ends_lost: u64,
+}
+
 /// The decision on a call.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Verdict {
--- a/crates/ledger/src/shard/commit.rs
+++ b/crates/ledger/src/shard/commit.rs
@@ -140,6 +140,8 @@
 
     /// The shard has a newer holder. Nothing of the batch has left.
     fn lost(&mut self, batch: Vec<Pending>) -> Vec<Action> {
+        let intents = batch.iter().filter(|it| it.record.step == Step::Intent);
+        self.counts.intents_lost += intents.count() as u64;
         let waiting = batch.into_iter().chain(self.queue.take_intents());
         let tickets = waiting.filter_map(|it| it.ticket);
         let mut actions: Vec<Action> =
--- a/crates/ledger/src/shard/mod.rs
+++ b/crates/ledger/src/shard/mod.rs
@@ -13,6 +13,7 @@
 use crate::book::Book;
 use crate::book::Entry;
 use crate::message::Action;
+use crate::message::Counts;
 use crate::message::Input;
 use crate::message::Moment;
 use crate::message::Ticket;
@@ -52,6 +53,7 @@
     used_at: Option<Instant>,
     releasing: bool,
     compact_rows: u64,
+    counts: Counts,
 }
 
 #[derive(Clone, Debug)]
@@ -157,6 +159,7 @@
             used_at: None,
             releasing: false,
             compact_rows: COMPACT_ROWS,
+            counts: Counts::default(),
         }
     }
 
@@ -190,6 +193,11 @@
         matches!(self.lease, Lease::Held(_))
     }
 
+    /// Calls that may be called unknown though they were not run.
+    pub fn counts(&self) -> Counts {
+        self.counts
+    }
+
     /// Fencing number, when held.
     pub fn fence(&self) -> Option<u64> {
         match &self.lease {
@@ -281,8 +289,12 @@
     fn end(&mut self, now: Moment, identity: Identity, step: Step) -> Vec<Action> {
         self.used_at = Some(now.instant);
         self.running.remove(&identity);
-        // Without the lease the next holder counts the call as unknown.
-        if !self.is_held() || matches!(self.book.entry(&identity), Some(Entry::Done(_))) {
+        if !self.is_held() {
+            // The next holder counts the call as unknown.
+            self.counts.ends_lost += u64::from(step == Step::NotRun);
+            return Vec::new();
+        }
+        if matches!(self.book.entry(&identity), Some(Entry::Done(_))) {
             return Vec::new();
         }
         // Known here at once, so that a resubmission sees it before it is written.
--- a/crates/ledger/tests/interleavings/main.rs
+++ b/crates/ledger/tests/interleavings/main.rs
@@ -6,6 +6,7 @@
 
 use arbtest::arbtest;
 
+use world::Tally;
 use world::World;
 
 /// Seeds tried on every run; `LEDGER_SEEDS` sets another number.
@@ -17,6 +18,7 @@
 #[test]
 fn no_call_is_executed_twice_and_words_are_true() {
     let seeds = std::env::var("LEDGER_SEEDS").ok().and_then(|it| it.parse().ok());
+    let mut sum = Tally::default();
     for number in 1..=seeds.unwrap_or(SEEDS) {
         let seed = number << 32 | ENTROPY_BYTES;
         arbtest(|u| {
@@ -29,8 +31,12 @@
 
             world.check_words();
             world.check_progress(Duration::from_secs(30));
+            world.tally(&mut sum);
             Ok(())
         })
         .seed(seed);
     }
+    println!("{sum:?}");
+    let reached = [sum.granted, sum.executed, sum.unknown, sum.snapshots_loaded, sum.holders];
+    assert!(reached.iter().all(|it| *it as u64 >= SEEDS), "too little was reached: {sum:?}");
 }
--- a/crates/ledger/tests/interleavings/world.rs
+++ b/crates/ledger/tests/interleavings/world.rs
@@ -17,6 +17,8 @@
 use ledger::record::Identity;
 use ledger::record::ShardId;
 use ledger::record::Step;
+use ledger::record::decode_head;
+use ledger::record::head_key;
 use ledger::shard::Shard;
 use platform::memory::Memory;
 use platform::objects::Objects;
@@ -40,9 +42,29 @@
     flights: Vec<Flight>,
     calls: Vec<Call>,
     executed: HashMap<Identity, Vec<Ticket>>,
+    snapshots_loaded: usize,
     seed: u64,
 }
 
+/// Sums over runs.
+#[derive(Debug, Default)]
+pub struct Tally {
+    /// Calls that asked.
+    pub calls: usize,
+    /// Calls that were granted.
+    pub granted: usize,
+    /// Keys that were executed.
+    pub executed: usize,
+    /// Calls that were told "unknown".
+    pub unknown: usize,
+    /// Those of them whose key was never executed.
+    pub unknown_not_run: usize,
+    /// Snapshots that a holder read.
+    pub snapshots_loaded: usize,
+    /// Leases taken.
+    pub holders: usize,
+}
+
 struct Daemon {
     holder: Holder,
     shard: Shard,
@@ -92,6 +114,7 @@
             flights: Vec::new(),
             calls: Vec::new(),
             executed: HashMap::new(),
+            snapshots_loaded: 0,
             seed,
         }
     }
@@ -187,6 +210,23 @@
         }
     }
 
+    /// What happened, added up over runs.
+    pub fn tally(&self, sum: &mut Tally) {
+        let told = |wanted: fn(&Verdict) -> bool| {
+            self.calls.iter().filter(move |it| it.told.as_ref().is_some_and(wanted))
+        };
+        sum.calls += self.calls.len();
+        sum.granted += told(|it| matches!(it, Verdict::Granted { .. })).count();
+        sum.executed += self.executed.len();
+        sum.unknown += told(|it| *it == Verdict::Unknown).count();
+        sum.unknown_not_run += told(|it| *it == Verdict::Unknown)
+            .filter(|it| !self.executed.contains_key(&it.identity))
+            .count();
+        sum.snapshots_loaded += self.snapshots_loaded;
+        let head = self.memory.read(&head_key(ShardId(0))).unwrap();
+        sum.holders += decode_head(&head).unwrap().fence as usize;
+    }
+
     fn ask(&mut self, daemon: usize, identity: Identity) -> Ticket {
         let ticket = Ticket(self.calls.len() as u64);
         self.calls.push(Call {
@@ -204,6 +244,8 @@
     }
 
     fn input(&mut self, daemon: usize, input: Input) {
+        let is_snapshot = matches!(input, Input::SnapshotRead(Ok(Some(_))));
+        self.snapshots_loaded += usize::from(is_snapshot);
         let it = &mut self.daemons[daemon];
         if it.paused {
             it.inbox.push(input);
