--- a/crates/lentilhook/src/daemon/mod.rs
+++ b/crates/lentilhook/src/daemon/mod.rs
@@ -6,6 +6,7 @@
 mod fleet;
 mod identity;
 pub mod lifecycle;
+mod metrics;
 mod operators;
 mod runtime;
 mod shards;
@@ -50,6 +51,8 @@
 
 use self::catalog::Configuration;
 use self::departure::Departure;
+use self::departure::Departures;
+use self::departure::Parts;
 use self::dispatch::Dispatch;
 use self::fleet::Fleet;
 use self::fleet::Links;
@@ -61,9 +64,6 @@
 use self::shards::Shards;
 use self::worker::Worker;
 
-/// Time between saying that the daemon is not ready and taking no more
-/// requests, so that the balancer can notice.
-const DRAIN_NOTICE: Duration = Duration::from_millis(500);
 /// Time for the last answers to reach their callers after a drain.
 const DRAIN_LINGER: Duration = Duration::from_millis(300);
 
@@ -91,6 +91,12 @@
         /// Cause.
         source: peer::transport::Error,
     },
+    /// The metrics clash.
+    #[snafu(display("cannot count: {source}; report this as a fault"))]
+    Metrics {
+        /// Cause.
+        source: prometheus::Error,
+    },
     /// Signals can't be received.
     #[snafu(display("cannot receive signals: {source}; check the process limits"))]
     Signal {
@@ -105,6 +111,7 @@
     shards: ActorOwn<Shards>,
     configuration: ActorOwn<Configuration>,
     fleet: ActorOwn<Fleet>,
+    departures: ActorOwn<Departures>,
 }
 
 /// Runs a daemon until it has drained.
@@ -116,6 +123,7 @@
         lease = charts.lease.initial().name(),
         request = charts.request.initial().name(),
     });
+    metrics::init().context(MetricsSnafu)?;
     let mut runtime = Runtime::new();
     let stakker = &mut runtime.stakker;
     let actors = Actors {
@@ -123,13 +131,21 @@
         shards: actor_new!(stakker, Shards, ret_nop!()),
         configuration: actor_new!(stakker, Configuration, ret_nop!()),
         fleet: actor_new!(stakker, Fleet, ret_nop!()),
+        departures: actor_new!(stakker, Departures, ret_nop!()),
     };
     let transport = Transport::start(&settings.listen.peers, secret, peer_sink(stakker, &actors))
         .context(PeersSnafu)?;
     let me = identity(settings, &transport);
     let readiness = Readiness::default();
-    let departures = departure_channel(stakker, &actors, readiness.clone());
-    start_actors(settings, charts, &actors, &me, &transport, &departures);
+    let departures = departure_channel(stakker, &actors);
+    let parts = Parts {
+        dispatch: actors.dispatch.clone(),
+        shards: actors.shards.clone(),
+        fleet: actors.fleet.clone(),
+    };
+    let chart = charts.drain.clone();
+    call!([actors.departures], Departures::init(chart, readiness.clone(), parts));
+    start_actors(settings, charts, &actors, &me, &transport, &readiness, &departures);
     let callers = gateway::server::start(
         &settings.listen.callers,
         limits(settings),
@@ -137,6 +153,7 @@
         gateway_sink(stakker, &actors),
     )
     .context(ServerSnafu)?;
+    metrics::watch_open(callers.open_counter());
     let operators = operators::start(
         &settings.listen.operators,
         limits(settings),
@@ -145,7 +162,7 @@
     )
     .context(ServerSnafu)?;
     watch_signals(departures)?;
-    readiness.set(true);
+    call!([actors.departures], ready());
     println!(
         "ready daemon={} callers={} operators={} peers={}",
         settings.daemon, callers.address, operators.address, transport.address
@@ -163,6 +180,11 @@
     Ok(())
 }
 
+/// Checks the state charts that are built in.
+pub fn check_charts() -> Result<(), statechart::Error> {
+    lifecycle::load().map(|_| ())
+}
+
 fn identity(settings: &Settings, transport: &Transport) -> Identity {
     let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     Identity {
@@ -170,6 +192,7 @@
         incarnation: since_epoch.as_millis() as u64,
         zone: settings.zone.clone(),
         peer_address: transport.address.to_string(),
+        seeds: settings.seeds.clone(),
     }
 }
 
@@ -177,7 +200,9 @@
     Limits {
         body_bytes: settings.limits.body_bytes,
         open_requests: settings.limits.open_requests,
+        connections: settings.limits.connections,
         read_timeout: Duration::from_millis(settings.limits.read_timeout_ms),
+        write_timeout: Duration::from_millis(settings.limits.write_timeout_ms),
     }
 }
 
@@ -187,9 +212,11 @@
     actors: &Actors,
     me: &Identity,
     transport: &Transport,
+    readiness: &Readiness,
     departures: &Channel<Departure>,
 ) {
-    let client = Client::new(&settings.platform.address, settings.platform_timeout());
+    let client = Client::new(&settings.platform.address, settings.platform_timeout())
+        .observed(metrics::platform_called);
     let worker = Worker::start(&client);
     let dispatch = actors.dispatch.clone();
     let shards = actors.shards.clone();
@@ -201,7 +228,13 @@
     call!([dispatch], Dispatch::init(me.clone(), transport.clone(), shards, mode));
     call!(
         [configuration],
-        Configuration::init(seed, worker.clone(), dispatch.clone(), fleet.clone())
+        Configuration::init(
+            seed,
+            readiness.clone(),
+            worker.clone(),
+            dispatch.clone(),
+            fleet.clone()
+        )
     );
     let links = Links { dispatch, configuration, departures: departures.clone() };
     call!([fleet], Fleet::init(me.clone(), charts.vm, transport.clone(), worker, links));
@@ -224,7 +257,9 @@
 
 fn is_for_fleet(event: &Event) -> bool {
     let (stream, gossip) = match event {
-        Event::Frame { stream, frame } => (*stream, matches!(frame, Frame::Gossip(_))),
+        Event::Frame { stream, frame } => {
+            (*stream, matches!(frame, Frame::Gossip(_) | Frame::Config { .. }))
+        }
         Event::Finished { stream } | Event::Failed { stream, .. } => (*stream, false),
     };
     let StreamId(number) = stream;
@@ -252,6 +287,7 @@
     let configuration = actors.configuration.clone();
     let fleet = actors.fleet.clone();
     let dispatch = actors.dispatch.clone();
+    let shards = actors.shards.clone();
     let route = fwd_do!(move |query: Query| {
         let answers = query.answers;
         match query.operation {
@@ -278,6 +314,17 @@
                 });
                 call!([fleet], read(ret));
             }
+            Operation::ListLeases => {
+                let ret = ret_do!(move |leases: Option<Vec<generated::Lease>>| {
+                    let leases = leases.unwrap_or_default();
+                    let _ = answers.send(operators::encode(&generated::LeaseList { leases }));
+                });
+                call!([shards], read(ret));
+            }
+            Operation::SetLogLevel(level) => {
+                crate::log::set_level(level);
+                let _ = answers.send(operators::encode(&generated::SetLogLevelReply {}));
+            }
             Operation::Drain => {
                 let departures = departures.clone();
                 let ret = ret_do!(move |open: Option<usize>| {
@@ -303,30 +350,9 @@
 }
 
 /// A message on this channel makes the daemon leave.
-fn departure_channel(
-    stakker: &mut Stakker,
-    actors: &Actors,
-    readiness: Readiness,
-) -> Channel<Departure> {
-    let dispatch = actors.dispatch.clone();
-    let shards = actors.shards.clone();
-    let fleet = actors.fleet.clone();
-    let begin = fwd_do!(move |departure: Departure| {
-        spdlog::info!("departing", kv: { cause: ? = departure });
-        readiness.set(false);
-        call!([fleet], leave());
-        let shards = shards.clone();
-        let ret = ret_do!(move |done: Option<()>| {
-            if done.is_some() {
-                call!([shards], release_and_stop());
-            }
-        });
-        if let Departure::Reclaim(left) = departure {
-            call!([dispatch], reclaimed(left));
-        }
-        call!([dispatch], drain_after(DRAIN_NOTICE, ret));
-    });
-    let (channel, guard) = Channel::new(stakker, begin);
+fn departure_channel(stakker: &mut Stakker, actors: &Actors) -> Channel<Departure> {
+    let depart = fwd_to!([actors.departures], depart() as (Departure));
+    let (channel, guard) = Channel::new(stakker, depart);
     std::mem::forget(guard);
     channel
 }
--- a/crates/lentilhook/src/daemon/shards.rs
+++ b/crates/lentilhook/src/daemon/shards.rs
@@ -6,6 +6,7 @@
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
+use admin::generated::Lease;
 use ledger::message::Action;
 use ledger::message::Input;
 use ledger::message::Moment;
@@ -20,15 +21,17 @@
 use platform::table::Table;
 use stakker::Actor;
 use stakker::CX;
-use stakker::StopCause;
+use stakker::Ret;
 use stakker::after;
 use stakker::call;
 use stakker::fwd_to;
+use stakker::ret;
 use stakker::sync::Channel;
 use stakker::sync::ChannelGuard;
 
 use crate::daemon::dispatch::Dispatch;
 use crate::daemon::identity;
+use crate::daemon::metrics;
 use crate::daemon::worker::Worker;
 
 /// Time between two ticks of the shards that are in use.
@@ -91,24 +94,32 @@
         self.handle(cx, shard, Input::End(identity, step));
     }
 
-    /// Gives all leases up, then stops the runtime. A lease that can't be
-    /// given up in time lapses.
-    pub fn release_and_stop(&mut self, cx: CX![]) {
+    /// Gives all leases up and answers then. A lease that can't be given up in
+    /// time lapses.
+    pub fn release(&mut self, cx: CX![], ret: Ret<()>) {
         let ids: Vec<ShardId> = self.shards.keys().copied().collect();
         for id in ids {
             self.handle(cx, id, Input::Release);
         }
         let deadline = cx.now() + RELEASE_TIMEOUT;
-        self.stop_when_released(cx, deadline);
+        self.answer_when_released(cx, deadline, ret);
     }
 
-    fn stop_when_released(&mut self, cx: CX![], deadline: Instant) {
+    /// Gives the shards that this daemon has to do with.
+    pub fn read(&mut self, _cx: CX![], ret: Ret<Vec<Lease>>) {
+        let leases = self.shards.iter().map(|(id, it)| Lease { shard: id.0, held: it.is_held() });
+        let mut leases: Vec<Lease> = leases.collect();
+        leases.sort_by_key(|it| it.shard);
+        ret!([ret], leases);
+    }
+
+    fn answer_when_released(&mut self, cx: CX![], deadline: Instant, ret: Ret<()>) {
         let held = self.shards.values().any(Shard::is_held);
         if !held || cx.now() >= deadline {
-            cx.shutdown(StopCause::Stopped);
+            ret!([ret]);
             return;
         }
-        after!(RELEASE_POLL, [cx], stop_when_released(deadline));
+        after!(RELEASE_POLL, [cx], answer_when_released(deadline, ret));
     }
 
     fn answered(&mut self, cx: CX![], result: Answer) {
@@ -124,6 +135,7 @@
     }
 
     fn tick(&mut self, cx: CX![]) {
+        metrics::set_leases(self.shards.values().filter(|it| it.is_held()).count());
         let ids: Vec<ShardId> = self.shards.keys().copied().collect();
         for id in ids {
             self.handle(cx, id, Input::Tick);
--- a/crates/peer/src/stream.rs
+++ b/crates/peer/src/stream.rs
@@ -17,6 +17,7 @@
 use tokio::sync::mpsc::unbounded_channel;
 
 use crate::connection::Connections;
+use crate::traffic;
 use crate::transport::Event;
 use crate::transport::Sink;
 use crate::transport::StreamId;
@@ -85,7 +86,6 @@
     let request = Request::builder()
         .method("POST")
         .uri(format!("http://{peer}/"))
-        .header(http::header::AUTHORIZATION, connections.secret())
         .body(())
         .map_err(|it| it.to_string())?;
     sender.send_request(request, false).map_err(|it| it.to_string())
@@ -110,6 +110,7 @@
 ) -> Result<(), String> {
     while let Some(frame) = frames.recv().await {
         let bytes = wire::encode(&frame).map_err(|it| it.to_string())?;
+        traffic::count_sent(&frame, bytes.len());
         out.send_data(bytes, false).map_err(|it| it.to_string())?;
     }
     out.send_data(Bytes::new(), true).map_err(|it| it.to_string())
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -27,6 +27,12 @@
     Reply(Reply),
     /// What the sender knows of VMs; opens a stream.
     Gossip(Gossip),
+    /// A message between replicas of the configuration; opens a stream or
+    /// answers on one.
+    Config {
+        /// The message in JSON.
+        text: String,
+    },
     /// A completion whose daemon will end; opens a stream.
     Handover(Box<Handover>),
     /// The completion of the stream's handover was taken.
