--- a/crates/harness/src/lib.rs
+++ b/crates/harness/src/lib.rs
@@ -6,5 +6,6 @@
 pub mod cluster;
 pub mod demo;
 pub mod measure;
+pub mod measure_ledger;
 pub mod process;
 pub mod scale;
--- /dev/null
+++ b/crates/harness/src/measure_ledger.rs
@@ -0,0 +1,95 @@
+//! Writes of the ledger at several rates of calls.
+
+use std::io;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use standins::platform::Calls;
+
+use crate::caller;
+use crate::cluster;
+use crate::cluster::Cluster;
+
+/// Calls a second.
+const RATES: [u32; 3] = [10, 100, 1000];
+/// Length of a run, in seconds.
+const RUN_S: u32 = 8;
+/// Callers at a time.
+const CALLERS: u32 = 240;
+/// Stack of a caller's thread, in bytes.
+const STACK_BYTES: usize = 128 * 1024;
+
+/// A call as its caller saw it.
+struct Seen {
+    status: u16,
+    time: Duration,
+}
+
+/// Prints commits a second beside the two rows of a ledger with a row for
+/// each intent and each outcome.
+pub fn run() -> io::Result<()> {
+    let mut cluster = Cluster::start()?;
+    cluster.add_service("registry-1", &[])?;
+    for (name, zone) in [("entry-1", "tema-a"), ("entry-2", "kpone"), ("entry-3", "spintex")] {
+        cluster.add_daemon(name, zone)?;
+    }
+    cluster.configure()?;
+    println!("offered/s  answered/s  refused  p50_ms  p95_ms  commits/s  row_a_step_commits/s");
+    for rate in RATES {
+        load(&cluster, rate)?;
+    }
+    Ok(())
+}
+
+fn load(cluster: &Cluster, rate: u32) -> io::Result<()> {
+    let addresses: Vec<String> = cluster.daemons.iter().map(|it| it.callers.clone()).collect();
+    let before: Calls = cluster::get(&cluster.platform.address, "/fake/calls")?;
+    let start = Instant::now();
+    let next = AtomicU32::new(0);
+    let mut seen = thread::scope(|scope| {
+        let run = || call_in_turn(&addresses, rate, start, &next);
+        let callers: Vec<_> = (0..CALLERS.min(rate * RUN_S))
+            .map(|_| thread::Builder::new().stack_size(STACK_BYTES).spawn_scoped(scope, run))
+            .collect::<io::Result<_>>()?;
+        let joined = callers.into_iter().map(|it| it.join().unwrap_or_default());
+        Ok::<Vec<Seen>, io::Error>(joined.flatten().collect())
+    })?;
+    let after: Calls = cluster::get(&cluster.platform.address, "/fake/calls")?;
+    let seconds = start.elapsed().as_secs_f64();
+    let answered = seen.iter().filter(|it| it.status == 200).count();
+    seen.sort_by_key(|it| it.time);
+    let at = |share: usize| {
+        seen.get(seen.len() * share / 100).map_or(0.0, |it| it.time.as_secs_f64() * 1000.0)
+    };
+    println!(
+        "{rate:9}  {:10.1}  {:7}  {:6.1}  {:6.1}  {:9.1}  {:20.1}",
+        answered as f64 / seconds,
+        seen.len() - answered,
+        at(50),
+        at(95),
+        (after.commits - before.commits) as f64 / seconds,
+        2.0 * answered as f64 / seconds,
+    );
+    Ok(())
+}
+
+/// Takes the next call when it is due, until the run is over.
+fn call_in_turn(addresses: &[String], rate: u32, start: Instant, next: &AtomicU32) -> Vec<Seen> {
+    let mut seen = Vec::new();
+    loop {
+        let number = next.fetch_add(1, Ordering::Relaxed);
+        if number >= rate * RUN_S {
+            return seen;
+        }
+        let due = start + Duration::from_secs(1) * number / rate;
+        thread::sleep(due.saturating_duration_since(Instant::now()));
+        let address = &addresses[number as usize % addresses.len()];
+        let begun = Instant::now();
+        let answer = caller::renew(address, &format!("{rate}-{number}"), "licence");
+        let status = answer.map_or(0, |it| it.status);
+        seen.push(Seen { status, time: begun.elapsed() });
+    }
+}
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -21,6 +21,7 @@
     Demo(Demo),
     Generate(Generate),
     Measure(Measure),
+    MeasureLedger(MeasureLedger),
     Scale(Scale),
     Tidy(Tidy),
 }
@@ -56,6 +57,11 @@
     endpoints: usize,
 }
 
+/// print the ledger's writes at several rates of calls; build with --release
+#[derive(FromArgs)]
+#[argh(subcommand, name = "measure-ledger")]
+struct MeasureLedger {}
+
 /// check the house rules that formatter and linter do not know
 #[derive(FromArgs)]
 #[argh(subcommand, name = "tidy")]
@@ -70,6 +76,7 @@
         Command::Scale(it) => {
             harness::scale::run(&it.daemons, it.endpoints).map_err(|it| it.to_string())
         }
+        Command::MeasureLedger(_) => harness::measure_ledger::run().map_err(|it| it.to_string()),
         Command::Tidy(_) => tidy::run(&root()),
     };
     match result {
