--- a/crates/harness/src/cluster.rs
+++ b/crates/harness/src/cluster.rs
@@ -68,6 +68,8 @@
     pub services: Vec<Endpoint>,
     /// Daemons.
     pub daemons: Vec<Daemon>,
+    /// How daemons that are started choose endpoints.
+    pub routing: String,
 }
 
 impl Cluster {
@@ -90,6 +92,7 @@
             engines: Vec::new(),
             services: Vec::new(),
             daemons: Vec::new(),
+            routing: "scored".to_owned(),
         })
     }
 
@@ -239,6 +242,7 @@
             },
             "platform": { "address": self.platform.address },
             "seeds": self.daemons.iter().map(|it| it.peers.as_str()).collect::<Vec<_>>(),
+            "routing": { "mode": self.routing },
             "access": {
                 "peer_secret_file": secret,
                 "operator_token_sha256": [token_sha256(OPERATOR_TOKEN)],
