Keep answers byte by byte, refuse a key used for another request

Cause, found by reading: the ledger kept answers through from_utf8_lossy, so that who asked again got another body than the first caller when it was no UTF-8; bodies of up to 16 MiB went into rows; and a key sent again with another body through another daemon got the answer to the first body.

Change: text or Base64, up to 64 KiB; above that who asks again is told that the call was executed (410).

The test now prints leases and routes when it fails.

--- a/crates/harness/tests/at_most_once/bench.rs
+++ b/crates/harness/tests/at_most_once/bench.rs
@@ -144,11 +144,12 @@
             Word::NotRun => executed == 0 || words.iter().all(|it| *it != Word::NotRun),
             _ => executed <= 1,
         };
-        assert!(
-            told.iter().chain(&words).all(fits),
-            "{key}: {told:?}, {words:?}, {executed} times"
-        );
-        assert!(words.iter().all(|it| expected.contains(it)), "{key}: {words:?}");
+        let is_true = told.iter().chain(&words).all(fits);
+        let is_expected = words.iter().all(|it| expected.contains(it));
+        if !is_true || !is_expected {
+            let logs = self.logs();
+            panic!("{key}: {told:?}, {words:?}, {executed} times, not {expected:?}\n{logs}");
+        }
         Ok(())
     }
 
@@ -235,6 +236,18 @@
         cluster::wait_for("the execution", || self.record().is_ok_and(|it| it.len() >= count))
     }
 
+    /// What the daemons logged about leases and calls.
+    fn logs(&self) -> String {
+        let told = ["lease", "forwarded", "attempt failed", "owner lost", "given back", "routed"];
+        let mut text = String::new();
+        for daemon in &self.cluster.daemons {
+            let log = std::fs::read_to_string(&daemon.process.log).unwrap_or_default();
+            let lines = log.lines().filter(|line| told.iter().any(|it| line.contains(it)));
+            lines.for_each(|line| text.push_str(&format!("{} {line}\n", daemon.name)));
+        }
+        text
+    }
+
     fn record(&self) -> io::Result<Vec<Execution>> {
         cluster::get(&self.cluster.services[0].address, "/fake/record")
     }
--- a/crates/ledger/src/book.rs
+++ b/crates/ledger/src/book.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 
 use crate::record::Answer;
+use crate::record::Claim;
 use crate::record::Identity;
 use crate::record::RETENTION_S;
 use crate::record::Record;
@@ -29,6 +30,7 @@
 struct Dated {
     entry: Entry,
     wall_s: u64,
+    request: u64,
 }
 
 impl Book {
@@ -54,7 +56,10 @@
                 return;
             }
         };
-        let dated = Dated { entry, wall_s: record.wall_s };
+        // An outcome belongs to what the intent asked for.
+        let intended = self.entries.get(&record.identity).map_or(0, |it| it.request);
+        let request = if record.request == 0 { intended } else { record.request };
+        let dated = Dated { entry, wall_s: record.wall_s, request };
         self.entries.insert(record.identity.clone(), dated);
     }
 
@@ -63,6 +68,11 @@
         self.entries.get(identity).map(|it| &it.entry)
     }
 
+    /// Whether a call is known by another request.
+    pub fn differs(&self, claim: &Claim) -> bool {
+        self.entries.get(&claim.identity).is_some_and(|it| it.request != claim.request)
+    }
+
     /// Forgets calls that ended longer ago than the retention.
     pub fn expire(&mut self, wall_s: u64) {
         self.entries.retain(|_, it| {
@@ -84,5 +94,5 @@
         Entry::Done(answer) => Step::Done(answer.clone()),
         Entry::Unknown => Step::Unknown,
     };
-    Record { identity: identity.clone(), step, wall_s: dated.wall_s }
+    Record { identity: identity.clone(), step, wall_s: dated.wall_s, request: dated.request }
 }
--- a/crates/ledger/src/message.rs
+++ b/crates/ledger/src/message.rs
@@ -9,6 +9,7 @@
 
 use crate::Error;
 use crate::record::Answer;
+use crate::record::Claim;
 use crate::record::Holder;
 use crate::record::Identity;
 use crate::record::Step;
@@ -30,7 +31,7 @@
 #[derive(Clone, Debug)]
 pub enum Input {
     /// A call asks whether it may leave.
-    Begin(Ticket, Identity),
+    Begin(Ticket, Claim),
     /// A call that asked was turned away meanwhile and won't leave.
     Withdraw(Ticket),
     /// A call that was granted has ended.
@@ -104,6 +105,8 @@
     Done(Answer),
     /// It may have been executed before.
     Unknown,
+    /// The key belongs to another request.
+    Reused,
     /// Another daemon holds the shard.
     Elsewhere(Holder),
     /// It can't be recorded now; nothing left this daemon.
--- a/crates/ledger/src/record.rs
+++ b/crates/ledger/src/record.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use base64::Engine;
+use base64::prelude::BASE64_STANDARD;
 use job::reply::Whole;
 use platform::table::ABSENT;
 use platform::table::Row;
@@ -26,6 +28,8 @@
 pub const IDLE_AFTER: Duration = Duration::from_secs(30);
 /// Time for which a call that ended is remembered, in seconds.
 pub const RETENTION_S: u64 = 24 * 3600;
+/// Largest body of an answer that is kept for resubmissions, in bytes.
+pub const KEPT_BODY_BYTES: usize = 64 * 1024;
 /// Batch rows of a shard that are replaced by a snapshot.
 pub const COMPACT_ROWS: u64 = 256;
 
@@ -87,6 +91,9 @@
     /// When, in seconds since the epoch.
     #[serde(default)]
     pub wall_s: u64,
+    /// Fingerprint of what was asked, with an intent.
+    #[serde(default)]
+    pub request: u64,
 }
 
 /// A step in the life of a call.
@@ -110,8 +117,30 @@
     pub status: u16,
     /// Media type.
     pub media_type: String,
-    /// Body, when it was text.
-    pub body: String,
+    /// Body.
+    pub body: Body,
+}
+
+/// Body of an answer as kept.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Body {
+    /// Text.
+    Text(String),
+    /// Anything else, in Base64.
+    Base64(String),
+    /// Too large to be kept.
+    NotKept,
+}
+
+/// A call as it asks for permission.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Claim {
+    /// Call.
+    pub identity: Identity,
+    /// Fingerprint of what is asked, by which a key that is used again for
+    /// something else is found out.
+    pub request: u64,
 }
 
 impl Identity {
@@ -128,18 +157,25 @@
 
 impl From<&Whole> for Answer {
     fn from(whole: &Whole) -> Answer {
-        Answer {
-            status: whole.status,
-            media_type: whole.media_type.clone(),
-            body: String::from_utf8_lossy(&whole.body).into_owned(),
-        }
+        let body = match std::str::from_utf8(&whole.body) {
+            _ if whole.body.len() > KEPT_BODY_BYTES => Body::NotKept,
+            Ok(text) => Body::Text(text.to_owned()),
+            Err(_) => Body::Base64(BASE64_STANDARD.encode(&whole.body)),
+        };
+        Answer { status: whole.status, media_type: whole.media_type.clone(), body }
     }
 }
 
-impl From<Answer> for Whole {
-    fn from(answer: Answer) -> Whole {
-        let Answer { status, media_type, body } = answer;
-        Whole { status, media_type, body: body.into_bytes() }
+impl Answer {
+    /// The whole answer, when it was kept.
+    pub fn into_whole(self) -> Option<Whole> {
+        let Answer { status, media_type, body } = self;
+        let body = match body {
+            Body::Text(text) => text.into_bytes(),
+            Body::Base64(code) => BASE64_STANDARD.decode(code).ok()?,
+            Body::NotKept => return None,
+        };
+        Some(Whole { status, media_type, body })
     }
 }
 
--- a/crates/ledger/src/shard/acquire.rs
+++ b/crates/ledger/src/shard/acquire.rs
@@ -145,8 +145,8 @@
             wakes_at: None,
         }));
         self.used_at = Some(now.instant);
-        for (ticket, identity) in std::mem::take(&mut self.asking) {
-            actions.extend(self.decide(now, ticket, identity));
+        for (ticket, claim) in std::mem::take(&mut self.asking) {
+            actions.extend(self.decide(now, ticket, claim));
         }
         actions.extend(self.pump(now));
         actions
--- a/crates/ledger/src/shard/commit.rs
+++ b/crates/ledger/src/shard/commit.rs
@@ -14,6 +14,7 @@
 use crate::queue::Pending;
 use crate::record::Batch;
 use crate::record::COMMIT_PACE;
+use crate::record::Claim;
 use crate::record::Head;
 use crate::record::Holder;
 use crate::record::IDLE_AFTER;
@@ -129,7 +130,10 @@
             let tickets = waiting.into_iter().filter_map(|it| it.ticket);
             return tickets.map(|ticket| not_now(ticket, MOVE_RETRY_S)).collect();
         }
-        let again = waiting.into_iter().filter_map(|it| Some((it.ticket?, it.record.identity)));
+        let again = waiting.into_iter().filter_map(|it| {
+            let Record { identity, request, .. } = it.record;
+            Some((it.ticket?, Claim { identity, request }))
+        });
         self.asking.extend(again);
         if self.asking.is_empty() {
             return Vec::new();
--- a/crates/ledger/src/shard/mod.rs
+++ b/crates/ledger/src/shard/mod.rs
@@ -22,6 +22,7 @@
 use crate::queue::Pending;
 use crate::queue::Queue;
 use crate::record::COMPACT_ROWS;
+use crate::record::Claim;
 use crate::record::Head;
 use crate::record::Holder;
 use crate::record::Identity;
@@ -45,7 +46,7 @@
     me: Holder,
     next_token: u64,
     lease: Lease,
-    asking: Vec<(Ticket, Identity)>,
+    asking: Vec<(Ticket, Claim)>,
     queue: Queue,
     book: Book,
     /// Calls that were granted under this lease and have not ended.
@@ -172,7 +173,7 @@
     /// Takes an input and gives the actions to carry out, in order.
     pub fn handle(&mut self, now: Moment, input: Input) -> Vec<Action> {
         match input {
-            Input::Begin(ticket, identity) => self.begin(now, ticket, identity),
+            Input::Begin(ticket, claim) => self.begin(now, ticket, claim),
             Input::Withdraw(ticket) => self.withdraw(ticket),
             Input::End(identity, step) => self.end(now, identity, step),
             Input::HeadRead(result) => self.head_read(now, result),
@@ -206,7 +207,7 @@
         }
     }
 
-    fn begin(&mut self, now: Moment, ticket: Ticket, identity: Identity) -> Vec<Action> {
+    fn begin(&mut self, now: Moment, ticket: Ticket, claim: Claim) -> Vec<Action> {
         self.used_at = Some(now.instant);
         if self.releasing {
             return vec![not_now(ticket, MOVE_RETRY_S)];
@@ -216,13 +217,13 @@
         }
         match &self.lease {
             Lease::Held(_) => {
-                let mut actions = self.decide(now, ticket, identity);
+                let mut actions = self.decide(now, ticket, claim);
                 actions.extend(self.pump(now));
                 actions
             }
             Lease::Away { seen } => {
                 let seen = seen.clone();
-                self.asking.push((ticket, identity));
+                self.asking.push((ticket, claim));
                 self.lease = Lease::Looking { seen };
                 vec![Action::ReadHead(head_key(self.id))]
             }
@@ -230,24 +231,26 @@
                 vec![not_now(ticket, TABLE_RETRY_S)]
             }
             _ => {
-                self.asking.push((ticket, identity));
+                self.asking.push((ticket, claim));
                 Vec::new()
             }
         }
     }
 
     /// Decides on a call while the lease is held.
-    fn decide(&mut self, now: Moment, ticket: Ticket, identity: Identity) -> Vec<Action> {
-        let verdict = match self.book.entry(&identity) {
+    fn decide(&mut self, now: Moment, ticket: Ticket, claim: Claim) -> Vec<Action> {
+        let verdict = match self.book.entry(&claim.identity) {
+            Some(_) if self.book.differs(&claim) => Verdict::Reused,
             Some(Entry::Running) => Verdict::Running,
             Some(Entry::Done(answer)) => Verdict::Done(answer.clone()),
             Some(Entry::Unknown) => Verdict::Unknown,
-            None if self.is_intended(&identity) => Verdict::Running,
+            None if self.is_intended(&claim.identity) => Verdict::Running,
             None if self.is_unresolved() => {
                 return vec![not_now(ticket, TABLE_RETRY_S)];
             }
             None => {
-                let record = Record { identity, step: Step::Intent, wall_s: now.wall_s };
+                let Claim { identity, request } = claim;
+                let record = Record { identity, step: Step::Intent, wall_s: now.wall_s, request };
                 self.queue.push(record, Some(ticket));
                 return Vec::new();
             }
@@ -303,7 +306,7 @@
     }
 
     fn record(&mut self, now: Moment, identity: Identity, step: Step) {
-        let record = Record { identity, step, wall_s: now.wall_s };
+        let record = Record { identity, step, wall_s: now.wall_s, request: 0 };
         self.book.note(&record);
         self.queue.push(record, None);
     }
--- a/crates/ledger/tests/interleavings/world.rs
+++ b/crates/ledger/tests/interleavings/world.rs
@@ -13,6 +13,8 @@
 use ledger::message::Ticket;
 use ledger::message::Verdict;
 use ledger::record::Answer;
+use ledger::record::Body;
+use ledger::record::Claim;
 use ledger::record::Holder;
 use ledger::record::Identity;
 use ledger::record::ShardId;
@@ -239,7 +241,7 @@
             told: None,
             left: false,
         });
-        self.input(daemon, Input::Begin(ticket, identity));
+        self.input(daemon, Input::Begin(ticket, Claim { identity, request: 1 }));
         ticket
     }
 
@@ -498,5 +500,5 @@
 }
 
 fn answer(ticket: Ticket) -> Answer {
-    Answer { status: 200, media_type: String::new(), body: format!("{ticket:?}") }
+    Answer { status: 200, media_type: String::new(), body: Body::Text(format!("{ticket:?}")) }
 }
--- a/crates/ledger/tests/shard/main.rs
+++ b/crates/ledger/tests/shard/main.rs
@@ -4,11 +4,14 @@
 
 use std::time::Duration;
 
+use job::reply::Whole;
 use ledger::message::Input;
 use ledger::message::Ticket;
 use ledger::message::Verdict;
+use ledger::record::Answer;
 use ledger::record::COMMIT_PACE;
 use ledger::record::IDLE_AFTER;
+use ledger::record::KEPT_BODY_BYTES;
 use ledger::record::RETENTION_S;
 use ledger::record::batch_key;
 use ledger::record::head_key;
@@ -81,6 +84,41 @@
     check(RETENTION_S + 60, false);
 }
 
+#[test]
+fn a_key_belongs_to_its_first_request() {
+    let mut store = Store::default();
+    let mut first = store.shard("entry-1");
+    (0..9).for_each(|it| store.run_one(&mut first, it, &format!("key {it}")));
+    store.drive(&mut first, Input::Release);
+    let mut second = store.shard("entry-2");
+    let mut check = |ticket: u64, key: &str, request: u64, expected: fn(&Verdict) -> bool| {
+        let claim = store::claim(key, request);
+        store.drive(&mut second, Input::Begin(Ticket(ticket), claim));
+        let told = store.told(ticket);
+        assert!(told.as_ref().is_some_and(expected), "{key}, request {request}: {told:?}");
+    };
+
+    check(20, "key 0", 1, |it| matches!(it, Verdict::Done(_)));
+    check(21, "key 0", 2, |it| matches!(it, Verdict::Reused));
+    check(22, "key 8", 2, |it| matches!(it, Verdict::Reused));
+}
+
+#[test]
+fn answers_are_kept_byte_by_byte_up_to_a_size() {
+    let check = |body: Vec<u8>, kept: bool| {
+        let whole = Whole { status: 200, media_type: "a/b".to_owned(), body };
+        let row = serde_json::to_string(&Answer::from(&whole)).unwrap();
+        let again = serde_json::from_str::<Answer>(&row).unwrap().into_whole();
+        assert_eq!(again, kept.then_some(whole));
+    };
+
+    check(Vec::new(), true);
+    check("deposit \u{20b5} 5".as_bytes().to_vec(), true);
+    check(vec![0, 159, 146, 150, 255], true);
+    check(vec![b'x'; KEPT_BODY_BYTES], true);
+    check(vec![b'x'; KEPT_BODY_BYTES + 1], false);
+}
+
 #[test]
 fn a_busy_shard_commits_at_its_pace_and_a_lone_call_at_once() {
     let mut store = Store::default();
@@ -91,7 +129,8 @@
     let commits = store.commits;
 
     for ticket in 1..=1000 {
-        store.start(&mut shard, Input::Begin(Ticket(ticket), store::identity(&ticket.to_string())));
+        let claim = store::claim(&ticket.to_string(), 1);
+        store.start(&mut shard, Input::Begin(Ticket(ticket), claim));
         store.pass(Duration::from_millis(1));
         store.wake(&mut shard);
     }
--- a/crates/ledger/tests/shard/store.rs
+++ b/crates/ledger/tests/shard/store.rs
@@ -10,6 +10,8 @@
 use ledger::message::Ticket;
 use ledger::message::Verdict;
 use ledger::record::Answer;
+use ledger::record::Body;
+use ledger::record::Claim;
 use ledger::record::Head;
 use ledger::record::Holder;
 use ledger::record::Identity;
@@ -100,7 +102,12 @@
 
     /// Asks whether a call may leave.
     pub fn begin(&mut self, shard: &mut Shard, ticket: u64, key: &str) -> Option<Verdict> {
-        self.drive(shard, Input::Begin(Ticket(ticket), identity(key)));
+        self.drive(shard, Input::Begin(Ticket(ticket), claim(key, 1)));
+        self.told(ticket)
+    }
+
+    /// What a ticket was told.
+    pub fn told(&self, ticket: u64) -> Option<Verdict> {
         let told = self.told.iter().find(|(it, _)| *it == Ticket(ticket));
         told.map(|(_, verdict)| verdict.clone())
     }
@@ -109,8 +116,9 @@
     pub fn run_one(&mut self, shard: &mut Shard, ticket: u64, key: &str) {
         let told = self.begin(shard, ticket, key);
         assert!(matches!(told, Some(Verdict::Granted { .. })), "{told:?}");
-        let answer = Answer { status: 200, media_type: String::new(), body: key.to_owned() };
-        self.drive(shard, Input::End(identity(key), Step::Done(answer)));
+        let answer =
+            Answer { status: 200, media_type: String::new(), body: Body::Text(key.to_owned()) };
+        self.drive(shard, Input::End(Identity::of(key), Step::Done(answer)));
     }
 
     /// Time now.
@@ -184,7 +192,7 @@
     }
 }
 
-/// Identity of a key.
-pub fn identity(key: &str) -> Identity {
-    Identity::of(key)
+/// A call under a key.
+pub fn claim(key: &str, request: u64) -> Claim {
+    Claim { identity: Identity::of(key), request }
 }
--- a/crates/lentilhook/src/daemon/dispatch/mod.rs
+++ b/crates/lentilhook/src/daemon/dispatch/mod.rs
@@ -318,7 +318,7 @@
     fn serve(&mut self, cx: CX![], call: Call, service: Service, way: Way) {
         let id = JobId(self.take_number());
         let identity = call.identity();
-        let recorded = ledger_identity(&call);
+        let recorded = recorded::claim(&call);
         let next_index = match &call.body {
             Body::Chat(chat) => chat.from_index,
             Body::Plain(_) => 0,
@@ -340,8 +340,8 @@
             self.by_identity.insert(identity, id);
         }
         match recorded {
-            Some(identity) => {
-                call!([self.shards], begin(Ticket(id.0), identity));
+            Some(claim) => {
+                call!([self.shards], begin(Ticket(id.0), claim));
                 after!(RECORD_TIMEOUT, [cx], record_timed_out(id));
             }
             None => self.admit(cx, id),
--- a/crates/lentilhook/src/daemon/dispatch/problems.rs
+++ b/crates/lentilhook/src/daemon/dispatch/problems.rs
@@ -54,6 +54,13 @@
     Problem::new(502, "attempts failed", detail, Outcome::Failed).retry_after(CAPACITY_RETRY_S)
 }
 
+/// The call was executed before, and its answer was too large for the ledger.
+pub fn answer_not_kept() -> Problem {
+    let detail = "the call was executed once and answered, and the answer was too large to be \
+                  kept; ask the service for the result";
+    Problem::new(410, "answer not kept", detail, Outcome::Failed)
+}
+
 /// The key was used for another request.
 pub fn key_reused() -> Problem {
     let detail = "this Idempotency-Key belongs to another request; use a new key";
--- a/crates/lentilhook/src/daemon/dispatch/recorded.rs
+++ b/crates/lentilhook/src/daemon/dispatch/recorded.rs
@@ -4,18 +4,21 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use ::job::call::Body;
 use ::job::call::Call;
 use ::job::problem::Outcome;
 use ::job::reply::Reply;
 use config::object::Service;
 use ledger::message::Ticket;
 use ledger::message::Verdict;
+use ledger::record::Claim;
 use ledger::record::Identity;
 use ledger::record::Step;
 use stakker::CX;
 use stakker::after;
 use stakker::call;
 use stakker::sync::Channel;
+use xxhash_rust::xxh3::Xxh3;
 
 use crate::daemon::dispatch::Dispatch;
 use crate::daemon::dispatch::job::JobId;
@@ -87,7 +90,14 @@
                 job.fence = Some(fence);
                 self.attempt(cx, id);
             }
-            Verdict::Done(answer) => self.end(cx, id, Reply::Whole(answer.into())),
+            Verdict::Done(answer) => {
+                let reply = match answer.into_whole() {
+                    Some(whole) => Reply::Whole(whole),
+                    None => Reply::Problem(problems::answer_not_kept()),
+                };
+                self.end(cx, id, reply);
+            }
+            Verdict::Reused => self.end_unkept(id, Reply::Problem(problems::key_reused())),
             Verdict::Unknown => {
                 self.words.unknown_recorded += 1;
                 let problem = problems::unknown("an earlier holder of its record was lost");
@@ -172,6 +182,18 @@
     }
 }
 
+/// What the ledger is asked before a call leaves that must not be executed twice.
+pub(super) fn claim(call: &Call) -> Option<Claim> {
+    let identity = ledger_identity(call)?;
+    let Body::Plain(plain) = &call.body else { return None };
+    let mut hash = Xxh3::new();
+    for part in [plain.method.as_bytes(), plain.target.as_bytes(), &plain.body] {
+        hash.update(&(part.len() as u64).to_le_bytes());
+        hash.update(part);
+    }
+    Some(Claim { identity, request: hash.digest() })
+}
+
 /// Identity in the ledger of a call that must not be executed twice and can
 /// be recognized when it is sent again.
 pub(super) fn ledger_identity(call: &Call) -> Option<Identity> {
--- a/crates/lentilhook/src/daemon/shards.rs
+++ b/crates/lentilhook/src/daemon/shards.rs
@@ -11,6 +11,7 @@
 use ledger::message::Input;
 use ledger::message::Moment;
 use ledger::message::Ticket;
+use ledger::record::Claim;
 use ledger::record::Identity;
 use ledger::record::ShardId;
 use ledger::record::Step;
@@ -77,9 +78,9 @@
     }
 
     /// Asks whether a call may leave; the verdict goes to the dispatcher.
-    pub fn begin(&mut self, cx: CX![], ticket: Ticket, identity: Identity) {
-        let shard = identity.shard();
-        self.handle(cx, shard, Input::Begin(ticket, identity));
+    pub fn begin(&mut self, cx: CX![], ticket: Ticket, claim: Claim) {
+        let shard = claim.identity.shard();
+        self.handle(cx, shard, Input::Begin(ticket, claim));
     }
 
     /// Forgets a call that was turned away before the ledger decided.
