--- a/crates/harness/src/lib.rs
+++ b/crates/harness/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod deployment;
 pub mod measure;
 pub mod measure_ledger;
+pub mod placed;
 pub mod process;
 pub mod replays;
 pub mod scale;
