--- a/crates/endpoint/src/agent.rs
+++ b/crates/endpoint/src/agent.rs
@@ -1,7 +1,10 @@
 //! HTTP agents and the meaning of their errors.
 
 use std::io::ErrorKind;
+use std::net::SocketAddr;
+use std::net::TcpStream;
 use std::sync::OnceLock;
+use std::thread;
 use std::time::Duration;
 
 use ureq::Agent;
@@ -14,6 +17,13 @@
 /// Longest silence of an endpoint. Engines send keep-alive comments.
 pub const SILENCE_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Looks at whether an endpoint still listens.
+const LOOKS: u32 = 3;
+/// Time between two looks.
+const LOOK_INTERVAL: Duration = Duration::from_millis(30);
+/// Longest time of a look.
+const LOOK_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// Agent for calls that may be repeated; keeps connections.
 pub fn pooled() -> &'static Agent {
     static AGENT: OnceLock<Agent> = OnceLock::new();
@@ -51,6 +61,20 @@
     Failure::Broken(error.to_string())
 }
 
+/// Finds out whether a broken connection was the end of its endpoint.
+pub fn examine(address: &str, failure: Failure) -> Failure {
+    let Failure::Broken(detail) = failure else { return failure };
+    let Ok(address) = address.parse::<SocketAddr>() else { return Failure::Broken(detail) };
+    for _ in 0..LOOKS {
+        let connected = TcpStream::connect_timeout(&address, LOOK_TIMEOUT);
+        if connected.is_err_and(|it| it.kind() == ErrorKind::ConnectionRefused) {
+            return Failure::Died(detail);
+        }
+        thread::sleep(LOOK_INTERVAL);
+    }
+    Failure::Broken(detail)
+}
+
 fn is_timeout(kind: ErrorKind) -> bool {
     matches!(kind, ErrorKind::TimedOut | ErrorKind::WouldBlock)
 }
--- a/crates/endpoint/src/attempt.rs
+++ b/crates/endpoint/src/attempt.rs
@@ -56,6 +56,9 @@
     Broken(String),
     /// Nothing came for too long after the call was sent.
     Silent(String),
+    /// The connection broke after the call was sent, and the endpoint no
+    /// longer listens.
+    Died(String),
 }
 
 /// Takes the events of an attempt; called on its thread.
--- a/crates/endpoint/src/chat.rs
+++ b/crates/endpoint/src/chat.rs
@@ -43,6 +43,8 @@
     pub resume_tokens: u32,
     /// Their text.
     pub resume_text: String,
+    /// Use a connection that was not used before.
+    pub fresh_connection: bool,
 }
 
 #[derive(Deserialize)]
@@ -76,7 +78,8 @@
 pub(crate) fn run(address: &str, order: &Order, cancel: &Cancel, emit: &dyn Fn(Event)) {
     match stream(address, order, cancel, emit) {
         Ok(usage) => emit(Event::Finished(usage)),
-        Err(failure) => emit(Event::Failed(failure)),
+        Err(failure) if cancel.is_cancelled() => emit(Event::Failed(failure)),
+        Err(failure) => emit(Event::Failed(agent::examine(address, failure))),
     }
     if cancel.is_cancelled() {
         // The stream was left before its end: the engine must not go on for nobody.
@@ -92,7 +95,11 @@
     emit: &dyn Fn(Event),
 ) -> Result<Usage, Failure> {
     let url = format!("http://{address}/v1/chat/completions");
-    let call = agent::pooled().post(url).header("x-request-id", &order.request);
+    let agent = match order.fresh_connection {
+        true => agent::single_use(agent::SILENCE_TIMEOUT),
+        false => agent::pooled().clone(),
+    };
+    let call = agent.post(url).header("x-request-id", &order.request);
     let sent = call.send_json(body(order)?);
     let response = sent.map_err(|it| agent::failure(&it))?;
     let status = response.status().as_u16();
--- a/crates/endpoint/src/lib.rs
+++ b/crates/endpoint/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod attempt;
 pub mod chat;
+pub mod kv;
 pub mod plain;
 pub mod sse;
 
--- a/crates/endpoint/src/plain.rs
+++ b/crates/endpoint/src/plain.rs
@@ -27,6 +27,8 @@
     pub key: Option<String>,
     /// Fencing number to send along.
     pub fence: Option<u64>,
+    /// Use a connection that was not used before.
+    pub fresh_connection: bool,
     /// Longest time to answer.
     pub timeout: Duration,
 }
@@ -35,7 +37,7 @@
 pub(crate) fn run(address: &str, order: &Order, emit: &dyn Fn(Event)) {
     match call(address, order) {
         Ok(whole) => emit(Event::Answered(whole)),
-        Err(failure) => emit(Event::Failed(failure)),
+        Err(failure) => emit(Event::Failed(agent::examine(address, failure))),
     }
 }
 
@@ -55,6 +57,9 @@
     }
     let request = builder.body(order.call.body.as_slice()).map_err(not_sent)?;
     let sent = match order.call.repeat {
+        Repeat::Idempotent if order.fresh_connection => {
+            agent::single_use(agent::SILENCE_TIMEOUT).run(request)
+        }
         Repeat::Idempotent => agent::pooled().run(request),
         Repeat::NonIdempotent => agent::single_use(order.timeout).run(request),
     };
--- a/crates/endpoint/tests/streams/main.rs
+++ b/crates/endpoint/tests/streams/main.rs
@@ -53,6 +53,7 @@
         priority: 0,
         resume_tokens: 0,
         resume_text: String::new(),
+        fresh_connection: false,
     };
     let tokens = RefCell::new(Vec::new());
     let emit = |event: Event| tokens.borrow_mut().push(event);
--- a/crates/harness/src/cluster.rs
+++ b/crates/harness/src/cluster.rs
@@ -91,6 +91,26 @@
         Ok(())
     }
 
+    /// Issues reclaim notices for endpoints.
+    pub fn reclaim(&self, vms: &[&str], notice: Duration) -> io::Result<()> {
+        let order = json!({ "vms": vms, "notice_ms": notice.as_millis() as u64 });
+        post(&self.platform.address, "/fake/reclaim", &order)
+    }
+
+    /// Kills model engines, as at the end of a notice or before it.
+    pub fn kill_engines(&mut self, vms: &[&str]) -> io::Result<()> {
+        for engine in self.engines.iter_mut().filter(|it| vms.contains(&it.vm.as_str())) {
+            engine.process.kill()?;
+        }
+        self.engines.retain(|it| !vms.contains(&it.vm.as_str()));
+        Ok(())
+    }
+
+    /// What all daemons have logged.
+    pub fn logs(&self) -> io::Result<String> {
+        self.daemons.iter().map(|it| fs::read_to_string(&it.process.log)).collect()
+    }
+
     /// Starts a plain service; `extra` arguments go to the stand-in.
     pub fn add_service(&mut self, vm: &str, extra: &[&str]) -> io::Result<()> {
         let endpoint = self.start_endpoint("service", vm, extra)?;
--- a/crates/harness/src/lib.rs
+++ b/crates/harness/src/lib.rs
@@ -4,5 +4,6 @@
 pub mod caller;
 pub mod cluster;
 pub mod demo;
+pub mod load;
 pub mod measure;
 pub mod process;
--- a/crates/job/src/lib.rs
+++ b/crates/job/src/lib.rs
@@ -6,4 +6,5 @@
 pub mod call;
 pub mod problem;
 pub mod progress;
+pub mod recompute;
 pub mod reply;
--- a/crates/lentilhook/src/daemon/dispatch/attempts.rs
+++ b/crates/lentilhook/src/daemon/dispatch/attempts.rs
@@ -18,7 +18,6 @@
 use endpoint::plain;
 use ledger::record::Answer;
 use ledger::record::Step;
-use membership::update::State;
 use policy::route;
 use policy::route::Candidate;
 use policy::route::Request;
@@ -33,6 +32,8 @@
 use crate::daemon::dispatch::job::Stage;
 use crate::daemon::dispatch::ledger_identity;
 use crate::daemon::dispatch::problems;
+use crate::daemon::dispatch::waiting::Waiting;
+use crate::daemon::identity::Identity;
 
 /// Most attempts at one job.
 const TRIES: u32 = 4;
@@ -44,16 +45,29 @@
 impl Dispatch {
     /// Starts the next attempt at a job, or ends it when there is none.
     pub(super) fn attempt(&mut self, cx: CX![], id: JobId) {
+        self.attempt_at(cx, id, None);
+    }
+
+    /// Starts the next attempt, at the preferred endpoint if there is one.
+    pub(super) fn attempt_at(&mut self, cx: CX![], id: JobId, preferred: Option<&str>) {
+        if self.refuse_suspect(cx, id) {
+            return;
+        }
         let Some(job) = self.jobs.get(&id) else { return };
-        let Some((endpoint, address)) = self.route(id, job) else {
-            self.give_up(cx, id);
+        let target = preferred.and_then(|it| self.endpoints.get(it));
+        let target = target.map(|it| (it.vm.id.clone(), it.vm.address.clone()));
+        let Some((endpoint, address)) = target.or_else(|| self.route(id, job)) else {
+            if self.wait(cx, id) == Waiting::GiveUp {
+                self.give_up(cx, id);
+            }
             return;
         };
         let attempt = AttemptId(self.take_number());
         let Some(job) = self.jobs.get_mut(&id) else { return };
         job.tries += 1;
         let number = job.progress.start_attempt();
-        let order = order(id, job);
+        let request = request(&self.me, id, job);
+        let order = order(request.clone(), job);
         let events = self.events.clone();
         let sink = move |attempt: AttemptId, event: Event| {
             events.send(Endpoint { attempt, event });
@@ -62,7 +76,8 @@
         if let Some(target) = self.endpoints.get_mut(&endpoint) {
             target.in_flight += 1;
         }
-        job.stage = Stage::Running(Running { attempt, number, endpoint, cancel });
+        job.stage =
+            Stage::Running(Running { attempt, number, endpoint, request, since: cx.now(), cancel });
         self.by_attempt.insert(attempt, id);
     }
 
@@ -101,13 +116,13 @@
     }
 
     fn route(&self, id: JobId, job: &Job) -> Option<(String, String)> {
-        if job.tries >= TRIES {
+        if job.failures >= TRIES {
             return None;
         }
         let usable = self
             .endpoints
             .values()
-            .filter(|it| it.vm.state == State::Live && it.vm.service == job.call.service);
+            .filter(|it| !self.is_reclaimed(&it.vm.id) && it.vm.service == job.call.service);
         let candidates: Vec<Candidate<'_>> = usable
             .map(|it| Candidate {
                 id: &it.vm.id,
@@ -136,6 +151,8 @@
         let Some(job) = self.jobs.get_mut(&id) else { return };
         match job.progress.take(number, index, text) {
             Taken::Next => {
+                job.accepted = true;
+                job.waiting_since = None;
                 let transport = &self.transport;
                 let progress = &job.progress;
                 job.waiters.iter_mut().for_each(|it| it.catch_up(transport, progress));
@@ -149,7 +166,12 @@
         let Some(job) = self.jobs.get(&id) else { return };
         match job.progress.finish(number, usage.completion_tokens) {
             End::Complete => {
+                let cached_tokens = usage.cached_tokens;
                 let usage = Usage { completion_tokens: job.progress.len(), ..usage };
+                if job.tries > 1 {
+                    let moved = job.moved;
+                    self.count_recomputed(id, moved, cached_tokens);
+                }
                 self.close_running(id);
                 self.end(cx, id, Reply::Finished(usage));
             }
@@ -162,7 +184,7 @@
     }
 
     /// Leaves the open attempt of a job, which can't be used further.
-    fn leave(&mut self, cx: CX![], id: JobId, failure: Failure) {
+    pub(super) fn leave(&mut self, cx: CX![], id: JobId, failure: Failure) {
         let Some(Job { stage: Stage::Running(running), .. }) = self.jobs.get(&id) else { return };
         running.cancel.cancel();
         self.close_running(id);
@@ -170,7 +192,7 @@
     }
 
     /// Stops hearing the open attempt of a job.
-    fn close_running(&mut self, id: JobId) {
+    pub(super) fn close_running(&mut self, id: JobId) {
         let Some(Job { stage: Stage::Running(running), .. }) = self.jobs.get(&id) else { return };
         let attempt = running.attempt;
         self.close(attempt);
@@ -182,7 +204,18 @@
     }
 
     fn failed(&mut self, cx: CX![], id: JobId, failure: Failure) {
+        let reclaimed = self.runs_on_reclaimed(id);
+        let started = !matches!(failure, Failure::NotSent(_) | Failure::Refused(_));
+        if !reclaimed && matches!(failure, Failure::Died(_)) {
+            self.count_death(cx, id);
+        }
         let Some(job) = self.jobs.get_mut(&id) else { return };
+        job.accepted |= started;
+        // What was lost in a reclaim, or never began at an endpoint, does not
+        // count against an accepted job.
+        if !reclaimed && (started || !job.accepted) {
+            job.failures += 1;
+        }
         if let Stage::Running(running) = &job.stage {
             spdlog::warn!("attempt failed", kv: {
                 job = id.0,
@@ -192,7 +225,6 @@
             });
             job.avoid.push(running.endpoint.clone());
         }
-        let started = matches!(failure, Failure::Broken(_) | Failure::Silent(_));
         if started && job.call.is_non_idempotent() {
             self.record(id, Step::Unknown);
             let detail = match failure {
@@ -202,9 +234,21 @@
             self.end(cx, id, Reply::Problem(problems::unknown(detail)));
             return;
         }
+        if job.planned.is_some() {
+            // The plan says when and where it goes on.
+            job.stage = Stage::Waiting;
+            return;
+        }
         self.attempt(cx, id);
     }
 
+    fn runs_on_reclaimed(&self, id: JobId) -> bool {
+        let Some(Job { stage: Stage::Running(running), .. }) = self.jobs.get(&id) else {
+            return false;
+        };
+        self.is_reclaimed(&running.endpoint)
+    }
+
     /// No endpoint is left to try.
     fn give_up(&mut self, cx: CX![], id: JobId) {
         let Some(job) = self.jobs.get(&id) else { return };
@@ -219,7 +263,7 @@
         self.end(cx, id, Reply::Problem(problem));
     }
 
-    fn record(&self, id: JobId, step: Step) {
+    pub(super) fn record(&self, id: JobId, step: Step) {
         let Some(job) = self.jobs.get(&id) else { return };
         if let Some(identity) = ledger_identity(&job.call)
             && job.fence.is_some()
@@ -237,10 +281,16 @@
     }
 }
 
-fn order(id: JobId, job: &Job) -> Order {
+/// Names an attempt at its endpoint, where attempts of all daemons meet.
+fn request(me: &Identity, id: JobId, job: &Job) -> String {
+    format!("{}-{}-{}-{}", me.daemon, me.incarnation, id.0, job.tries)
+}
+
+fn order(request: String, job: &Job) -> Order {
     match &job.call.body {
         Body::Chat(chat) => Order::Chat(chat::Order {
-            request: format!("{}-{}-{}", job.call.workspace, id.0, job.tries),
+            request,
+            fresh_connection: job.tries > 1,
             messages: chat.messages.clone(),
             max_tokens: chat.max_tokens,
             priority: job.service.priority,
@@ -251,6 +301,7 @@
             call: call.clone(),
             key: job.call.key.clone(),
             fence: job.fence,
+            fresh_connection: job.tries > 1,
             timeout: PLAIN_TIMEOUT,
         }),
     }
--- a/crates/lentilhook/src/daemon/dispatch/job.rs
+++ b/crates/lentilhook/src/daemon/dispatch/job.rs
@@ -1,6 +1,7 @@
 //! Jobs: calls that this daemon serves itself.
 
 use std::sync::mpsc::Sender;
+use std::time::Instant;
 
 use config::object::Service;
 use endpoint::attempt::AttemptId;
@@ -9,12 +10,15 @@
 use job::call::Call;
 use job::progress::Attempt;
 use job::progress::Progress;
+use job::recompute::Recompute;
 use job::reply::Reply;
 use peer::transport::Command;
 use peer::transport::StreamId;
 use peer::transport::Transport;
 use peer::wire::Frame;
 
+use crate::daemon::dispatch::recovery::Planned;
+
 /// Names a job on this daemon.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct JobId(pub u64);
@@ -33,6 +37,18 @@
     pub stage: Stage,
     /// Attempts started.
     pub tries: u32,
+    /// Attempts that failed and count against the limit.
+    pub failures: u32,
+    /// Whether an endpoint has taken it up.
+    pub accepted: bool,
+    /// When it began to wait for an endpoint, until the next token.
+    pub waiting_since: Option<Instant>,
+    /// Planned change of endpoint.
+    pub planned: Option<Planned>,
+    /// Whether the KV cache was moved for the current attempt.
+    pub moved: bool,
+    /// What its recovery has cost.
+    pub recompute: Recompute,
     /// Endpoints where an attempt failed.
     pub avoid: Vec<String>,
     /// Fencing number under which it may leave, when recorded in the ledger.
@@ -45,6 +61,8 @@
     Recording,
     /// An attempt is open.
     Running(Running),
+    /// Accepted; waits for an endpoint.
+    Waiting,
     /// Ended; the last reply is kept for callers who ask again.
     Ended(Reply),
 }
@@ -57,6 +75,10 @@
     pub number: Attempt,
     /// Endpoint.
     pub endpoint: String,
+    /// Request identifier at the endpoint.
+    pub request: String,
+    /// When it started.
+    pub since: Instant,
     /// Ends it.
     pub cancel: Cancel,
 }
--- a/crates/lentilhook/src/daemon/dispatch/mod.rs
+++ b/crates/lentilhook/src/daemon/dispatch/mod.rs
@@ -2,9 +2,12 @@
 
 mod attempts;
 mod check;
+mod fingerprints;
 mod job;
 mod problems;
+pub mod recovery;
 mod relays;
+mod waiting;
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
@@ -15,6 +18,7 @@
 use ::job::call::Call;
 use ::job::problem::Problem;
 use ::job::progress::Progress;
+use ::job::recompute::Recompute;
 use ::job::reply::Reply;
 use config::catalog::Catalog;
 use config::object::Service;
@@ -33,6 +37,7 @@
 use peer::transport::Transport;
 use peer::wire::Forward;
 use peer::wire::Frame;
+use policy::suspects::Suspects;
 use stakker::Actor;
 use stakker::CX;
 use stakker::Ret;
@@ -51,6 +56,7 @@
 use self::job::Stage;
 use self::job::Waiter;
 use self::job::Way;
+use self::recovery::Recovery;
 use self::relays::Relay;
 
 /// Longest wait for the ledger before a call is turned away.
@@ -76,6 +82,9 @@
     by_identity: HashMap<String, JobId>,
     by_attempt: HashMap<AttemptId, JobId>,
     relays: HashMap<StreamId, Relay>,
+    recovery: Recovery,
+    suspects: Suspects,
+    rounds_due: bool,
     next: u64,
     draining: bool,
 }
@@ -115,6 +124,9 @@
             by_identity: HashMap::new(),
             by_attempt: HashMap::new(),
             relays: HashMap::new(),
+            recovery: Recovery::new(cx),
+            suspects: Suspects::default(),
+            rounds_due: false,
             next: 4,
             draining: false,
         })
@@ -126,14 +138,15 @@
     }
 
     /// The state of a VM changed.
-    pub fn vm_changed(&mut self, _cx: CX![], vm: Vm) {
+    pub fn vm_changed(&mut self, cx: CX![], vm: Vm) {
         match vm.role {
             Role::Daemon => {
                 self.daemons.insert(vm.id.clone(), vm);
             }
             Role::Endpoint => {
                 let in_flight = self.endpoints.get(&vm.id).map_or(0, |it| it.in_flight);
-                self.endpoints.insert(vm.id.clone(), Target { vm, in_flight });
+                self.endpoints.insert(vm.id.clone(), Target { vm: vm.clone(), in_flight });
+                self.endpoint_leaves(cx, &vm);
             }
         }
     }
@@ -164,6 +177,9 @@
             Event::Frame { stream, frame: Frame::Reply(reply) } => {
                 self.relayed(cx, stream, reply);
             }
+            Event::Frame { stream, frame: Frame::Suspect(suspect) } => {
+                self.suspected(cx, stream, &suspect);
+            }
             Event::Frame { .. } => {}
             Event::Finished { stream } => self.relay_ended(cx, stream, true),
             Event::Failed { stream, sent, .. } => {
@@ -322,6 +338,12 @@
             progress: Progress::default(),
             stage: Stage::Recording,
             tries: 0,
+            failures: 0,
+            accepted: false,
+            waiting_since: None,
+            planned: None,
+            moved: false,
+            recompute: Recompute::default(),
             avoid: Vec::new(),
             fence: None,
         };
--- a/crates/lentilhook/src/daemon/dispatch/problems.rs
+++ b/crates/lentilhook/src/daemon/dispatch/problems.rs
@@ -47,6 +47,12 @@
     Problem::new(502, "attempts failed", detail, Outcome::Failed).retry_after(CAPACITY_RETRY_S)
 }
 
+/// The request has crashed too many endpoints.
+pub fn crashes_endpoints() -> Problem {
+    let detail = "endpoints crash when they run this request, so it is no longer run; change it";
+    Problem::new(422, "crashes endpoints", detail, Outcome::Failed)
+}
+
 /// The key was used for another request.
 pub fn key_reused() -> Problem {
     let detail = "this Idempotency-Key belongs to another request; use a new key";
--- a/crates/lentilhook/src/daemon/fleet.rs
+++ b/crates/lentilhook/src/daemon/fleet.rs
@@ -35,6 +35,7 @@
 
 use crate::daemon::catalog::Configuration;
 use crate::daemon::dispatch::Dispatch;
+use crate::daemon::dispatch::recovery;
 use crate::daemon::identity::Identity;
 use crate::daemon::worker::Worker;
 
@@ -213,6 +214,9 @@
     }
 
     fn take_notice(&mut self, cx: CX![], notice: &Notice) {
+        let (vm, incarnation) = (notice.vm.clone(), notice.incarnation);
+        let left = Duration::from_millis(notice.left_ms);
+        call!([self.dispatch], noticed(recovery::Notice { vm, incarnation, left }));
         let known = self.view.get(&notice.vm).cloned();
         if let Some(vm) = known
             && vm.incarnation == notice.incarnation
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -26,6 +26,8 @@
     Reply(Reply),
     /// What the sender knows of VMs; opens a stream.
     Gossip(Gossip),
+    /// A request that crashes endpoints; opens a stream.
+    Suspect(Suspect),
 }
 
 /// A call sent on to the daemon that serves its key.
@@ -37,6 +39,17 @@
     pub hops: u8,
 }
 
+/// Deaths of endpoints under a request, as counted by one daemon.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct Suspect {
+    /// Fingerprint of the request's content.
+    pub fingerprint: u128,
+    /// Daemon that counted.
+    pub daemon: String,
+    /// Points that it has counted so far.
+    pub points: u32,
+}
+
 /// Why bytes are no frame.
 #[derive(Debug, PartialEq, Eq, Snafu)]
 pub enum Error {
