--- a/crates/harness/tests/reclaim/main.rs
+++ b/crates/harness/tests/reclaim/main.rs
@@ -18,25 +18,27 @@
 
 #[test]
 fn streams_outlive_one_engine() -> io::Result<()> {
-    let mut cluster = deployment(&["e1", "e2", "e3"])?;
-    let load = open(&cluster, 9, 400)?;
+    let mut cluster = deployment(&["e1"])?;
+    let load = open(&cluster, 9, 800)?;
+    add_engines(&mut cluster, &["e2", "e3"])?;
 
     let deadline = notice(&cluster, &["e1"])?;
     wait_until(deadline);
     cluster.kill_engines(&["e1"])?;
 
     assert_eq!(load.faults(), NONE);
-    assert!(cluster.logs()?.contains("recovered"), "nothing was planned");
+    assert_eq!(planned(&cluster), 9);
     Ok(())
 }
 
 #[test]
 fn streams_outlive_a_zone_and_a_second_wave() -> io::Result<()> {
-    let mut cluster = deployment(&["e1", "e2", "e3", "e4", "e5"])?;
-    let load = open(&cluster, 15, 600)?;
+    let mut cluster = deployment(&["e1", "e2"])?;
+    let load = open(&cluster, 15, 900)?;
+    add_engines(&mut cluster, &["e3", "e4", "e5"])?;
 
     let first = notice(&cluster, &["e1", "e2"])?;
-    wait_for("the first plan", || cluster.logs().is_ok_and(|it| it.contains("recovered")))?;
+    wait_for("the first plan", || planned(&cluster) >= 15)?;
     let second = notice(&cluster, &["e3", "e4"])?;
     wait_until(first);
     cluster.kill_engines(&["e1", "e2"])?;
@@ -44,18 +46,19 @@
     cluster.kill_engines(&["e3", "e4"])?;
 
     assert_eq!(load.faults(), NONE);
+    assert!(planned(&cluster) > 15, "the second wave met no stream");
     Ok(())
 }
 
 #[test]
 fn streams_outlive_engines_killed_partway_through_their_notice() -> io::Result<()> {
-    let mut cluster = deployment(&["e1", "e2", "e3"])?;
-    let load = open(&cluster, 9, 400)?;
+    let mut cluster = deployment(&["e1", "e2"])?;
+    let load = open(&cluster, 10, 800)?;
+    add_engines(&mut cluster, &["e3", "e4"])?;
 
     notice(&cluster, &["e1", "e2"])?;
-    cluster.kill_engines(&["e1"])?;
-    wait_for("the plan", || cluster.logs().is_ok_and(|it| it.contains("recovered")))?;
-    cluster.kill_engines(&["e2"])?;
+    wait_for("a plan", || planned(&cluster) > 0)?;
+    cluster.kill_engines(&["e1", "e2"])?;
 
     assert_eq!(load.faults(), NONE);
     Ok(())
@@ -69,7 +72,7 @@
     let deadline = notice(&cluster, &["e1"])?;
     wait_until(deadline);
     cluster.kill_engines(&["e1"])?;
-    cluster.add_engine("e2", &["--token-us", "10000"])?;
+    add_engines(&mut cluster, &["e2"])?;
 
     assert_eq!(load.faults(), NONE);
     Ok(())
@@ -107,12 +110,10 @@
     let prompts: Vec<String> = (0..12)
         .map(|it| format!("{it}: {}", "history ".repeat(if it % 2 == 0 { 20 } else { 1000 })))
         .collect();
-    let load = Load::open(&addresses(&cluster), &prompts, 500);
+    let load = Load::open(&addresses(&cluster), &prompts, 800);
     load.wait_for_tokens(20)?;
     // All streams are on the engines that go, whatever routing prefers.
-    cluster.add_engine("e3", &["--token-us", "10000"])?;
-    cluster.add_engine("e4", &["--token-us", "10000"])?;
-    cluster.wait_until_settled()?;
+    add_engines(&mut cluster, &["e3", "e4"])?;
 
     let deadline = notice(&cluster, &["e1", "e2"])?;
     wait_until(deadline);
@@ -130,15 +131,25 @@
 
 fn deployment(engines: &[&str]) -> io::Result<Cluster> {
     let mut cluster = Cluster::start()?;
-    for engine in engines {
-        cluster.add_engine(engine, &["--token-us", "10000"])?;
-    }
+    add_engines(&mut cluster, engines)?;
     cluster.add_daemon("entry-1", "tema-a")?;
     cluster.add_daemon("entry-2", "kpone")?;
     cluster.configure()?;
     Ok(cluster)
 }
 
+fn add_engines(cluster: &mut Cluster, engines: &[&str]) -> io::Result<()> {
+    for engine in engines {
+        cluster.add_engine(engine, &["--token-us", "10000"])?;
+    }
+    cluster.wait_until_settled()
+}
+
+/// Streams for which the daemons have logged a plan.
+fn planned(cluster: &Cluster) -> usize {
+    cluster.logs().map_or(0, |it| it.matches("] recovered {").count())
+}
+
 fn addresses(cluster: &Cluster) -> Vec<String> {
     cluster.daemons.iter().map(|it| it.callers.clone()).collect()
 }
--- a/crates/lentilhook/src/daemon/dispatch/attempts.rs
+++ b/crates/lentilhook/src/daemon/dispatch/attempts.rs
@@ -18,9 +18,6 @@
 use endpoint::plain;
 use ledger::record::Answer;
 use ledger::record::Step;
-use policy::route;
-use policy::route::Candidate;
-use policy::route::Request;
 use stakker::CX;
 use stakker::call;
 
@@ -32,6 +29,8 @@
 use crate::daemon::dispatch::job::Stage;
 use crate::daemon::dispatch::ledger_identity;
 use crate::daemon::dispatch::problems;
+use crate::daemon::dispatch::routing::Choice;
+use crate::daemon::dispatch::routing::Routing;
 use crate::daemon::dispatch::waiting::Waiting;
 use crate::daemon::identity::Identity;
 
@@ -39,8 +38,6 @@
 const TRIES: u32 = 4;
 /// Longest time of a plain service to answer.
 const PLAIN_TIMEOUT: Duration = Duration::from_secs(10);
-/// Bytes of a prompt by which requests that share a prefix meet.
-const AFFINITY_BYTES: usize = 256;
 
 impl Dispatch {
     /// Starts the next attempt at a job, or ends it when there is none.
@@ -53,16 +50,19 @@
         if self.refuse_suspect(cx, id) {
             return;
         }
-        let Some(job) = self.jobs.get(&id) else { return };
-        let target = preferred.and_then(|it| self.endpoints.get(it));
-        let target = target.map(|it| (it.vm.id.clone(), it.vm.address.clone()));
-        let Some((endpoint, address)) = target.or_else(|| self.route(id, job)) else {
+        let choice = self.choose(cx, id, preferred);
+        let target = choice.as_ref().and_then(|it| self.endpoints.get(&it.endpoint));
+        let (Some(address), Some(choice)) = (target.map(|it| it.vm.address.clone()), choice) else {
             if self.wait(cx, id) == Waiting::GiveUp {
                 self.give_up(cx, id);
             }
             return;
         };
+        let endpoint = choice.endpoint.clone();
+        let Some(job) = self.jobs.get(&id) else { return };
+        let service = job.call.service.clone();
         let attempt = AttemptId(self.take_number());
+        self.routing.sent(attempt, &service, choice, cx.now());
         let Some(job) = self.jobs.get_mut(&id) else { return };
         job.tries += 1;
         let number = job.progress.start_attempt();
@@ -92,59 +92,43 @@
         }
         let number = running.number;
         match event {
-            Event::Token { index, text } => self.token(cx, id, number, index, &text),
+            Event::Token { index, text } => {
+                self.routing.token(attempt, cx.now());
+                self.token(cx, id, number, index, &text);
+            }
             Event::Finished(usage) => self.finished(cx, id, number, usage),
             Event::Answered(whole) => {
-                self.close(attempt);
+                self.admission.succeeded();
+                self.close(cx, attempt);
                 self.answered(cx, id, whole);
             }
             Event::Failed(failure) => {
-                self.close(attempt);
+                self.close(cx, attempt);
                 self.failed(cx, id, failure);
             }
         }
     }
 
     /// Ends a job that nobody waits for.
-    pub(super) fn cancel(&mut self, id: JobId) {
+    pub(super) fn cancel(&mut self, cx: CX![], id: JobId) {
         if let Some(Job { stage: Stage::Running(running), .. }) = self.jobs.get(&id) {
             let attempt = running.attempt;
             running.cancel.cancel();
-            self.close(attempt);
+            self.close(cx, attempt);
         }
         self.forget(id);
     }
 
-    fn route(&self, id: JobId, job: &Job) -> Option<(String, String)> {
+    fn choose(&mut self, cx: CX![], id: JobId, preferred: Option<&str>) -> Option<Choice> {
+        let daemons = self.live_daemons();
+        let job = self.jobs.get(&id)?;
+        if let Some(endpoint) = preferred {
+            return Some(Routing::planned(endpoint, job));
+        }
         if job.failures >= TRIES {
             return None;
         }
-        let usable = self
-            .endpoints
-            .values()
-            .filter(|it| !self.is_reclaimed(&it.vm.id) && it.vm.service == job.call.service);
-        let candidates: Vec<Candidate<'_>> = usable
-            .map(|it| Candidate {
-                id: &it.vm.id,
-                in_flight: it.in_flight,
-                price_per_hour: it.vm.price_per_hour,
-            })
-            .collect();
-        let affinity = affinity(&job.call.body);
-        let request = Request { affinity, avoid: &job.avoid };
-        let decision = route::choose(&request, &candidates)?;
-        spdlog::info!("routed", kv: {
-            job = id.0,
-            workspace = job.call.workspace.as_str(),
-            service = job.call.service.as_str(),
-            endpoint = decision.chosen,
-            runner_up = decision.runner_up.unwrap_or("none"),
-            reason = decision.reason.to_string(),
-            attempt = job.tries + 1,
-            resumed_at = job.progress.len(),
-        });
-        let target = self.endpoints.get(decision.chosen)?;
-        Some((target.vm.id.clone(), target.vm.address.clone()))
+        self.routing.choose(id, job, daemons, cx.now())
     }
 
     fn token(&mut self, cx: CX![], id: JobId, number: Attempt, index: u32, text: &str) {
@@ -168,11 +152,13 @@
             End::Complete => {
                 let cached_tokens = usage.cached_tokens;
                 let usage = Usage { completion_tokens: job.progress.len(), ..usage };
-                if job.tries > 1 {
+                if number.0 > 1 {
                     let moved = job.moved;
                     self.count_recomputed(id, moved, cached_tokens);
                 }
-                self.close_running(id);
+                self.remember_cached(cx, id);
+                self.admission.succeeded();
+                self.close_running(cx, id);
                 self.end(cx, id, Reply::Finished(usage));
             }
             End::Ignored => {}
@@ -187,15 +173,15 @@
     pub(super) fn leave(&mut self, cx: CX![], id: JobId, failure: Failure) {
         let Some(Job { stage: Stage::Running(running), .. }) = self.jobs.get(&id) else { return };
         running.cancel.cancel();
-        self.close_running(id);
+        self.close_running(cx, id);
         self.failed(cx, id, failure);
     }
 
     /// Stops hearing the open attempt of a job.
-    pub(super) fn close_running(&mut self, id: JobId) {
+    pub(super) fn close_running(&mut self, cx: CX![], id: JobId) {
         let Some(Job { stage: Stage::Running(running), .. }) = self.jobs.get(&id) else { return };
         let attempt = running.attempt;
-        self.close(attempt);
+        self.close(cx, attempt);
     }
 
     fn answered(&mut self, cx: CX![], id: JobId, whole: Whole) {
@@ -239,7 +225,10 @@
             job.stage = Stage::Waiting;
             return;
         }
-        self.attempt(cx, id);
+        match reclaimed {
+            true => self.attempt(cx, id),
+            false => self.retry(cx, id),
+        }
     }
 
     fn runs_on_reclaimed(&self, id: JobId) -> bool {
@@ -250,7 +239,7 @@
     }
 
     /// No endpoint is left to try.
-    fn give_up(&mut self, cx: CX![], id: JobId) {
+    pub(super) fn give_up(&mut self, cx: CX![], id: JobId) {
         let Some(job) = self.jobs.get(&id) else { return };
         let service = job.call.service.clone();
         if job.call.is_non_idempotent() || job.tries == 0 {
@@ -272,11 +261,23 @@
         }
     }
 
-    fn close(&mut self, attempt: AttemptId) {
+    /// The engine has the finished completion cached.
+    fn remember_cached(&mut self, cx: CX![], id: JobId) {
+        let Some(job) = self.jobs.get(&id) else { return };
+        if let (Body::Chat(chat), Stage::Running(running)) = (&job.call.body, &job.stage) {
+            let text = format!("{}{}", chat.prompt, job.progress.text());
+            self.routing.finished(running.attempt, &text, cx.now());
+        }
+    }
+
+    pub(super) fn close(&mut self, cx: CX![], attempt: AttemptId) {
+        self.routing.closed(attempt, cx.now());
         let Some(id) = self.by_attempt.remove(&attempt) else { return };
         let Some(Job { stage: Stage::Running(running), .. }) = self.jobs.get(&id) else { return };
         if let Some(target) = self.endpoints.get_mut(&running.endpoint) {
             target.in_flight = target.in_flight.saturating_sub(1);
+            let service = target.vm.service.clone();
+            call!([cx], place_freed(service));
         }
     }
 }
@@ -306,15 +307,3 @@
         }),
     }
 }
-
-fn affinity(body: &Body) -> &str {
-    let text = match body {
-        Body::Chat(chat) => chat.prompt.as_str(),
-        Body::Plain(plain) => plain.target.as_str(),
-    };
-    let mut end = text.len().min(AFFINITY_BYTES);
-    while !text.is_char_boundary(end) {
-        end -= 1;
-    }
-    &text[..end]
-}
--- a/crates/lentilhook/src/daemon/dispatch/job.rs
+++ b/crates/lentilhook/src/daemon/dispatch/job.rs
@@ -51,14 +51,18 @@
     pub recompute: Recompute,
     /// Endpoints where an attempt failed.
     pub avoid: Vec<String>,
+    /// When it was taken.
+    pub opened: Instant,
     /// Fencing number under which it may leave, when recorded in the ledger.
     pub fence: Option<u64>,
 }
 
 /// Where a job stands.
 pub enum Stage {
-    /// Waits for the ledger.
+    /// Waits for the ledger, or for a place at an endpoint.
     Recording,
+    /// Handed over by another daemon; goes on when it is asked for.
+    Kept,
     /// An attempt is open.
     Running(Running),
     /// Accepted; waits for an endpoint.
--- a/crates/lentilhook/src/daemon/dispatch/recovery.rs
+++ b/crates/lentilhook/src/daemon/dispatch/recovery.rs
@@ -179,7 +179,12 @@
 
     /// Resumes elsewhere what is still open on an endpoint.
     fn leave_endpoint(&mut self, cx: CX![], endpoint: &str) {
-        let on_it = |job: &Job| matches!(&job.stage, Stage::Running(it) if it.endpoint == endpoint);
+        let on_it = |job: &Job| match &job.stage {
+            Stage::Running(it) => {
+                it.endpoint == endpoint && self.by_attempt.contains_key(&it.attempt)
+            }
+            _ => false,
+        };
         let chats = self.jobs.iter().filter(|(_, job)| matches!(job.call.body, Body::Chat(_)));
         let left: Vec<JobId> = chats.filter(|(_, job)| on_it(job)).map(|(id, _)| *id).collect();
         for id in left {
@@ -343,7 +348,7 @@
             _ => return,
         }
         job.moved = moved;
-        self.close_running(id);
+        self.close_running(cx, id);
         let live = !self.is_reclaimed(&planned.to);
         let preferred = live.then_some(planned.to.as_str());
         self.attempt_at(cx, id, preferred);
--- a/crates/lentilhook/src/daemon/dispatch/waiting.rs
+++ b/crates/lentilhook/src/daemon/dispatch/waiting.rs
@@ -33,18 +33,18 @@
         // An endpoint that failed may be the only one that comes back.
         job.avoid.clear();
         job.stage = Stage::Waiting;
-        self.start_rounds(cx);
+        self.round_soon(cx);
         Waiting::Waits
     }
 
-    fn start_rounds(&mut self, cx: CX![]) {
+    fn round_soon(&mut self, cx: CX![]) {
         if !self.rounds_due {
             self.rounds_due = true;
-            after!(ROUND, [cx], start_waiting());
+            after!(ROUND, [cx], start_round());
         }
     }
 
-    fn start_waiting(&mut self, cx: CX![]) {
+    fn start_round(&mut self, cx: CX![]) {
         self.rounds_due = false;
         let waits = |job: &Job| matches!(job.stage, Stage::Waiting) && job.planned.is_none();
         let waiting = self.jobs.iter().filter(|(_, job)| waits(job));
@@ -56,7 +56,7 @@
             self.attempt(cx, id);
         }
         if more {
-            self.start_rounds(cx);
+            self.round_soon(cx);
         }
     }
 }
