--- a/crates/endpoint/src/agent.rs
+++ b/crates/endpoint/src/agent.rs
@@ -1,6 +1,7 @@
 //! HTTP agents and the meaning of their errors.
 
-use std::io::ErrorKind;
+use io::ErrorKind;
+use std::io;
 use std::net::SocketAddr;
 use std::net::TcpStream;
 use std::sync::OnceLock;
@@ -48,14 +49,14 @@
             Failure::NotSent(detail)
         }
         ureq::Error::Timeout(_) => Failure::Silent(detail),
-        ureq::Error::Io(io) if is_timeout(io.kind()) => Failure::Silent(detail),
+        ureq::Error::Io(io) if is_timeout(io) => Failure::Silent(detail),
         _ => Failure::Broken(detail),
     }
 }
 
 /// What a failed read of a stream says about the attempt.
-pub fn read_failure(error: &std::io::Error) -> Failure {
-    if is_timeout(error.kind()) {
+pub fn read_failure(error: &io::Error) -> Failure {
+    if is_timeout(error) {
         return Failure::Silent(error.to_string());
     }
     Failure::Broken(error.to_string())
@@ -75,8 +76,11 @@
     Failure::Broken(detail)
 }
 
-fn is_timeout(kind: ErrorKind) -> bool {
-    matches!(kind, ErrorKind::TimedOut | ErrorKind::WouldBlock)
+fn is_timeout(error: &io::Error) -> bool {
+    // The agent's own time limits come wrapped when a body is read.
+    let inner = error.get_ref().and_then(|it| it.downcast_ref::<ureq::Error>());
+    matches!(inner, Some(ureq::Error::Timeout(_)))
+        || matches!(error.kind(), ErrorKind::TimedOut | ErrorKind::WouldBlock)
 }
 
 fn build(idle: usize, silence: Option<Duration>) -> Agent {
--- a/crates/harness/src/load.rs
+++ b/crates/harness/src/load.rs
@@ -18,6 +18,12 @@
     streams: Vec<Open>,
 }
 
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Keys {
+    None,
+    Own,
+}
+
 struct Open {
     prompt: String,
     tokens: u32,
@@ -28,13 +34,25 @@
 impl Load {
     /// Opens a stream of `tokens` for each prompt, in turn at each address.
     pub fn open(addresses: &[String], prompts: &[String], tokens: u32) -> Load {
+        Load::start(addresses, prompts, tokens, Keys::None)
+    }
+
+    /// The same, each stream under a key of its own.
+    pub fn open_keyed(addresses: &[String], prompts: &[String], tokens: u32) -> Load {
+        Load::start(addresses, prompts, tokens, Keys::Own)
+    }
+
+    fn start(addresses: &[String], prompts: &[String], tokens: u32, keys: Keys) -> Load {
         let addresses = addresses.iter().cycle();
         let streams = prompts.iter().zip(addresses).map(|(prompt, address)| {
             let arrived = Arc::new(AtomicUsize::new(0));
             let count = arrived.clone();
             let (address, asked) = (address.clone(), prompt.clone());
             let thread = thread::spawn(move || {
-                Draft::new(&address, &asked, tokens).stream(|_| {
+                let key = asked.replace(' ', "-");
+                let mut draft = Draft::new(&address, &asked, tokens);
+                draft.key = (keys == Keys::Own).then_some(key.as_str());
+                draft.stream(|_| {
                     count.fetch_add(1, Ordering::Relaxed);
                 })
             });
--- /dev/null
+++ b/crates/harness/tests/faults/main.rs
@@ -0,0 +1,93 @@
+//! Requests that crash endpoints, and connections that go silent.
+
+use std::io;
+use std::time::Duration;
+
+use harness::caller::Draft;
+use harness::cluster;
+use harness::cluster::Cluster;
+use harness::load::Load;
+use nix::sys::signal::Signal;
+use serde_json::json;
+
+const NONE: [String; 0] = [];
+/// Most endpoints that one request may crash.
+const DEATHS: usize = 2;
+
+#[test]
+fn a_request_that_crashes_endpoints_is_stopped_on_every_daemon() -> io::Result<()> {
+    let mut cluster = deployment(&["e1", "e2", "e3", "e4", "e5", "e6"])?;
+    for engine in &cluster.engines {
+        cluster::set_switches(&engine.address, &json!({ "crash_on": "poison" }))?;
+    }
+    let addresses = addresses(&cluster);
+    let load = Load::open(&addresses, &prompts(12), 600);
+    load.wait_for_tokens(10)?;
+
+    let mut refusals = Vec::new();
+    for _ in 0..3 {
+        for address in &addresses {
+            let streamed = Draft::new(address, "poison in the batch", 50).stream(|_| {})?;
+            refusals.push((streamed.status, streamed.problem.unwrap_or_default()));
+        }
+    }
+
+    for (status, problem) in refusals {
+        assert_eq!((status, &problem["outcome"]), (422, &json!("failed")), "{problem}");
+        assert!(problem["retry_after_s"].is_null(), "{problem}");
+    }
+    assert_eq!(load.faults(), NONE);
+    let mut dead = 0;
+    for engine in &mut cluster.engines {
+        dead += usize::from(engine.process.wait(Duration::ZERO)?.is_some());
+    }
+    assert!(dead <= DEATHS, "{dead} engines died");
+    Ok(())
+}
+
+#[test]
+fn streams_leave_connections_that_an_endpoint_lets_go_silent() -> io::Result<()> {
+    let cluster = deployment(&["e1"])?;
+    let load = Load::open(&addresses(&cluster), &prompts(4), 300);
+    load.wait_for_tokens(10)?;
+
+    cluster::set_switches(&cluster.engines[0].address, &json!({ "silence_open": true }))?;
+
+    assert_eq!(load.faults(), NONE);
+    assert!(cluster.logs()?.contains("Silent"), "no stream went silent");
+    Ok(())
+}
+
+#[test]
+fn streams_leave_a_daemon_that_goes_silent() -> io::Result<()> {
+    let cluster = deployment(&["e1", "e2"])?;
+    let load = Load::open_keyed(&addresses(&cluster)[..1], &prompts(8), 400);
+    load.wait_for_tokens(10)?;
+
+    cluster.daemons[1].process.signal(Signal::SIGSTOP)?;
+    let faults = load.faults();
+    cluster.daemons[1].process.signal(Signal::SIGCONT)?;
+
+    assert_eq!(faults, NONE);
+    assert!(cluster.logs()?.contains("] forwarded {"), "no stream went through the other daemon");
+    Ok(())
+}
+
+fn deployment(engines: &[&str]) -> io::Result<Cluster> {
+    let mut cluster = Cluster::start()?;
+    for engine in engines {
+        cluster.add_engine(engine, &["--token-us", "10000"])?;
+    }
+    cluster.add_daemon("entry-1", "tema-a")?;
+    cluster.add_daemon("entry-2", "kpone")?;
+    cluster.configure()?;
+    Ok(cluster)
+}
+
+fn addresses(cluster: &Cluster) -> Vec<String> {
+    cluster.daemons.iter().map(|it| it.callers.clone()).collect()
+}
+
+fn prompts(count: usize) -> Vec<String> {
+    (0..count).map(|it| format!("question {it} of a clerk")).collect()
+}
--- a/crates/harness/tests/reclaim/main.rs
+++ b/crates/harness/tests/reclaim/main.rs
@@ -61,6 +61,7 @@
     cluster.kill_engines(&["e1", "e2"])?;
 
     assert_eq!(load.faults(), NONE);
+    assert!(!cluster.logs()?.contains("endpoint died"), "a reclaim counted as a crash");
     Ok(())
 }
 
--- a/crates/standins/src/engine/generate.rs
+++ b/crates/standins/src/engine/generate.rs
@@ -32,6 +32,7 @@
     end_index: u32,
     computed_tokens: usize,
     cached_tokens: usize,
+    silences: u64,
 }
 
 impl Engine {
@@ -77,7 +78,16 @@
         }
         let first_index = resumed.map_or(0, |it| it.tokens);
         let end_index = body.max_tokens;
-        Ok(Sequence { id, prompt, first_index, end_index, computed_tokens, cached_tokens })
+        let silences = self.switches.silences();
+        Ok(Sequence {
+            id,
+            prompt,
+            first_index,
+            end_index,
+            computed_tokens,
+            cached_tokens,
+            silences,
+        })
     }
 
     /// Streams the tokens; gives their number, smaller when cancelled.
@@ -89,7 +99,7 @@
             let due = started + self.shape.token_time * (nth + 1);
             thread::sleep(due.saturating_duration_since(Instant::now()));
             self.switches.hold();
-            while self.switches.faults().silence_open {
+            while self.switches.is_silenced(sequence.silences) {
                 thread::sleep(POLL);
             }
             if self.state().cancelled.contains(&sequence.id) {
--- a/crates/standins/src/switches.rs
+++ b/crates/standins/src/switches.rs
@@ -1,6 +1,8 @@
 //! Fault switches, set by `POST /fake/switches`.
 
 use std::sync::Mutex;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 
@@ -32,6 +34,7 @@
 #[derive(Debug, Default)]
 pub struct Switches {
     faults: Mutex<Faults>,
+    silences: AtomicU64,
 }
 
 /// Whether the answer of a call may be sent.
@@ -51,9 +54,23 @@
 
     /// Puts other faults in force.
     pub fn set(&self, faults: Faults) {
+        if faults.silence_open {
+            self.silences.fetch_add(1, Ordering::Relaxed);
+        }
         *self.faults.lock().unwrap_or_else(|poisoned| poisoned.into_inner()) = faults;
     }
 
+    /// Number of times that open streams were silenced; a stream takes it when
+    /// it opens.
+    pub fn silences(&self) -> u64 {
+        self.silences.load(Ordering::Relaxed)
+    }
+
+    /// Whether a stream that took `opened` is silenced now.
+    pub fn is_silenced(&self, opened: u64) -> bool {
+        self.faults().silence_open && opened < self.silences()
+    }
+
     /// Holds a call back while slow or frozen.
     pub fn hold(&self) {
         thread::sleep(Duration::from_millis(self.faults().slow_ms));
