--- a/crates/endpoint/src/agent.rs
+++ b/crates/endpoint/src/agent.rs
@@ -1,7 +1,7 @@
 //! HTTP agents and the meaning of their errors.
 
-use io::ErrorKind;
 use std::io;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::net::TcpStream;
 use std::sync::OnceLock;
@@ -24,6 +24,8 @@
 const LOOK_INTERVAL: Duration = Duration::from_millis(30);
 /// Longest time of a look.
 const LOOK_TIMEOUT: Duration = Duration::from_millis(300);
+/// Buffer of a connection in each direction; each open stream has two.
+const BUFFER_BYTES: usize = 8 * 1024;
 
 /// Agent for calls that may be repeated; keeps connections.
 pub fn pooled() -> &'static Agent {
@@ -89,6 +91,8 @@
         .timeout_connect(Some(CONNECT_TIMEOUT))
         .timeout_per_read(silence)
         .timeout_recv_response(silence)
+        .input_buffer_size(BUFFER_BYTES)
+        .output_buffer_size(BUFFER_BYTES)
         .max_idle_connections(idle)
         .max_idle_connections_per_host(idle)
         .build();
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -5,8 +5,13 @@
 //! is reached by whoever carries the actions out.
 
 pub mod lifecycle;
+pub mod message;
 pub mod record;
 pub mod shard;
+pub mod snapshot;
 
 mod book;
+mod error;
 mod queue;
+
+pub use error::Error;
--- a/crates/lentilhook/src/daemon/dispatch/admission.rs
+++ b/crates/lentilhook/src/daemon/dispatch/admission.rs
@@ -160,7 +160,17 @@
         let now = cx.now().saturating_duration_since(self.admission.started);
         while !self.admission.held_retries.is_empty() && self.admission.allowance.take(now) {
             let Some(id) = self.admission.held_retries.pop_front() else { return };
-            self.attempt(cx, id);
+            if self.is_held(id) {
+                self.attempt(cx, id);
+            }
+        }
+    }
+
+    /// Whether a job still waits here after an attempt that failed.
+    fn is_held(&self, id: JobId) -> bool {
+        match self.jobs.get(&id).map(|it| &it.stage) {
+            Some(Stage::Running(running)) => !self.by_attempt.contains_key(&running.attempt),
+            _ => false,
         }
     }
 
--- a/crates/lentilhook/src/daemon/dispatch/attempts.rs
+++ b/crates/lentilhook/src/daemon/dispatch/attempts.rs
@@ -27,12 +27,13 @@
 use crate::daemon::dispatch::job::JobId;
 use crate::daemon::dispatch::job::Running;
 use crate::daemon::dispatch::job::Stage;
-use crate::daemon::dispatch::ledger_identity;
 use crate::daemon::dispatch::problems;
+use crate::daemon::dispatch::recorded::ledger_identity;
 use crate::daemon::dispatch::routing::Choice;
 use crate::daemon::dispatch::routing::Routing;
 use crate::daemon::dispatch::waiting::Waiting;
 use crate::daemon::identity::Identity;
+use crate::daemon::metrics;
 
 /// Most attempts at one job.
 const TRIES: u32 = 4;
@@ -59,12 +60,14 @@
             return;
         };
         let endpoint = choice.endpoint.clone();
+        let uncached = choice.uncached_tokens;
         let Some(job) = self.jobs.get(&id) else { return };
         let service = job.call.service.clone();
         let attempt = AttemptId(self.take_number());
         self.routing.sent(attempt, &service, choice, cx.now());
         let Some(job) = self.jobs.get_mut(&id) else { return };
         job.tries += 1;
+        metrics::attempted(&service, job.tries, uncached);
         let number = job.progress.start_attempt();
         let request = request(&self.me, id, job);
         let order = order(request.clone(), job);
@@ -137,6 +140,7 @@
             Taken::Next => {
                 job.accepted = true;
                 job.waiting_since = None;
+                job.timing.token(&job.service, job.opened, cx.now());
                 let transport = &self.transport;
                 let progress = &job.progress;
                 job.waiters.iter_mut().for_each(|it| it.catch_up(transport, progress));
@@ -195,6 +199,7 @@
         if !reclaimed && matches!(failure, Failure::Died(_)) {
             self.count_death(cx, id);
         }
+        metrics::attempt_failed(&failure);
         let Some(job) = self.jobs.get_mut(&id) else { return };
         job.accepted |= started;
         // What was lost in a reclaim, or never began at an endpoint, does not
--- a/crates/lentilhook/src/daemon/dispatch/job.rs
+++ b/crates/lentilhook/src/daemon/dispatch/job.rs
@@ -1,6 +1,5 @@
 //! Jobs: calls that this daemon serves itself.
 
-use std::sync::mpsc::Sender;
 use std::time::Instant;
 
 use config::object::Service;
@@ -16,6 +15,12 @@
 use peer::transport::StreamId;
 use peer::transport::Transport;
 use peer::wire::Frame;
+use tokio::sync::mpsc::UnboundedSender;
+
+use crate::daemon::metrics;
+use crate::daemon::metrics::Timing;
+
+use crate::daemon::dispatch::recorded::Again;
 
 use crate::daemon::dispatch::recovery::Planned;
 
@@ -53,6 +58,8 @@
     pub avoid: Vec<String>,
     /// When it was taken.
     pub opened: Instant,
+    /// Times of its tokens.
+    pub timing: Timing,
     /// Fencing number under which it may leave, when recorded in the ledger.
     pub fence: Option<u64>,
 }
@@ -96,26 +103,40 @@
 }
 
 /// Way to a caller.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub enum Way {
     /// Through this daemon's gateway.
     Gateway {
         /// Arrival.
         id: ArrivalId,
         /// Where replies go.
-        replies: Sender<Reply>,
+        replies: UnboundedSender<Reply>,
     },
     /// Through the peer that sent the call on.
     Peer(StreamId),
+    /// For a call that is asked again because its owner was lost.
+    Again(Box<Again>),
 }
 
 impl Way {
+    /// Who hears what is sent this way.
+    pub fn end(&self) -> &Way {
+        match self {
+            Way::Again(again) => again.way.end(),
+            way => way,
+        }
+    }
+
     /// Sends a piece of the answer.
     pub fn send(&self, transport: &Transport, reply: Reply) {
         match self {
             Way::Gateway { replies, .. } => {
+                if reply.is_last() {
+                    metrics::answered(&reply);
+                }
                 let _ = replies.send(reply);
             }
+            Way::Again(again) => again.send(transport, reply),
             Way::Peer(stream) => {
                 let last = reply.is_last();
                 let stream = *stream;
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -29,6 +29,12 @@
     Gossip(Gossip),
     /// A request that crashes endpoints; opens a stream.
     Suspect(Suspect),
+    /// A message between replicas of the configuration; opens a stream or
+    /// answers on one.
+    Config {
+        /// The message in JSON.
+        text: String,
+    },
     /// A completion whose daemon will end; opens a stream.
     Handover(Box<Handover>),
     /// The completion of the stream's handover was taken.
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,6 +1,7 @@
-//! Tasks of the repository: `cargo xtask demo|generate|measure|tidy`.
+//! Tasks of the repository: `cargo xtask demo|generate|measure|replay|tidy|trace`.
 
 mod generate;
+mod replay;
 mod tidy;
 
 use std::path::PathBuf;
@@ -21,7 +22,10 @@
     Demo(Demo),
     Generate(Generate),
     Measure(Measure),
+    Scale(Scale),
+    Replay(replay::Replay),
     Tidy(Tidy),
+    Trace(replay::Trace),
 }
 
 /// start everything on loopback, serve a draft and a renewal, stop
@@ -43,6 +47,18 @@
 #[argh(subcommand, name = "measure")]
 struct Measure {}
 
+/// print what control costs as the number of daemons grows; build with --release
+#[derive(FromArgs)]
+#[argh(subcommand, name = "scale")]
+struct Scale {
+    /// number of daemons, may be given several times
+    #[argh(option)]
+    daemons: Vec<usize>,
+    /// endpoints in the VM list
+    #[argh(option, default = "0")]
+    endpoints: usize,
+}
+
 /// check the house rules that formatter and linter do not know
 #[derive(FromArgs)]
 #[argh(subcommand, name = "tidy")]
@@ -54,6 +70,11 @@
         Command::Demo(_) => harness::demo::run().map_err(|it| it.to_string()),
         Command::Generate(it) => generate::run(&root(), it.check),
         Command::Measure(_) => harness::measure::run().map_err(|it| it.to_string()),
+        Command::Scale(it) => {
+            harness::scale::run(&it.daemons, it.endpoints).map_err(|it| it.to_string())
+        }
+        Command::Replay(it) => replay::run(&it),
+        Command::Trace(it) => replay::print(&it),
         Command::Tidy(_) => tidy::run(&root()),
     };
     match result {
