--- a/crates/lentilhook/src/settings/schema.rs
+++ b/crates/lentilhook/src/settings/schema.rs
@@ -28,6 +28,8 @@
     Listen,
     /// IP and port.
     Remote,
+    /// IPs and ports.
+    Remotes,
     /// A whole number of a unit.
     Number { least: u64, most: u64, unit: &'static str },
     /// Path of a file.
@@ -57,6 +59,7 @@
     optional("routing.mode", Form::Word(MODES)),
     optional("log.format", Form::Word(&["text", "json"])),
     optional("log.level", Form::Word(LEVELS)),
+    optional("seeds", Form::Remotes),
 ];
 
 /// Names of the log levels, the most silent first.
@@ -79,6 +82,10 @@
             Form::Remote => {
                 Some("give IP and port, not a name and no port 0, such as \"10.0.0.9:9000\"".into())
             }
+            Form::Remotes if are_remotes(value) => None,
+            Form::Remotes => {
+                Some("give a list of IP and port, such as [\"10.0.0.4:7000\"]".to_owned())
+            }
             Form::Number { least, most, unit } => {
                 let fits = value.as_u64().is_some_and(|it| (least..=most).contains(&it));
                 let remedy = || format!("give a whole number of {unit} from {least} to {most}");
@@ -120,6 +127,12 @@
     (1..=NAME_LIMIT_BYTES).contains(&text.len()) && text.chars().all(allowed)
 }
 
+fn are_remotes(value: &Value) -> bool {
+    let is_remote =
+        |it: &Value| it.as_str().and_then(address).is_some_and(|address| address.port() != 0);
+    value.as_array().is_some_and(|it| it.iter().all(is_remote))
+}
+
 fn are_sums(value: &Value) -> bool {
     let is_sum = |it: &Value| {
         let text = it.as_str().unwrap_or_default();
