Give a job up whose attempts are spent instead of letting it wait

Cause: an accepted completion whose four attempts had failed waited 30 s for another endpoint that it could not use; `a_peer_without_the_secret_is_refused` had no answer after 10 s, each of four runs. With the limit looked at in `wait` it passes.

--- a/crates/lentilhook/src/daemon/dispatch/attempts.rs
+++ b/crates/lentilhook/src/daemon/dispatch/attempts.rs
@@ -35,8 +35,8 @@
 use crate::daemon::identity::Identity;
 use crate::daemon::metrics;
 
-/// Most attempts at one job.
-const TRIES: u32 = 4;
+/// Most attempts at one job that may fail.
+pub(super) const TRIES: u32 = 4;
 /// Longest time of a plain service to answer.
 const PLAIN_TIMEOUT: Duration = Duration::from_secs(10);
 
--- a/crates/lentilhook/src/daemon/dispatch/waiting.rs
+++ b/crates/lentilhook/src/daemon/dispatch/waiting.rs
@@ -7,6 +7,7 @@
 use stakker::after;
 
 use crate::daemon::dispatch::Dispatch;
+use crate::daemon::dispatch::attempts::TRIES;
 use crate::daemon::dispatch::job::Job;
 use crate::daemon::dispatch::job::JobId;
 use crate::daemon::dispatch::job::Stage;
@@ -23,7 +24,8 @@
     pub(super) fn wait(&mut self, cx: CX![], id: JobId) -> Waiting {
         let now = cx.now();
         let Some(job) = self.jobs.get_mut(&id) else { return Waiting::GiveUp };
-        if !job.accepted || !matches!(job.call.body, Body::Chat(_)) {
+        let is_spent = job.failures >= TRIES;
+        if is_spent || !job.accepted || !matches!(job.call.body, Body::Chat(_)) {
             return Waiting::GiveUp;
         }
         let since = *job.waiting_since.get_or_insert(now);
