--- a/crates/lentilhook/src/daemon/dispatch/handover.rs
+++ b/crates/lentilhook/src/daemon/dispatch/handover.rs
@@ -193,6 +193,7 @@
         let job = Job {
             progress: handover.progress,
             stage: handover.ended.map_or(Stage::Kept, Stage::Ended),
+            accepted: true,
             ..Job::new(handover.call, service, cx.now())
         };
         self.jobs.insert(id, job);
--- a/crates/lentilhook/src/daemon/metrics.rs
+++ b/crates/lentilhook/src/daemon/metrics.rs
@@ -223,6 +223,7 @@
         Failure::Refused(_) => "refused",
         Failure::Broken(_) => "broken",
         Failure::Silent(_) => "silent",
+        Failure::Died(_) => "died",
     };
     with(|it| it.failures.with_label_values(&[cause]).inc());
 }
