--- a/crates/harness/src/cluster.rs
+++ b/crates/harness/src/cluster.rs
@@ -273,6 +273,12 @@
     sent.map(|_| ()).map_err(io::Error::other)
 }
 
+/// Reads a text.
+pub fn get_text(address: &str, path: &str) -> io::Result<String> {
+    let called = ureq::get(format!("http://{address}{path}")).call();
+    called.map_err(io::Error::other)?.body_mut().read_to_string().map_err(io::Error::other)
+}
+
 /// Puts bytes on a path of a stand-in.
 pub fn put(address: &str, path: &str, body: &[u8]) -> io::Result<()> {
     let sent = ureq::put(format!("http://{address}{path}")).send(body);
--- a/crates/harness/tests/membership/main.rs
+++ b/crates/harness/tests/membership/main.rs
@@ -60,10 +60,15 @@
     thread::sleep(AFTER_START);
 
     let before = reads(&cluster)?;
+    let sent_before = control_bytes(&cluster)?;
     thread::sleep(SAMPLE);
     let per_second = (reads(&cluster)? - before) as f64 / SAMPLE.as_secs_f64();
 
-    println!("{DAEMONS} daemons read the platform {per_second:.1} times a second");
+    let sent = (control_bytes(&cluster)? - sent_before) / SAMPLE.as_secs() / DAEMONS as u64;
+    println!(
+        "{DAEMONS} daemons read the platform {per_second:.1} times a second; \
+         each sends {sent} bytes of control frames a second"
+    );
     // The head row by each daemon every 2 s; list and notices by one daemon.
     let expected = DAEMONS as f64 / 2.0 + 2.0;
     assert!(per_second < 1.5 * expected, "{per_second} reads a second, {expected} expected");
@@ -110,6 +115,18 @@
     Ok(())
 }
 
+fn control_bytes(cluster: &Cluster) -> io::Result<u64> {
+    let mut sum = 0;
+    for daemon in &cluster.daemons {
+        let text = cluster::get_text(&daemon.operators, "/metrics")?;
+        let lines = text.lines();
+        let mut counts =
+            lines.filter_map(|it| it.strip_prefix("lentilhook_control_sent_bytes_total "));
+        sum += counts.next().and_then(|it| it.parse::<u64>().ok()).unwrap_or(0);
+    }
+    Ok(sum)
+}
+
 fn reads(cluster: &Cluster) -> io::Result<u64> {
     let calls: Value = cluster::get(&cluster.platform.address, "/fake/calls")?;
     Ok(calls["reads"].as_u64().unwrap_or(0))
--- a/crates/membership/tests/fleet/cost.rs
+++ b/crates/membership/tests/fleet/cost.rs
@@ -62,6 +62,11 @@
     for id in &ids {
         views[0].notice(id, 1);
     }
+    rounds_of(u, &mut views)
+}
+
+fn rounds_of(u: &mut Unstructured<'_>, views: &mut [View]) -> Result<Option<usize>> {
+    let daemons = views.len();
     let mut repair_at = vec![0; daemons];
     for round in 0..2 * ROUNDS {
         let unaware = |it: &View| it.live(Role::Endpoint).next().is_some();
@@ -125,6 +130,27 @@
     }
 }
 
+#[test]
+fn a_daemon_that_gossip_left_out_is_mended() {
+    let mut rounds = None;
+    arbtest(|u| {
+        let mut informed = View::new(chart());
+        informed.merge(&vm("vm-a", 1, State::Leaving));
+        while !informed.take_changes().is_empty() {}
+        let mut views = vec![informed; 420];
+        views[7] = View::new(chart());
+        views[7].merge(&vm("vm-a", 1, State::Live));
+
+        rounds = rounds_of(u, &mut views)?;
+        Ok(())
+    })
+    .seed((1 << 32) | 500_000)
+    .run();
+
+    println!("left out: mended after {rounds:?} rounds");
+    assert!(rounds.is_some_and(|it| it <= ROUNDS), "{rounds:?}");
+}
+
 #[test]
 fn gossip_fits_its_share_of_bytes() {
     let idle = 2 * encoded_bytes(&gossip(Vec::new())) + EXCHANGE_BYTES;
--- a/crates/membership/tests/fleet/main.rs
+++ b/crates/membership/tests/fleet/main.rs
@@ -12,6 +12,7 @@
 use membership::update::Role;
 use membership::update::State;
 use membership::update::Vm;
+use membership::view::SPREAD;
 use membership::view::View;
 
 const SEEDS: u64 = 200;
@@ -151,6 +152,36 @@
     assert_eq!(told[0], vm("zone-1", 1, State::Leaving));
 }
 
+#[test]
+fn a_change_is_told_again_to_who_does_not_know_it() {
+    let mut view = View::new(chart());
+    view.merge(&vm("vm-a", 1, State::Gone));
+    let told = (0..100).take_while(|_| !view.take_changes().is_empty()).count();
+    let quiet = view.recent();
+
+    view.tell_again("vm-a");
+    view.tell_again("vm-z");
+
+    assert_eq!(told as u32, SPREAD);
+    assert_eq!(quiet, [vm("vm-a", 1, State::Gone)]);
+    assert_eq!(view.take_changes(), [vm("vm-a", 1, State::Gone)]);
+}
+
+#[test]
+fn digests_are_equal_where_the_same_is_known() {
+    let mut one = View::new(chart());
+    let mut other = View::new(chart());
+    one.merge(&vm("vm-a", 1, State::Live));
+    one.merge(&vm("vm-b", 1, State::Live));
+    one.notice("vm-b", 1);
+    other.merge(&vm("vm-b", 1, State::Leaving));
+    let different = other.digest();
+    other.merge(&vm("vm-a", 1, State::Live));
+
+    assert_ne!(one.digest(), different);
+    assert_eq!(one.digest(), other.digest());
+}
+
 #[test]
 fn silence_counts_only_after_others_were_asked() {
     let mut liveness = Liveness::default();
@@ -177,7 +208,10 @@
             liveness.learned("a", 2)
         }
 
-        assert_eq!(liveness.missed("a", 2), Verdict::Probe("a".to_owned()));
+        // It starts over.
+        let verdicts: Vec<Verdict> = (0..3).map(|_| liveness.missed("a", 2)).collect();
+        let probe = Verdict::Probe("a".to_owned());
+        assert_eq!(verdicts, [probe.clone(), probe, Verdict::Suspect("a".to_owned(), 2)]);
     }
 }
 
