--- a/crates/lentilhook/src/settings/schema.rs
+++ b/crates/lentilhook/src/settings/schema.rs
@@ -28,7 +28,7 @@
     Listen,
     /// IP and port.
     Remote,
-    /// A list of IP and port.
+    /// IPs and ports.
     Remotes,
     /// A whole number of a unit.
     Number { least: u64, most: u64, unit: &'static str },
@@ -57,9 +57,9 @@
     optional("limits.read_timeout_ms", number(100, 600_000, "milliseconds")),
     optional("limits.write_timeout_ms", number(100, 600_000, "milliseconds")),
     optional("routing.mode", Form::Word(MODES)),
-    optional("seeds", Form::Remotes),
     optional("log.format", Form::Word(&["text", "json"])),
     optional("log.level", Form::Word(LEVELS)),
+    optional("seeds", Form::Remotes),
 ];
 
 /// Names of the log levels, the most silent first.
@@ -84,7 +84,7 @@
             }
             Form::Remotes if are_remotes(value) => None,
             Form::Remotes => {
-                Some("give a list of IP and port, such as [\"10.0.0.5:8082\"]".to_owned())
+                Some("give a list of IP and port, such as [\"10.0.0.4:7000\"]".to_owned())
             }
             Form::Number { least, most, unit } => {
                 let fits = value.as_u64().is_some_and(|it| (least..=most).contains(&it));
@@ -128,10 +128,8 @@
 }
 
 fn are_remotes(value: &Value) -> bool {
-    let is_remote = |it: &Value| {
-        let given = it.as_str().and_then(address);
-        given.is_some_and(|it| it.port() != 0)
-    };
+    let is_remote =
+        |it: &Value| it.as_str().and_then(address).is_some_and(|address| address.port() != 0);
     value.as_array().is_some_and(|it| it.iter().all(is_remote))
 }
 
