--- a/crates/lentilhook/src/daemon/dispatch/attempts.rs
+++ b/crates/lentilhook/src/daemon/dispatch/attempts.rs
@@ -39,9 +39,8 @@
     /// Starts the next attempt at a job, or ends it when there is none.
     pub(super) fn attempt(&mut self, cx: CX![], id: JobId) {
         let Some(job) = self.jobs.get(&id) else { return };
-        let daemons = self.live_daemons();
         let choice = match job.tries < TRIES {
-            true => self.routing.choose(id, job, daemons, cx.now()),
+            true => self.routing.choose(id, job, cx.now()),
             false => None,
         };
         let target = choice.as_ref().and_then(|it| self.endpoints.get(&it.endpoint));
@@ -125,7 +124,7 @@
         match job.progress.finish(number, usage.completion_tokens) {
             End::Complete => {
                 let usage = Usage { completion_tokens: job.progress.len(), ..usage };
-                self.remember_cached(cx, id);
+                self.remember_cached(cx, id, &usage);
                 self.admission.succeeded();
                 self.close_running(cx, id);
                 self.end(cx, id, Reply::Finished(usage));
@@ -206,11 +205,11 @@
     }
 
     /// The engine has the finished completion cached.
-    fn remember_cached(&mut self, cx: CX![], id: JobId) {
+    fn remember_cached(&mut self, cx: CX![], id: JobId, usage: &Usage) {
         let Some(job) = self.jobs.get(&id) else { return };
         if let (Body::Chat(chat), Stage::Running(running)) = (&job.call.body, &job.stage) {
             let text = format!("{}{}", chat.prompt, job.progress.text());
-            self.routing.finished(running.attempt, &text, cx.now());
+            self.routing.finished(running.attempt, &text, usage, cx.now());
         }
     }
 
--- a/crates/lentilhook/src/daemon/dispatch/load.rs
+++ b/crates/lentilhook/src/daemon/dispatch/load.rs
@@ -23,9 +23,9 @@
 /// Time between two questions.
 const TURN: Duration = Duration::from_millis(125);
 /// Bytes a second for load reports.
-const LOAD_BYTES_PER_SECOND: f64 = 1600.0;
+const LOAD_BYTES_PER_SECOND: f64 = 1800.0;
 /// Bytes a second for cache events.
-const EVENT_BYTES_PER_SECOND: f64 = 400.0;
+const EVENT_BYTES_PER_SECOND: f64 = 200.0;
 
 /// Questions to endpoints.
 pub struct Poller {
--- a/crates/lentilhook/src/daemon/dispatch/routing.rs
+++ b/crates/lentilhook/src/daemon/dispatch/routing.rs
@@ -6,6 +6,7 @@
 use std::time::Instant;
 
 use ::job::call::Body;
+use ::job::reply::Usage;
 use endpoint::attempt::AttemptId;
 use endpoint::load;
 use membership::update::State;
@@ -32,8 +33,10 @@
 const PREFILL_TOKENS: u32 = 64;
 /// Fewest tokens from which the pace of generation is learned.
 const GENERATED_TOKENS: u32 = 8;
+/// Mean time for which a sequence holds its place, before any ended.
+const FIRST_MEAN_HOLD_MS: f64 = 1000.0;
 /// Pace of endpoints that have not answered yet.
-const FIRST_PACE: Pace = Pace { prefill_ms: 0.1, token_ms: 10.0, hold_ms: 1000.0 };
+const FIRST_PACE: Pace = Pace { prefill_ms: 0.1, token_ms: 10.0, hold_ms: 3000.0 };
 
 /// Knowledge for routing.
 pub struct Routing {
@@ -53,8 +56,8 @@
     pub predicted_ms: f64,
     /// Hashes of the prompt.
     pub blocks: Vec<u64>,
-    /// Tokens to compute there.
-    pub uncached_tokens: u32,
+    /// Tokens of the prompt and of what was generated elsewhere.
+    pub prompt_tokens: u32,
     /// Whether a place was free by estimate.
     pub is_free: bool,
 }
@@ -62,6 +65,8 @@
 struct Known {
     pool: Pool,
     pace: Pace,
+    /// Mean time for which a sequence holds its place, in milliseconds.
+    mean_hold_ms: f64,
     /// Whether its endpoints report load, as model engines do.
     reports: bool,
 }
@@ -105,7 +110,7 @@
     }
 
     /// Chooses an endpoint for the next attempt at a job and logs why.
-    pub fn choose(&mut self, id: JobId, job: &Job, daemons: usize, now: Instant) -> Option<Choice> {
+    pub fn choose(&mut self, id: JobId, job: &Job, now: Instant) -> Option<Choice> {
         let now = now.saturating_duration_since(self.started);
         let known = self.services.get_mut(&job.call.service)?;
         known.pool.refresh();
@@ -121,7 +126,7 @@
             Body::Plain(plain) => plain.target.as_str(),
         };
         let blocks = blocks::chain(&text);
-        let query = Query { blocks: &blocks, name, avoid: &job.avoid, daemons, now };
+        let query = Query { blocks: &blocks, name, avoid: &job.avoid, now };
         let candidates = match self.mode {
             Mode::Scored => known.pool.candidates(&query),
             _ => known.pool.everyone(&query),
@@ -140,11 +145,10 @@
         log(id, job, &decision, &Input { request: &request, candidates: &candidates });
         let chosen = candidates.iter().find(|it| it.id == decision.chosen)?;
         let is_free = chosen.busy < chosen.capacity;
-        let uncached_tokens = request.prompt_tokens.saturating_sub(decision.cached_tokens);
         Some(Choice {
             endpoint: decision.chosen.to_owned(),
             predicted_ms: decision.predicted_ms,
-            uncached_tokens,
+            prompt_tokens: request.prompt_tokens,
             is_free,
             blocks,
         })
@@ -159,9 +163,9 @@
         if known.pool.is_empty() {
             return None;
         }
-        let (free, all) = known.pool.places(daemons, now);
+        let (free, all) = known.pool.places(now);
         let daemons = daemons.max(1) as f64;
-        let ends_per_second = all * 1000.0 / known.pace.hold_ms.max(1.0);
+        let ends_per_second = all * 1000.0 / known.mean_hold_ms.max(1.0);
         Some(Supply {
             free: (free / daemons).max(free.min(1.0)),
             starts_per_second: ends_per_second / daemons,
@@ -194,22 +198,31 @@
             predicted_ms = sent.choice.predicted_ms.round(),
             actual_ms = actual_ms.round(),
         });
-        let uncached = sent.choice.uncached_tokens;
-        if sent.choice.is_free
-            && uncached >= PREFILL_TOKENS
-            && let Some(known) = self.services.get_mut(&sent.service)
-        {
-            let prefill_ms = (actual_ms - known.pace.token_ms).max(0.0) / f64::from(uncached);
-            learn(&mut known.pace.prefill_ms, prefill_ms);
-        }
+        let Some(known) = self.services.get_mut(&sent.service) else { return };
+        // What was cached is told at the end only: between the two bounds the
+        // time may be prefill or queueing.
+        let longest_ms = f64::from(sent.choice.prompt_tokens) * known.pace.prefill_ms;
+        let (least_ms, most_ms) = (actual_ms - longest_ms, actual_ms - known.pace.token_ms);
+        let (endpoint, hold_ms) = (&sent.choice.endpoint, known.pace.hold_ms);
+        known.pool.queued(endpoint, least_ms, most_ms, hold_ms, now);
     }
 
-    /// A completion is complete: its engine has cached all of `text`.
-    pub fn finished(&mut self, attempt: AttemptId, text: &str, now: Instant) {
+    /// A completion is complete: its engine has cached all of `text`, and told
+    /// what it had to compute.
+    pub fn finished(&mut self, attempt: AttemptId, text: &str, usage: &Usage, now: Instant) {
         let now = now.saturating_duration_since(self.started);
         let Some(sent) = self.open.get(&attempt) else { return };
         if let Some(known) = self.services.get_mut(&sent.service) {
             known.pool.cached(&sent.choice.endpoint, &blocks::chain(text), now);
+            let computed = usage.prompt_tokens.saturating_sub(usage.cached_tokens);
+            if let Some(first_at) = sent.first_at
+                && sent.choice.is_free
+                && computed >= PREFILL_TOKENS
+            {
+                let first_ms = first_at.saturating_sub(sent.at).as_secs_f64() * 1000.0;
+                let prefill_ms = (first_ms - known.pace.token_ms).max(0.0);
+                learn(&mut known.pace.prefill_ms, prefill_ms / f64::from(computed));
+            }
         }
     }
 
@@ -218,14 +231,15 @@
         let now = now.saturating_duration_since(self.started);
         let Some(sent) = self.open.remove(&attempt) else { return };
         let Some(known) = self.services.get_mut(&sent.service) else { return };
-        known.pool.closed(&sent.choice.endpoint);
+        known.pool.closed(&sent.choice.endpoint, now);
         if let Some(first_at) = sent.first_at {
             let generating_ms = now.saturating_sub(first_at).as_secs_f64() * 1000.0;
             if sent.tokens >= GENERATED_TOKENS {
                 learn(&mut known.pace.token_ms, generating_ms / f64::from(sent.tokens - 1));
             }
-            let prefill_ms = f64::from(sent.choice.uncached_tokens) * known.pace.prefill_ms;
-            learn(&mut known.pace.hold_ms, generating_ms + prefill_ms);
+            let first_ms = first_at.saturating_sub(sent.at).as_secs_f64() * 1000.0;
+            let longest_ms = f64::from(sent.choice.prompt_tokens) * known.pace.prefill_ms;
+            known.learn_hold(generating_ms + first_ms.min(longest_ms));
         }
     }
 }
@@ -268,7 +282,21 @@
 
 impl Known {
     fn new() -> Known {
-        Known { pool: Pool::default(), pace: FIRST_PACE, reports: false }
+        Known {
+            pool: Pool::default(),
+            pace: FIRST_PACE,
+            mean_hold_ms: FIRST_MEAN_HOLD_MS,
+            reports: false,
+        }
+    }
+
+    /// Long sequences are met more often by one that queues: the pace weighs
+    /// each by its length.
+    fn learn_hold(&mut self, hold_ms: f64) {
+        let weight = hold_ms / self.mean_hold_ms.max(1.0);
+        let share = (LEARNING_SHARE * weight).min(0.5);
+        self.pace.hold_ms += (hold_ms - self.pace.hold_ms) * share;
+        learn(&mut self.mean_hold_ms, hold_ms);
     }
 }
 
--- a/crates/policy/benches/route.rs
+++ b/crates/policy/benches/route.rs
@@ -28,8 +28,7 @@
         let run = |bencher: &mut criterion::Bencher<'_>| {
             bencher.iter(|| {
                 let blocks = blocks::chain(black_box(&prompt));
-                let query =
-                    Query { blocks: &blocks, name: "assistant", avoid: &[], daemons: 70, now };
+                let query = Query { blocks: &blocks, name: "assistant", avoid: &[], now };
                 let candidates = pool.candidates(&query);
                 route::choose(&request(), &candidates).map(|it| it.predicted_ms)
             });
--- a/crates/policy/src/pool.rs
+++ b/crates/policy/src/pool.rs
@@ -24,12 +24,26 @@
 const DEEP_BLOCKS: usize = 32;
 /// Part of the pool that counts as cheap, as a divisor.
 const CHEAP_PART: usize = 4;
-/// Time over which the own rate of sends is averaged.
-const RATE_WINDOW: Duration = Duration::from_secs(2);
-/// Age at which a load report no longer counts.
+/// Time after which what is sent shows in a load report.
+const REPORT_LAG: Duration = Duration::from_millis(700);
+/// Time by which an endpoint without own work is asked later.
+const IDLE_POLL_DELAY: Duration = Duration::from_secs(1);
+/// Share of a new measurement in the estimate of what other daemons have.
+const OTHERS_SHARE: f64 = 0.6;
+/// Queueing time from which an endpoint was full.
+const QUEUED_MS: f64 = 60.0;
+/// Share of a prompt that the endpoint nearest to it has cached, by the sends
+/// of all daemons.
+const HOME_SHARE: f64 = 0.8;
+/// The same of the nearest one at each price, where work goes for its price.
+const PRICE_HOME_SHARE: f64 = 0.4;
+/// Time in which what is known of other daemons' work loses most of its worth.
 const REPORT_LIMIT: Duration = Duration::from_secs(15);
-/// Sequences that an endpoint runs at once, as long as it has not said.
-const CAPACITY_UNKNOWN: u32 = 32;
+/// Sequences that an endpoint runs at once for the choice between endpoints,
+/// as long as it has not said: few, so that none is filled blindly.
+const CAPACITY_UNKNOWN: u32 = 8;
+/// The same for what all endpoints can take: many, so that none is refused.
+const PLACES_UNKNOWN: f64 = 32.0;
 
 /// Load as reported by an endpoint, with a lag.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -51,10 +65,12 @@
     pub price_per_hour: f64,
     usable: bool,
     in_flight: u32,
-    report: Option<(Duration, Report)>,
-    sent_since: u32,
-    send_rate: f64,
-    sent_at: Duration,
+    capacity: u32,
+    /// Own sequences as a report of now would show them.
+    reported_own: f64,
+    reported_own_at: Duration,
+    /// Estimated sequences of other daemons, and when it was made.
+    others: Option<(Duration, f64)>,
     polled_at: Duration,
     hints: Hints,
 }
@@ -86,8 +102,6 @@
     pub name: &'a str,
     /// Endpoints not to be chosen.
     pub avoid: &'a [String],
-    /// Daemons that send to the same endpoints, this one included.
-    pub daemons: usize,
     /// Time.
     pub now: Duration,
 }
@@ -136,25 +150,40 @@
     /// A request was sent.
     pub fn sent(&mut self, id: &str, blocks: &[u64], now: Duration) {
         let Some(member) = self.member(id) else { return };
+        member.settle_own(now);
         member.in_flight += 1;
-        member.sent_since += 1;
-        member.send_rate = member.rate(now) + 1.0 / RATE_WINDOW.as_secs_f64();
-        member.sent_at = now;
         member.hints.predict(blocks, now);
     }
 
     /// A request ended.
-    pub fn closed(&mut self, id: &str) {
+    pub fn closed(&mut self, id: &str, now: Duration) {
         if let Some(member) = self.member(id) {
+            member.settle_own(now);
             member.in_flight = member.in_flight.saturating_sub(1);
         }
     }
 
     /// A load report came.
     pub fn reported(&mut self, id: &str, report: Report, now: Duration) {
-        if let Some(member) = self.member(id) {
-            member.report = Some((now, report));
-            member.sent_since = 0;
+        let Some(member) = self.member(id) else { return };
+        member.settle_own(now);
+        member.capacity = report.capacity;
+        let others = f64::from(report.running + report.waiting) - member.reported_own;
+        member.estimate_others(others.max(0.0), now);
+    }
+
+    /// A first token showed that its request queued between two bounds;
+    /// `hold_ms` is the time for which a sequence holds its place.
+    pub fn queued(&mut self, id: &str, least_ms: f64, most_ms: f64, hold_ms: f64, now: Duration) {
+        let Some(member) = self.member(id) else { return };
+        let capacity = member.capacity();
+        let own = f64::from(member.in_flight);
+        let known = member.others_now(now);
+        if least_ms > QUEUED_MS {
+            let waiting = least_ms * capacity / hold_ms.max(1.0);
+            member.estimate_others((capacity + waiting - own).max(known), now);
+        } else if most_ms < QUEUED_MS {
+            member.estimate_others((capacity - own).clamp(0.0, known), now);
         }
     }
 
@@ -172,10 +201,11 @@
         }
     }
 
-    /// The endpoint to ask next for its load: one in use, longest not asked.
+    /// The endpoint to ask next for its load: the one longest not asked, those
+    /// in use twice as often as others.
     pub fn next_poll(&mut self, now: Duration) -> Option<(String, u64)> {
         let usable = self.members.iter_mut().filter(|it| it.usable);
-        let next = usable.min_by_key(|it| (it.in_flight == 0, it.polled_at))?;
+        let next = usable.min_by_key(|it| it.poll_due())?;
         next.polled_at = now;
         Some((next.id.clone(), next.hints.sequence()))
     }
@@ -191,11 +221,11 @@
     }
 
     /// Estimated places that are free, and all places.
-    pub fn places(&self, daemons: usize, now: Duration) -> (f64, f64) {
-        let query = Query { blocks: &[], name: "", avoid: &[], daemons, now };
+    pub fn places(&self, now: Duration) -> (f64, f64) {
+        let query = Query { blocks: &[], name: "", avoid: &[], now };
         let usable = self.members.iter().filter(|it| it.usable);
         usable.fold((0.0, 0.0), |(free, all), it| {
-            let capacity = it.capacity();
+            let capacity = if it.capacity > 0 { it.capacity() } else { PLACES_UNKNOWN };
             (free + (capacity - it.busy(&query)).max(0.0), all + capacity)
         })
     }
@@ -203,7 +233,7 @@
     /// Every endpoint that takes work, nearest to the prompt first.
     pub fn everyone<'a>(&'a self, query: &Query<'_>) -> Vec<Candidate<'a>> {
         let mut found = Found::new(self.members.len());
-        self.walk(&self.all, query, query.anchor(SHALLOW_BLOCKS), usize::MAX, &mut found);
+        self.walk(&self.all, query, query.anchor(), usize::MAX, &mut found);
         self.view(&found.order, query)
     }
 
@@ -213,16 +243,16 @@
             return self.everyone(query);
         }
         let mut found = Found::new(self.members.len());
-        let (deep, shallow) = (query.anchor(DEEP_BLOCKS), query.anchor(SHALLOW_BLOCKS));
-        self.walk(&self.cheap, query, deep, PER_ANCHOR, &mut found);
-        self.walk(&self.all, query, deep, PER_ANCHOR, &mut found);
-        self.walk(&self.all, query, shallow, PER_ANCHOR, &mut found);
+        let anchor = query.anchor();
+        self.walk(&self.all, query, anchor, PER_ANCHOR, &mut found);
+        self.walk(&self.cheap, query, anchor, PER_ANCHOR, &mut found);
+        self.walk(&self.all, query, query.second_anchor(), PER_ANCHOR, &mut found);
         let is_full = |at: &usize| {
             let member = &self.members[*at];
             member.busy(query) >= member.capacity()
         };
         if found.order.iter().all(is_full) {
-            self.walk(&self.all, query, deep, WIDENED, &mut found);
+            self.walk(&self.all, query, anchor, WIDENED, &mut found);
         }
         self.view(&found.order, query)
     }
@@ -243,22 +273,34 @@
     }
 
     fn view<'a>(&'a self, order: &[usize], query: &Query<'_>) -> Vec<Candidate<'a>> {
-        let view = |at: &usize| {
+        let mut prices_seen: Vec<f64> = Vec::new();
+        let mut candidates = Vec::with_capacity(order.len());
+        for (place, at) in order.iter().enumerate() {
             let member = &self.members[*at];
+            let is_first_at_price = !prices_seen.contains(&member.price_per_hour);
+            if is_first_at_price {
+                prices_seen.push(member.price_per_hour);
+            }
+            let home = match (place, is_first_at_price) {
+                (0, _) => HOME_SHARE,
+                (_, true) => PRICE_HOME_SHARE,
+                _ => 0.0,
+            };
             let cached = member.hints.cached(query.blocks, query.now);
-            Candidate {
+            candidates.push(Candidate {
                 id: &member.id,
-                price: if self.mean_price > 0.0 {
-                    member.price_per_hour / self.mean_price
-                } else {
-                    1.0
-                },
+                price: self.relative_price(member),
                 busy: member.busy(query),
                 capacity: member.capacity(),
                 cached_tokens: (cached * BLOCK_TOKENS) as u32,
-            }
-        };
-        order.iter().map(view).collect()
+                home,
+            });
+        }
+        candidates
+    }
+
+    fn relative_price(&self, member: &Member) -> f64 {
+        if self.mean_price > 0.0 { member.price_per_hour / self.mean_price } else { 1.0 }
     }
 
     fn member(&mut self, id: &str) -> Option<&mut Member> {
@@ -284,46 +326,63 @@
             price_per_hour,
             usable,
             in_flight: 0,
-            report: None,
-            sent_since: 0,
-            send_rate: 0.0,
-            sent_at: Duration::ZERO,
+            capacity: 0,
+            reported_own: 0.0,
+            reported_own_at: Duration::ZERO,
+            others: None,
             polled_at: Duration::ZERO,
             hints: Hints::default(),
         }
     }
 
-    fn rate(&self, now: Duration) -> f64 {
-        let idle = now.saturating_sub(self.sent_at).as_secs_f64();
-        self.send_rate * (-idle / RATE_WINDOW.as_secs_f64()).exp()
+    /// Order in which endpoints are asked; idle ones come later, never last.
+    fn poll_due(&self) -> Duration {
+        self.polled_at + if self.in_flight == 0 { IDLE_POLL_DELAY } else { Duration::ZERO }
+    }
+
+    /// Brings the own part of a report up to now.
+    fn settle_own(&mut self, now: Duration) {
+        let passed = now.saturating_sub(self.reported_own_at).as_secs_f64();
+        let left = (-passed / REPORT_LAG.as_secs_f64()).exp();
+        let own = f64::from(self.in_flight);
+        self.reported_own = own + (self.reported_own - own) * left;
+        self.reported_own_at = now;
+    }
+
+    fn estimate_others(&mut self, others: f64, now: Duration) {
+        let before = self.others.map_or(others, |(_, before)| before);
+        self.others = Some((now, before + (others - before) * OTHERS_SHARE));
+    }
+
+    fn others_now(&self, now: Duration) -> f64 {
+        let Some((at, others)) = self.others else { return 0.0 };
+        let age = now.saturating_sub(at).as_secs_f64();
+        others * (-age / REPORT_LIMIT.as_secs_f64()).exp()
     }
 
     fn capacity(&self) -> f64 {
-        let reported = self.report.map(|(_, report)| report.capacity);
-        f64::from(reported.filter(|it| *it > 0).unwrap_or(CAPACITY_UNKNOWN))
+        f64::from(if self.capacity > 0 { self.capacity } else { CAPACITY_UNKNOWN })
     }
 
-    /// Sequences there now: the last report and what was sent since, by this
-    /// daemon and, at the same rate, by the others.
+    /// Sequences there now: the own ones, and what the last reports and first
+    /// tokens showed of other daemons'.
     fn busy(&self, query: &Query<'_>) -> f64 {
-        let own = f64::from(self.in_flight);
-        let others = query.daemons.saturating_sub(1) as f64;
-        let Some((at, report)) = self.report else { return own };
-        let age = query.now.saturating_sub(at);
-        if age > REPORT_LIMIT {
-            return own;
-        }
-        let reported = f64::from(report.running + report.waiting);
-        let unseen = self.rate(query.now) * age.min(RATE_WINDOW).as_secs_f64() * others;
-        own.max(reported + f64::from(self.sent_since) + unseen)
+        f64::from(self.in_flight) + self.others_now(query.now)
     }
 }
 
 impl Query<'_> {
-    /// Hash by which requests meet that share this many first blocks.
-    fn anchor(&self, blocks: usize) -> u64 {
-        let end = self.blocks.len().min(blocks);
-        match end.checked_sub(1) {
+    /// Hash by which requests meet: by a deep block when they are long, so
+    /// that a common introduction does not bring everything to one place.
+    fn anchor(&self) -> u64 {
+        if self.blocks.len() >= 2 * DEEP_BLOCKS {
+            return self.blocks[DEEP_BLOCKS - 1];
+        }
+        self.second_anchor()
+    }
+
+    fn second_anchor(&self) -> u64 {
+        match self.blocks.len().min(SHALLOW_BLOCKS).checked_sub(1) {
             Some(last) => self.blocks[last],
             None => ring::point(self.name, 0),
         }
--- a/crates/policy/src/route.rs
+++ b/crates/policy/src/route.rs
@@ -4,13 +4,18 @@
 use serde::Serialize;
 
 /// Part of the target within which a first token counts as on time.
-const ON_TIME_SHARE: f64 = 0.7;
-/// Weight of a second of lateness against a second of an endpoint of mean price.
+const ON_TIME_SHARE: f64 = 0.75;
+/// Weight of a second of lateness against a second of an endpoint of mean
+/// price; a late answer is what cost is bound by.
 const LATE_WEIGHT: f64 = 50.0;
 /// Weight of a second of waiting within the target.
 const WAIT_WEIGHT: f64 = 0.2;
 /// Weight of a recomputed second of prompt.
 const RECOMPUTE_WEIGHT: f64 = 4.0;
+/// Sequences by which the estimate of those at an endpoint is uncertain.
+const UNCERTAINTY: f64 = 1.2;
+/// Sequences that may have come to an endpoint since it was heard of.
+const UNSEEN: f64 = 3.0;
 /// Score by which a later place in the order of affinity is worse.
 const PLACE_WEIGHT: f64 = 0.002;
 
@@ -40,8 +45,11 @@
     pub busy: f64,
     /// Sequences that run at once.
     pub capacity: f64,
-    /// Tokens of the prompt that are probably cached there.
+    /// Tokens of the prompt that are probably cached there, by own sends.
     pub cached_tokens: u32,
+    /// Share of the prompt that is probably cached there, by the sends of all
+    /// daemons.
+    pub home: f64,
 }
 
 /// What is routed.
@@ -72,7 +80,7 @@
     pub prefill_ms: f64,
     /// Milliseconds between two generated tokens.
     pub token_ms: f64,
-    /// Milliseconds for which a sequence holds its place.
+    /// Milliseconds for which the sequences that are met hold their places.
     pub hold_ms: f64,
 }
 
@@ -137,24 +145,34 @@
 
 /// Predicted time to the first token at an endpoint, in milliseconds.
 pub fn predicted_ms(request: &Request, candidate: &Candidate<'_>) -> f64 {
-    let ahead = candidate.busy - candidate.capacity + 1.0;
-    let queue = ahead.max(0.0) * request.pace.hold_ms / candidate.capacity.max(1.0);
+    first_token_ms(request, candidate, 0.0)
+}
+
+/// Time to the first token when `more` sequences are there than estimated.
+fn first_token_ms(request: &Request, candidate: &Candidate<'_>, more: f64) -> f64 {
+    let ahead = candidate.busy + more - candidate.capacity + 1.0;
+    // A soft maximum: an endpoint that is nearly full may be full.
+    let expected = UNCERTAINTY * (ahead / UNCERTAINTY).exp().ln_1p();
+    let expected = if expected.is_finite() { expected } else { ahead };
+    let queue = expected * request.pace.hold_ms / candidate.capacity.max(1.0);
     queue + uncached(request, candidate) * request.pace.prefill_ms + request.pace.token_ms
 }
 
 fn uncached(request: &Request, candidate: &Candidate<'_>) -> f64 {
-    f64::from(request.prompt_tokens.saturating_sub(candidate.cached_tokens))
+    let prompt = f64::from(request.prompt_tokens);
+    let cached = f64::from(candidate.cached_tokens).max(candidate.home * prompt);
+    (prompt - cached).max(0.0)
 }
 
 /// Seconds of an endpoint of mean price that the choice is worth; less is better.
 fn score(request: &Request, place: usize, candidate: &Candidate<'_>) -> f64 {
-    let predicted_s = predicted_ms(request, candidate) / 1000.0;
+    let predicted_s = first_token_ms(request, candidate, UNSEEN) / 1000.0;
     let prefill_s = uncached(request, candidate) * request.pace.prefill_ms / 1000.0;
     let generate_s = f64::from(request.output_tokens) * request.pace.token_ms / 1000.0;
     let late_s = (predicted_s - ON_TIME_SHARE * request.target_ms / 1000.0).max(0.0);
     let money = request.cost_weight * candidate.price * (prefill_s + generate_s);
     let recompute = request.recompute_weight * RECOMPUTE_WEIGHT * prefill_s;
-    let wait = WAIT_WEIGHT * predicted_s + LATE_WEIGHT * late_s;
+    let wait = WAIT_WEIGHT * predicted_s + LATE_WEIGHT * request.cost_weight * late_s;
     money + recompute + wait + PLACE_WEIGHT * place as f64
 }
 
--- a/crates/policy/tests/route.rs
+++ b/crates/policy/tests/route.rs
@@ -51,16 +51,36 @@
 }
 
 #[test]
-fn own_sends_count_until_the_next_report() {
+fn own_work_counts_at_once_and_not_twice_in_a_lagging_report() {
     let mut pool = pool(2);
     let report = Report { running: 3, waiting: 0, capacity: 8 };
-    pool.reported("vm-0", report, NOW);
-
     (0..4).for_each(|_| pool.sent("vm-0", &[], NOW));
 
-    assert_eq!(busy(&pool, "vm-0", 1), 7.0);
     pool.reported("vm-0", report, NOW);
-    assert_eq!(busy(&pool, "vm-0", 1), 4.0, "open attempts are a lower bound");
+
+    assert_eq!(busy(&pool, NOW), 7.0, "the report can't show what was sent just now");
+    let later = NOW + Duration::from_secs(60);
+    pool.reported("vm-0", Report { running: 4, ..report }, later);
+    let others = busy(&pool, later) - 4.0;
+    assert!(others < 1.5, "all four were its own: {others}");
+    pool.closed("vm-0", later);
+    assert_eq!(busy(&pool, later) - 3.0, others);
+}
+
+#[test]
+fn first_tokens_show_whether_an_endpoint_was_full() {
+    let report = Report { running: 4, waiting: 0, capacity: 8 };
+    let check = |least_ms: f64, most_ms: f64, expected: std::ops::RangeInclusive<f64>| {
+        let mut pool = pool(2);
+        pool.reported("vm-0", report, NOW);
+        pool.sent("vm-0", &[], NOW);
+        pool.queued("vm-0", least_ms, most_ms, 1000.0, NOW);
+        assert!(expected.contains(&busy(&pool, NOW)), "{}", busy(&pool, NOW));
+    };
+
+    check(500.0, 600.0, 8.0..=13.0);
+    check(-300.0, 10.0, 5.0..=5.0);
+    check(-300.0, 200.0, 5.0..=5.0);
 }
 
 #[test]
@@ -143,7 +163,7 @@
 }
 
 fn candidate(id: &str, price: f64, busy: f64, cached_tokens: u32) -> Candidate<'_> {
-    Candidate { id, price, busy, capacity: 64.0, cached_tokens }
+    Candidate { id, price, busy, capacity: 64.0, cached_tokens, home: 0.0 }
 }
 
 fn request(mode: Mode) -> Request {
@@ -167,10 +187,10 @@
 }
 
 fn query(blocks: &[u64]) -> Query<'_> {
-    Query { blocks, name: "assistant", avoid: &[], daemons: 1, now: NOW }
+    Query { blocks, name: "assistant", avoid: &[], now: NOW }
 }
 
-fn busy(pool: &Pool, id: &str, daemons: usize) -> f64 {
-    let all = pool.everyone(&Query { daemons, ..query(&[]) });
-    all.iter().find(|it| it.id == id).unwrap().busy
+fn busy(pool: &Pool, now: Duration) -> f64 {
+    let all = pool.everyone(&Query { now, ..query(&[]) });
+    all.iter().find(|it| it.id == "vm-0").unwrap().busy
 }
