--- a/crates/harness/src/lib.rs
+++ b/crates/harness/src/lib.rs
@@ -9,4 +9,5 @@
 pub mod measure;
 pub mod process;
 pub mod replays;
+pub mod scale;
 pub mod traces;
--- a/crates/lentilhook/src/command/replay.rs
+++ b/crates/lentilhook/src/command/replay.rs
@@ -12,6 +12,8 @@
 use replay::trace::Trace;
 use replay::verdict;
 
+use crate::command::failure::Failure;
+
 /// replay a trace against running processes and judge its stated outcomes
 #[derive(FromArgs)]
 #[argh(subcommand, name = "replay")]
@@ -38,9 +40,9 @@
 }
 
 /// Replays; the error says how many stated outcomes were missed.
-pub fn run(arguments: &Replay) -> Result<(), String> {
-    let trace = Trace::read(&arguments.trace).map_err(|it| it.to_string())?;
-    let targets = Targets::read(&arguments.targets).map_err(|it| it.to_string())?;
+pub fn run(arguments: &Replay) -> Result<(), Failure> {
+    let trace = Trace::read(&arguments.trace).map_err(Failure::usage)?;
+    let targets = Targets::read(&arguments.targets).map_err(Failure::usage)?;
     // Shown on a terminal only.
     let bar = ProgressBar::new(0);
     let progress = |ended: usize, total: usize| {
@@ -49,16 +51,16 @@
     };
     let ran = drive::run(&trace, &targets, &mut Printed, &progress);
     bar.finish_and_clear();
-    let ran = ran.map_err(|it| it.to_string())?;
+    let ran = ran.map_err(Failure::failed)?;
     let verdicts = trace.outcomes.iter().map(|it| verdict::judge(it, &ran, &targets)).collect();
     let report = Report::new(&trace.name, &ran, &targets, verdicts);
     if arguments.json {
-        println!("{}", serde_json::to_string(&report).map_err(|it| it.to_string())?);
+        println!("{}", serde_json::to_string(&report).map_err(Failure::failed)?);
     } else {
         println!("{report}");
     }
     match report.verdicts.iter().filter(|it| !it.met).count() {
         0 => Ok(()),
-        missed => Err(format!("{missed} stated outcomes were missed")),
+        missed => Err(Failure::failed(format!("{missed} stated outcomes were missed"))),
     }
 }
--- a/crates/lentilhook/src/daemon/departure.rs
+++ b/crates/lentilhook/src/daemon/departure.rs
@@ -16,6 +16,7 @@
 use crate::daemon::fleet::Fleet;
 use crate::daemon::lifecycle::drain::Event;
 use crate::daemon::lifecycle::drain::State;
+use crate::daemon::metrics;
 use crate::daemon::shards::Shards;
 
 /// Time between saying that the daemon is not ready and taking no more
@@ -79,6 +80,7 @@
             return;
         }
         self.readiness.set(false);
+        metrics::set_draining();
         call!([self.parts.fleet], leave());
         if let Departure::Reclaim(left) = departure {
             call!([self.parts.dispatch], reclaimed(left));
--- a/crates/lentilhook/src/daemon/dispatch/mod.rs
+++ b/crates/lentilhook/src/daemon/dispatch/mod.rs
@@ -47,6 +47,7 @@
 use stakker::sync::ChannelGuard;
 
 use crate::daemon::identity;
+use crate::daemon::metrics::Timing;
 use crate::daemon::shards::Shards;
 
 use self::admission::Admission;
@@ -123,11 +124,11 @@
     ) -> Option<Dispatch> {
         let forward = fwd_to!([cx], endpoint_event() as (Endpoint));
         let (events, guard) = Channel::new(cx, forward);
+        let again = fwd_to!([cx], ask_again() as (Again));
+        let (retries, retries_guard) = Channel::new(cx, again);
         let polled = fwd_to!([cx], polled() as (Answer));
         let (answers, poll_guard) = Channel::new(cx, polled);
         call!([cx], poll_turn());
-        let again = fwd_to!([cx], ask_again() as (Again));
-        let (retries, retries_guard) = Channel::new(cx, again);
         Some(Dispatch {
             me,
             transport,
@@ -331,6 +332,7 @@
             tries: 0,
             avoid: Vec::new(),
             opened: cx.now(),
+            timing: Timing::default(),
             fence: None,
         };
         self.jobs.insert(id, job);
--- a/crates/lentilhook/src/daemon/operators.rs
+++ b/crates/lentilhook/src/daemon/operators.rs
@@ -23,9 +23,18 @@
 use web::server::Limits;
 use web::server::Server;
 
+use crate::daemon::metrics;
+use crate::settings::LEVELS;
+use crate::settings::LogLevel;
+
 /// Longest time for the actors to answer.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(12);
 
+/// Path of the metrics, which hold no secret and need no token.
+const METRICS_PATH: &str = "/metrics";
+/// Media type of the metrics.
+const METRICS_TYPE: &str = "text/plain; version=0.0.4";
+
 /// A request of an operator, checked in form.
 #[derive(Clone, Debug)]
 pub enum Operation {
@@ -37,6 +46,10 @@
     Drain,
     /// Give the VMs that are known.
     ListVms,
+    /// Give the shards that the daemon has to do with.
+    ListLeases,
+    /// Change the log level.
+    SetLogLevel(LogLevel),
 }
 
 /// A request with the way back.
@@ -58,6 +71,10 @@
     sink: Sink,
 ) -> Result<Server, web::Error> {
     let handler = move |request: Request, responder: Responder| {
+        if request.path == METRICS_PATH {
+            let _ = responder.send_typed(200, METRICS_TYPE, metrics::render().as_bytes());
+            return;
+        }
         let _ = match serve(&request, &token_sha256, &sink) {
             Ok(body) => responder.send_typed(200, "application/json", body.as_bytes()),
             Err(error) => responder.send_json(error.status(), &error),
@@ -94,6 +111,8 @@
         "GetCatalog" => Operation::GetCatalog,
         "Drain" => Operation::Drain,
         "ListVms" => Operation::ListVms,
+        "ListLeases" => Operation::ListLeases,
+        "SetLogLevel" => Operation::SetLogLevel(log_level(decode(body)?)?),
         _ => {
             let msg = format!("no method {:?}; see the schema for the methods", request.path);
             return Err(Error::new(Code::NotFound, msg));
@@ -101,6 +120,13 @@
     })
 }
 
+fn log_level(request: generated::SetLogLevelRequest) -> Result<LogLevel, Error> {
+    serde_json::from_value(request.level.as_str().into()).map_err(|_| {
+        let msg = format!("level is {:?}; use one of {}", request.level, LEVELS.join(", "));
+        Error::new(Code::InvalidArgument, msg)
+    })
+}
+
 fn decode<T: DeserializeOwned>(body: &[u8]) -> Result<T, Error> {
     serde_json::from_slice(body).map_err(|it| {
         let msg = format!("body is malformed ({it}); send JSON in the form of the schema");
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -2,8 +2,10 @@
 //!
 //! Knows frames and addresses, not what the frames are for.
 
+pub mod traffic;
 pub mod transport;
 pub mod wire;
 
 mod connection;
+mod proof;
 mod stream;
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -22,6 +22,7 @@
     Demo(Demo),
     Generate(Generate),
     Measure(Measure),
+    Scale(Scale),
     Replay(replay::Replay),
     Tidy(Tidy),
     Trace(replay::Trace),
@@ -46,6 +47,18 @@
 #[argh(subcommand, name = "measure")]
 struct Measure {}
 
+/// print what control costs as the number of daemons grows; build with --release
+#[derive(FromArgs)]
+#[argh(subcommand, name = "scale")]
+struct Scale {
+    /// number of daemons, may be given several times
+    #[argh(option)]
+    daemons: Vec<usize>,
+    /// endpoints in the VM list
+    #[argh(option, default = "0")]
+    endpoints: usize,
+}
+
 /// check the house rules that formatter and linter do not know
 #[derive(FromArgs)]
 #[argh(subcommand, name = "tidy")]
@@ -57,6 +70,9 @@
         Command::Demo(_) => harness::demo::run().map_err(|it| it.to_string()),
         Command::Generate(it) => generate::run(&root(), it.check),
         Command::Measure(_) => harness::measure::run().map_err(|it| it.to_string()),
+        Command::Scale(it) => {
+            harness::scale::run(&it.daemons, it.endpoints).map_err(|it| it.to_string())
+        }
         Command::Replay(it) => replay::run(&it),
         Command::Trace(it) => replay::print(&it),
         Command::Tidy(_) => tidy::run(&root()),
