--- a/crates/lentilhook/src/daemon/dispatch/routing.rs
+++ b/crates/lentilhook/src/daemon/dispatch/routing.rs
@@ -58,6 +58,8 @@
     pub blocks: Vec<u64>,
     /// Tokens of the prompt and of what was generated elsewhere.
     pub prompt_tokens: u32,
+    /// Those that are expected to be computed.
+    pub uncached_tokens: u32,
     /// Whether a place was free by estimate.
     pub is_free: bool,
 }
@@ -149,6 +151,7 @@
             endpoint: decision.chosen.to_owned(),
             predicted_ms: decision.predicted_ms,
             prompt_tokens: request.prompt_tokens,
+            uncached_tokens: request.prompt_tokens.saturating_sub(decision.cached_tokens),
             is_free,
             blocks,
         })
