--- a/crates/lentilhook/src/daemon/dispatch/attempts.rs
+++ b/crates/lentilhook/src/daemon/dispatch/attempts.rs
@@ -123,7 +123,6 @@
     }
 
     fn choose(&mut self, cx: CX![], id: JobId, preferred: Option<&str>) -> Option<Choice> {
-        let daemons = self.live_daemons();
         let job = self.jobs.get(&id)?;
         if let Some(endpoint) = preferred {
             return Some(Routing::planned(endpoint, job));
@@ -131,7 +130,7 @@
         if job.failures >= TRIES {
             return None;
         }
-        self.routing.choose(id, job, daemons, cx.now())
+        self.routing.choose(id, job, cx.now())
     }
 
     fn token(&mut self, cx: CX![], id: JobId, number: Attempt, index: u32, text: &str) {
@@ -160,7 +159,7 @@
                     let moved = job.moved;
                     self.count_recomputed(id, moved, cached_tokens);
                 }
-                self.remember_cached(cx, id);
+                self.remember_cached(cx, id, &usage);
                 self.admission.succeeded();
                 self.close_running(cx, id);
                 self.end(cx, id, Reply::Finished(usage));
@@ -267,11 +266,11 @@
     }
 
     /// The engine has the finished completion cached.
-    fn remember_cached(&mut self, cx: CX![], id: JobId) {
+    fn remember_cached(&mut self, cx: CX![], id: JobId, usage: &Usage) {
         let Some(job) = self.jobs.get(&id) else { return };
         if let (Body::Chat(chat), Stage::Running(running)) = (&job.call.body, &job.stage) {
             let text = format!("{}{}", chat.prompt, job.progress.text());
-            self.routing.finished(running.attempt, &text, cx.now());
+            self.routing.finished(running.attempt, &text, usage, cx.now());
         }
     }
 
