Let the lease of a shard follow its state chart

Cause: the chart of the lease was read and checked, and nothing followed it. Its states were not those of a shard either (a lease that was given up could not be taken again).

Change: charts/lease.json has the shard's states; the shard moves along it, and an event that it doesn't expect drops the lease and is reported, after which nothing leaves.

--- a/crates/ledger/src/error.rs
+++ b/crates/ledger/src/error.rs
@@ -6,6 +6,12 @@
 #[derive(Clone, Debug, PartialEq, Eq, Snafu)]
 #[snafu(visibility(pub(crate)))]
 pub enum Error {
+    /// The chart of the lease does not expect what happened.
+    #[snafu(display("lease chart: {detail}; report it, the shard starts over"))]
+    Lifecycle {
+        /// Event and state.
+        detail: String,
+    },
     /// A row can't be decoded.
     #[snafu(display("row {key} is malformed ({detail}); run the version that wrote it"))]
     Row {
--- a/crates/ledger/src/lifecycle.rs
+++ b/crates/ledger/src/lifecycle.rs
@@ -1,89 +1,91 @@
 //! Lifecycle of a daemon's lease of a shard.
 
+use statechart::Lifecycle;
 use statechart::Names;
 
+/// The chart of a shard's lease.
+pub type Chart = Lifecycle<State, Event>;
+
 /// State of a shard's lease.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum State {
     /// Not held here.
     Unheld,
+    /// The head row is being read.
+    Looking,
     /// The claim is being written.
     Claiming,
+    /// Claimed; what earlier holders wrote is being read.
+    Loading,
     /// Held, as far as this daemon knows.
     Held,
-    /// Held earlier, fenced off or lapsed.
-    Lost,
-    /// Being given up.
-    Releasing,
     /// Given up for good.
-    Released,
+    Left,
 }
 
 /// What happens to a shard's lease.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Event {
     /// A call needs the shard.
-    Claim,
+    Asked,
+    /// Nobody holds the lease, or it has lapsed.
+    Free,
     /// The claim was written.
     Claimed,
-    /// Another daemon holds the lease, or the table refused.
+    /// Everything that earlier holders wrote was read.
+    Loaded,
+    /// A commit was written, which renews the lease.
+    Written,
+    /// Another daemon holds the lease, or the platform could not be used.
     Refused,
-    /// The lease was prolonged.
-    Renewed,
-    /// The time of the lease is over.
-    Lapsed,
-    /// Another holder's fence was seen.
+    /// A commit found a newer holder.
     TakenOver,
-    /// This daemon leaves.
-    Release,
-    /// The lease was given up.
+    /// The lease was given up for want of calls.
     Released,
+    /// The daemon leaves and holds nothing.
+    Leave,
 }
 
 impl Names for State {
-    const ALL: &'static [State] = &[
-        State::Unheld,
-        State::Claiming,
-        State::Held,
-        State::Lost,
-        State::Releasing,
-        State::Released,
-    ];
+    const ALL: &'static [State] =
+        &[State::Unheld, State::Looking, State::Claiming, State::Loading, State::Held, State::Left];
 
     fn name(self) -> &'static str {
         match self {
             State::Unheld => "unheld",
+            State::Looking => "looking",
             State::Claiming => "claiming",
+            State::Loading => "loading",
             State::Held => "held",
-            State::Lost => "lost",
-            State::Releasing => "releasing",
-            State::Released => "released",
+            State::Left => "left",
         }
     }
 }
 
 impl Names for Event {
     const ALL: &'static [Event] = &[
-        Event::Claim,
+        Event::Asked,
+        Event::Free,
         Event::Claimed,
+        Event::Loaded,
+        Event::Written,
         Event::Refused,
-        Event::Renewed,
-        Event::Lapsed,
         Event::TakenOver,
-        Event::Release,
         Event::Released,
+        Event::Leave,
     ];
 
     fn name(self) -> &'static str {
         match self {
-            Event::Claim => "claim",
+            Event::Asked => "asked",
+            Event::Free => "free",
             Event::Claimed => "claimed",
+            Event::Loaded => "loaded",
+            Event::Written => "written",
             Event::Refused => "refused",
-            Event::Renewed => "renewed",
-            Event::Lapsed => "lapsed",
             Event::TakenOver => "taken_over",
-            Event::Release => "release",
             Event::Released => "released",
+            Event::Leave => "leave",
         }
     }
 }
--- a/crates/ledger/src/shard/acquire.rs
+++ b/crates/ledger/src/shard/acquire.rs
@@ -5,6 +5,7 @@
 
 use crate::Error;
 use crate::book::Book;
+use crate::lifecycle::Event;
 use crate::message::Action;
 use crate::message::Moment;
 use crate::message::Verdict;
@@ -40,6 +41,7 @@
         let Lease::Looking { seen } = &self.lease else { return Vec::new() };
         let seen = seen.clone();
         let Ok(row) = result else {
+            self.step(Event::Refused);
             self.lease = Lease::Away { seen };
             return self.turn_away(TABLE_RETRY_S);
         };
@@ -70,6 +72,7 @@
         };
         let transaction = self.transaction(&next, version, None, Vec::new());
         let taking = Taking { head: next, transaction: transaction.clone(), unresolved: false };
+        self.step(Event::Free);
         self.lease = Lease::Taking(taking);
         vec![Action::Commit(transaction)]
     }
@@ -81,7 +84,10 @@
     ) -> Vec<Action> {
         match outcome(&taking.head, result) {
             Effect::Took(version) => self.load(taking.head, version),
-            Effect::Lost => self.turn_away(MOVE_RETRY_S),
+            Effect::Lost => {
+                self.step(Event::Refused);
+                self.turn_away(MOVE_RETRY_S)
+            }
             Effect::Open => {
                 let again = taking.transaction.clone();
                 self.lease = Lease::Taking(Taking { unresolved: true, ..taking });
@@ -97,6 +103,7 @@
             Some(named) => Action::ReadSnapshot(named.name.clone()),
             None => Action::ReadBatches(batch_prefix(self.id)),
         };
+        self.step(Event::Claimed);
         self.lease = Lease::Loading(Loading { head, version, book: Book::default(), doubt: None });
         vec![first]
     }
@@ -135,6 +142,7 @@
         self.book = book;
         let mut actions: Vec<Action> =
             head.spare.iter().map(|name| Action::DeleteSnapshot(name.clone())).collect();
+        self.step(Event::Loaded);
         self.lease = Lease::Held(Box::new(Held {
             head: Head { spare: Vec::new(), ..head },
             version,
@@ -173,6 +181,7 @@
     }
 
     fn give_up_loading(&mut self) -> Vec<Action> {
+        self.step(Event::Refused);
         self.lease = Lease::Away { seen: None };
         self.turn_away(TABLE_RETRY_S)
     }
@@ -186,6 +195,7 @@
 
     fn send_elsewhere(&mut self, seen: Seen) -> Vec<Action> {
         let holder = seen.holder.clone();
+        self.step(Event::Refused);
         self.lease = Lease::Away { seen: Some(seen) };
         let asking = std::mem::take(&mut self.asking).into_iter();
         let tell = |(ticket, _)| Action::Tell(ticket, Verdict::Elsewhere(holder.clone()));
--- a/crates/ledger/src/shard/commit.rs
+++ b/crates/ledger/src/shard/commit.rs
@@ -7,6 +7,7 @@
 use platform::table::Put;
 use platform::table::Transaction;
 
+use crate::lifecycle::Event;
 use crate::message::Action;
 use crate::message::Moment;
 use crate::message::Verdict;
@@ -110,6 +111,7 @@
             }
         }
         let head = under.head;
+        self.step(Event::Written);
         self.lease = Lease::Held(Box::new(Held {
             head,
             version,
@@ -127,9 +129,11 @@
         let waiting = self.queue.take_intents();
         self.forget();
         if self.releasing {
+            self.step(Event::Leave);
             let tickets = waiting.into_iter().filter_map(|it| it.ticket);
             return tickets.map(|ticket| not_now(ticket, MOVE_RETRY_S)).collect();
         }
+        self.step(Event::Released);
         let again = waiting.into_iter().filter_map(|it| {
             let Record { identity, request, .. } = it.record;
             Some((it.ticket?, Claim { identity, request }))
@@ -138,6 +142,7 @@
         if self.asking.is_empty() {
             return Vec::new();
         }
+        self.step(Event::Asked);
         self.lease = Lease::Looking { seen: None };
         vec![Action::ReadHead(head_key(self.id))]
     }
@@ -150,6 +155,7 @@
         let tickets = waiting.filter_map(|it| it.ticket);
         let mut actions: Vec<Action> =
             tickets.map(|ticket| not_now(ticket, MOVE_RETRY_S)).collect();
+        self.step(Event::TakenOver);
         self.forget();
         actions.extend(self.turn_away(MOVE_RETRY_S));
         actions
--- a/crates/ledger/src/shard/mod.rs
+++ b/crates/ledger/src/shard/mod.rs
@@ -5,6 +5,7 @@
 mod compact;
 
 use std::collections::HashSet;
+use std::rc::Rc;
 use std::time::Instant;
 
 use platform::table::Transaction;
@@ -12,6 +13,9 @@
 use crate::Error;
 use crate::book::Book;
 use crate::book::Entry;
+use crate::lifecycle::Chart;
+use crate::lifecycle::Event;
+use crate::lifecycle::State;
 use crate::message::Action;
 use crate::message::Counts;
 use crate::message::Input;
@@ -45,6 +49,9 @@
     id: ShardId,
     me: Holder,
     next_token: u64,
+    chart: Rc<Chart>,
+    state: State,
+    fault: Option<Error>,
     lease: Lease,
     asking: Vec<(Ticket, Claim)>,
     queue: Queue,
@@ -147,11 +154,14 @@
 impl Shard {
     /// A shard that this daemon does not hold. `token_seed` must differ
     /// between daemons and incarnations.
-    pub fn new(id: ShardId, me: Holder, token_seed: u64) -> Shard {
+    pub fn new(id: ShardId, me: Holder, token_seed: u64, chart: Rc<Chart>) -> Shard {
         Shard {
             id,
             me,
             next_token: token_seed,
+            state: chart.initial(),
+            chart,
+            fault: None,
             lease: Lease::Away { seen: None },
             asking: Vec::new(),
             queue: Queue::default(),
@@ -172,6 +182,27 @@
 
     /// Takes an input and gives the actions to carry out, in order.
     pub fn handle(&mut self, now: Moment, input: Input) -> Vec<Action> {
+        let mut actions = self.react(now, input);
+        if let Some(fault) = self.fault.take() {
+            // Without the lease nothing leaves, and what is open is unknown to others.
+            self.lease = Lease::Away { seen: None };
+            self.state = self.chart.initial();
+            self.forget();
+            actions.push(Action::Report(fault));
+            actions.extend(self.turn_away(TABLE_RETRY_S));
+        }
+        actions
+    }
+
+    /// Moves along the chart; what it doesn't expect drops the lease.
+    fn step(&mut self, event: Event) {
+        match self.chart.next(self.state, event) {
+            Ok(state) => self.state = state,
+            Err(error) => self.fault = Some(Error::Lifecycle { detail: error.to_string() }),
+        }
+    }
+
+    fn react(&mut self, now: Moment, input: Input) -> Vec<Action> {
         match input {
             Input::Begin(ticket, claim) => self.begin(now, ticket, claim),
             Input::Withdraw(ticket) => self.withdraw(ticket),
@@ -183,6 +214,9 @@
             Input::SnapshotWritten(name, result) => self.snapshot_written(now, &name, result),
             Input::Tick => self.pump(now),
             Input::Release => {
+                if self.state == State::Unheld && !self.releasing {
+                    self.step(Event::Leave);
+                }
                 self.releasing = true;
                 self.pump(now)
             }
@@ -191,7 +225,7 @@
 
     /// Whether this daemon holds the lease, as far as it knows.
     pub fn is_held(&self) -> bool {
-        matches!(self.lease, Lease::Held(_))
+        self.state == State::Held
     }
 
     /// Calls that may be called unknown though they were not run.
@@ -224,6 +258,7 @@
             Lease::Away { seen } => {
                 let seen = seen.clone();
                 self.asking.push((ticket, claim));
+                self.step(Event::Asked);
                 self.lease = Lease::Looking { seen };
                 vec![Action::ReadHead(head_key(self.id))]
             }
--- a/crates/ledger/tests/interleavings/world.rs
+++ b/crates/ledger/tests/interleavings/world.rs
@@ -2,11 +2,13 @@
 
 use std::collections::HashMap;
 use std::collections::HashSet;
+use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
 
 use arbtest::arbitrary::Result;
 use arbtest::arbitrary::Unstructured;
+use ledger::lifecycle::Chart;
 use ledger::message::Action;
 use ledger::message::Input;
 use ledger::message::Moment;
@@ -479,7 +481,8 @@
             address: format!("127.0.0.{number}:1"),
         };
         let seed = (number as u64) << 40 | incarnation << 20;
-        let shard = Shard::new(ShardId(0), holder.clone(), seed).compacting_after(COMPACT_ROWS);
+        let shard =
+            Shard::new(ShardId(0), holder.clone(), seed, chart()).compacting_after(COMPACT_ROWS);
         Daemon { holder, shard, paused: false, released: false, inbox: Vec::new() }
     }
 }
@@ -495,6 +498,11 @@
     }
 }
 
+fn chart() -> Rc<Chart> {
+    let text = include_str!("../../../lentilhook/charts/lease.json");
+    Rc::new(Chart::parse("charts/lease.json", text).unwrap())
+}
+
 fn key_identity(key: usize) -> Identity {
     Identity::of(&format!("key {key}"))
 }
--- a/crates/ledger/tests/shard/store.rs
+++ b/crates/ledger/tests/shard/store.rs
@@ -1,9 +1,11 @@
 //! A platform that answers at once, and time that passes when told.
 
+use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
 
 use ledger::Error;
+use ledger::lifecycle::Chart;
 use ledger::message::Action;
 use ledger::message::Input;
 use ledger::message::Moment;
@@ -70,7 +72,9 @@
     pub fn shard(&self, daemon: &str) -> Shard {
         let address = "127.0.0.1:1".to_owned();
         let holder = Holder { daemon: daemon.to_owned(), incarnation: 1, address };
-        Shard::new(SHARD, holder, daemon.len() as u64).compacting_after(COMPACT_ROWS)
+        let text = include_str!("../../../lentilhook/charts/lease.json");
+        let chart = Rc::new(Chart::parse("charts/lease.json", text).unwrap());
+        Shard::new(SHARD, holder, daemon.len() as u64, chart).compacting_after(COMPACT_ROWS)
     }
 
     /// Gives an input and carries the platform's part out.
--- a/crates/lentilhook/src/daemon/lifecycle/mod.rs
+++ b/crates/lentilhook/src/daemon/lifecycle/mod.rs
@@ -14,7 +14,7 @@
     /// A VM within one incarnation.
     pub vm: membership::lifecycle::Chart,
     /// A shard's lease.
-    pub lease: Lifecycle<ledger::lifecycle::State, ledger::lifecycle::Event>,
+    pub lease: ledger::lifecycle::Chart,
     /// A request on this daemon.
     pub request: Lifecycle<request::State, request::Event>,
 }
--- a/crates/lentilhook/src/daemon/mod.rs
+++ b/crates/lentilhook/src/daemon/mod.rs
@@ -234,7 +234,7 @@
     let fleet = actors.fleet.clone();
     let configuration = actors.configuration.clone();
     let seed = me.incarnation.rotate_left(32) ^ xxhash_rust::xxh3::xxh3_64(me.daemon.as_bytes());
-    call!([shards], Shards::init(me.clone(), worker.clone(), dispatch.clone()));
+    call!([shards], Shards::init(me.clone(), charts.lease, worker.clone(), dispatch.clone()));
     let mode = settings.routing.mode;
     call!([dispatch], Dispatch::init(me.clone(), transport.clone(), shards, mode));
     call!(
--- a/crates/lentilhook/src/daemon/shards.rs
+++ b/crates/lentilhook/src/daemon/shards.rs
@@ -1,12 +1,14 @@
 //! Actor that carries out the actions of the ledger's shards.
 
 use std::collections::HashMap;
+use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
 use admin::generated::Lease;
+use ledger::lifecycle::Chart;
 use ledger::message::Action;
 use ledger::message::Input;
 use ledger::message::Moment;
@@ -49,6 +51,7 @@
 /// The shards that this daemon has to do with.
 pub struct Shards {
     me: identity::Identity,
+    chart: Rc<Chart>,
     shards: HashMap<ShardId, Shard>,
     worker: Worker,
     dispatch: Actor<Dispatch>,
@@ -67,6 +70,7 @@
     pub fn init(
         cx: CX![],
         me: identity::Identity,
+        chart: Chart,
         worker: Worker,
         dispatch: Actor<Dispatch>,
     ) -> Option<Shards> {
@@ -74,7 +78,8 @@
         let (results, guard) = Channel::new(cx, forward);
         after!(TICK, [cx], tick());
         let shards = HashMap::new();
-        Some(Shards { me, shards, worker, dispatch, results, _guard: guard })
+        let chart = Rc::new(chart);
+        Some(Shards { me, chart, shards, worker, dispatch, results, _guard: guard })
     }
 
     /// Asks whether a call may leave; the verdict goes to the dispatcher.
@@ -147,11 +152,12 @@
     fn handle(&mut self, cx: CX![], id: ShardId, input: Input) {
         let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let now = Moment { instant: cx.now(), wall_s: since_epoch.as_secs() };
-        let me = &self.me;
+        let (me, chart) = (&self.me, &self.chart);
         let shard = self.shards.entry(id).or_insert_with(|| {
             // Tokens of other daemons and incarnations must not collide with these.
             let name = format!("{}/{}/{}", me.daemon, me.incarnation, id.0);
-            Shard::new(id, me.holder(), xxhash_rust::xxh3::xxh3_64(name.as_bytes()))
+            let seed = xxhash_rust::xxh3::xxh3_64(name.as_bytes());
+            Shard::new(id, me.holder(), seed, Rc::clone(chart))
         });
         let was_held = shard.is_held();
         let actions = shard.handle(now, input);
