--- a/crates/policy/src/suspects.rs
+++ b/crates/policy/src/suspects.rs
@@ -8,7 +8,7 @@
 
 /// Points at which a request is refused.
 pub const LIMIT: u32 = 4;
-/// Points of a death before the first token of the attempt.
+/// Points of a death before the first token of the request.
 const EARLY_DEATH: u32 = 2;
 /// Points of a death after it: another request may be the cause.
 const LATE_DEATH: u32 = 1;
@@ -36,7 +36,7 @@
 /// When an endpoint died under an attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Death {
-    /// Before the first token of the attempt.
+    /// Before the first token of the request.
     Early,
     /// After it.
     Late,
