Keep a job to one open attempt

Cause, found by reading: a retry held back by the budget stays in the stage of its closed attempt; a recovery plan that took it up meanwhile would have been followed by the held retry, a second open attempt at the same job. Tokens were never doubled (only the open attempt is heard), the engine's work was.

--- a/crates/lentilhook/src/daemon/dispatch/attempts.rs
+++ b/crates/lentilhook/src/daemon/dispatch/attempts.rs
@@ -48,7 +48,7 @@
 
     /// Starts the next attempt, at the preferred endpoint if there is one.
     pub(super) fn attempt_at(&mut self, cx: CX![], id: JobId, preferred: Option<&str>) {
-        if self.refuse_suspect(cx, id) {
+        if self.is_busy(id) || self.refuse_suspect(cx, id) {
             return;
         }
         let choice = self.choose(cx, id, preferred);
@@ -236,6 +236,17 @@
         }
     }
 
+    /// Whether a job has an open attempt or has ended.
+    ///
+    /// Invariant: a job has at most one open attempt.
+    fn is_busy(&self, id: JobId) -> bool {
+        match self.jobs.get(&id).map(|job| &job.stage) {
+            Some(Stage::Running(running)) => self.by_attempt.contains_key(&running.attempt),
+            Some(Stage::Ended(_)) => true,
+            _ => false,
+        }
+    }
+
     fn runs_on_reclaimed(&self, id: JobId) -> bool {
         let Some(Job { stage: Stage::Running(running), .. }) = self.jobs.get(&id) else {
             return false;
