--- a/crates/lentilhook/src/daemon/dispatch/fingerprints.rs
+++ b/crates/lentilhook/src/daemon/dispatch/fingerprints.rs
@@ -37,8 +37,8 @@
     /// The endpoint of a job's attempt died without a reclaim.
     pub(super) fn count_death(&mut self, cx: CX![], id: JobId) {
         let Some(job) = self.jobs.get(&id) else { return };
-        let early = job.progress.len() == job.progress.resumed_at();
-        let death = if early { Death::Early } else { Death::Late };
+        // A request that has had tokens runs; another one may be the cause.
+        let death = if job.progress.is_empty() { Death::Early } else { Death::Late };
         let print = fingerprint(&job.call);
         let points = self.suspects.count(cx.now(), &self.me.daemon, print, death);
         spdlog::warn!("endpoint died", kv: {
