Don't tell a first read of the list, and pause repairs that change nothing

Cause: counted from the code: a daemon that starts at two years' size would tell 3,420 VMs 16 times each, 3.8 MB in some 10 minutes, and two daemons that differ for good (one knows VMs as gone that the other never saw) would send 256 changes to each other each 2 s, 9 KB/s.

Ruled out: no telling of any live VM (the others read the list each 30 s only).

Change: the first read is loaded without telling; gone counts in the digest like never known; the pause after a repair doubles to 64 rounds while nothing changes. The rate now stands in `View::repair`, which the count uses as well. A first try took "revision 0" for the first read: the reader of a zone that started before any VM then told nobody, and the process tests waited in vain.

Conclusion: the cost of a start is one read of the list.

--- a/crates/lentilhook/src/daemon/fleet/gossip.rs
+++ b/crates/lentilhook/src/daemon/fleet/gossip.rs
@@ -23,8 +23,6 @@
 const PEERS_PER_ROUND: usize = 2;
 /// Time between two messages while changes are urgent.
 const HURRY: Duration = Duration::from_millis(100);
-/// Rounds between two times that changes are told again.
-const ROUNDS_PER_REPAIR: u64 = 2;
 /// Peers that are asked to probe one that doesn't answer.
 const HELPERS: usize = 3;
 
@@ -101,10 +99,7 @@
         for suspect in &gossip.suspects {
             self.take_suspect(cx, suspect);
         }
-        if gossip.digest != self.view.digest() && self.rounds >= self.repair_at {
-            self.repair_at = self.rounds + ROUNDS_PER_REPAIR;
-            self.repair(&sender.address);
-        }
+        self.repair(&sender.address, gossip.digest);
         let answered = self.probes.remove(&stream);
         if let Some(id) = answered {
             self.liveness.answered(&id);
@@ -116,8 +111,8 @@
     }
 
     /// Tells a peer that knows something else the last changes.
-    fn repair(&mut self, address: &str) {
-        let vms = self.view.recent();
+    fn repair(&mut self, address: &str, digest: u64) {
+        let vms = self.view.repair(digest, self.rounds);
         if vms.is_empty() {
             return;
         }
--- a/crates/lentilhook/src/daemon/fleet/mod.rs
+++ b/crates/lentilhook/src/daemon/fleet/mod.rs
@@ -66,7 +66,6 @@
     poll: Poll,
     last_round: Instant,
     is_hurrying: bool,
-    repair_at: u64,
     transport: Transport,
     worker: Worker,
     links: Links,
@@ -130,7 +129,6 @@
             poll: Poll::default(),
             last_round: cx.now(),
             is_hurrying: false,
-            repair_at: 0,
             transport,
             worker,
             links,
@@ -235,6 +233,15 @@
         }
     }
 
+    /// What a first read of a list says.
+    fn load(&mut self, cx: CX![], vm: &Vm) {
+        if vm.id == self.me.daemon {
+            self.learn(cx, vm);
+        } else if self.view.load(vm) == Change::Changed {
+            self.changed(cx, &vm.id);
+        }
+    }
+
     fn changed(&mut self, cx: CX![], id: &str) {
         let Some(vm) = self.view.get(id).cloned() else { return };
         self.liveness.learned(id, vm.incarnation);
--- a/crates/lentilhook/src/daemon/fleet/watch.rs
+++ b/crates/lentilhook/src/daemon/fleet/watch.rs
@@ -75,11 +75,15 @@
     pub(super) fn answered(&mut self, cx: CX![], answer: Answer) {
         match answer {
             Answer::Registered(done) => self.registered = done,
-            Answer::Daemons(daemons) => daemons.iter().for_each(|vm| self.learn(cx, vm)),
+            Answer::Daemons(daemons) => daemons.iter().for_each(|vm| self.load(cx, vm)),
             Answer::Listed(page) => {
-                self.list_revision = page.revision;
+                let is_first = !self.poll.has_read();
+                self.list_revision = self.list_revision.max(page.revision);
                 self.poll.done();
-                page.vms.iter().for_each(|vm| self.learn(cx, &from_list(vm)));
+                for vm in &page.vms {
+                    let vm = from_list(vm);
+                    if is_first { self.load(cx, &vm) } else { self.learn(cx, &vm) }
+                }
             }
             Answer::Noticed(notices) => {
                 for notice in notices {
--- a/crates/membership/src/poll.rs
+++ b/crates/membership/src/poll.rs
@@ -44,6 +44,11 @@
         };
     }
 
+    /// Whether this daemon has read the list since its start.
+    pub fn has_read(&self) -> bool {
+        self.own_age.is_some()
+    }
+
     /// Rounds since a daemon of this zone read the list.
     pub fn age(&self) -> Option<u32> {
         self.age
--- a/crates/membership/src/view.rs
+++ b/crates/membership/src/view.rs
@@ -18,6 +18,9 @@
 pub const SPREAD: u32 = 16;
 /// Last changes that can be told again.
 const RECENT: usize = 256;
+/// Rounds after a repair in which there is no other, at first and at most.
+const REPAIR_PAUSE: u64 = 2;
+const REPAIR_PAUSE_LIMIT: u64 = 64;
 /// Most changes in one message.
 pub const CHANGES_PER_MESSAGE: usize = 24;
 
@@ -35,6 +38,8 @@
     /// Sum over all VMs, the same wherever the same is known.
     digest: u64,
     messages: u64,
+    repair_at: u64,
+    repair_pause: u64,
 }
 
 /// What an update did to the view.
@@ -53,6 +58,8 @@
             recent: VecDeque::new(),
             digest: 0,
             messages: 0,
+            repair_at: 0,
+            repair_pause: REPAIR_PAUSE,
             chart,
             vms: BTreeMap::new(),
             spreading: BTreeMap::new(),
@@ -70,16 +77,20 @@
         {
             return Change::Stale;
         }
-        let mut vm = vm.clone();
-        if self.noticed.get(&vm.id) == Some(&vm.incarnation) {
-            vm.state = vm.state.max(State::Leaving);
-        }
+        self.insert(vm.clone());
         self.spreading.insert(vm.id.clone(), SPREAD);
         self.remember(&vm.id);
-        self.digest ^= hash(&vm);
-        if let Some(old) = self.vms.insert(vm.id.clone(), vm) {
-            self.digest ^= hash(&old);
+        self.repair_pause = REPAIR_PAUSE;
+        Change::Changed
+    }
+
+    /// Merges what a first read of a list says: everyone else has read it, so
+    /// it isn't told.
+    pub fn load(&mut self, vm: &Vm) -> Change {
+        if self.vms.get(&vm.id).is_some_and(|known| !self.follows(known, vm)) {
+            return Change::Stale;
         }
+        self.insert(vm.clone());
         Change::Changed
     }
 
@@ -113,12 +124,15 @@
         self.digest
     }
 
-    /// The last changes, for a peer whose digest differs; none while changes
-    /// are being told anyway.
-    pub fn recent(&self) -> Vec<Vm> {
-        if !self.spreading.is_empty() {
+    /// What to send to a peer with this digest in this round: the last
+    /// changes, if it knows something else, nothing is being told anyway and
+    /// it is not too soon.
+    pub fn repair(&mut self, digest: u64, round: u64) -> Vec<Vm> {
+        if digest == self.digest || round < self.repair_at || !self.spreading.is_empty() {
             return Vec::new();
         }
+        self.repair_at = round + self.repair_pause;
+        self.repair_pause = (2 * self.repair_pause).min(REPAIR_PAUSE_LIMIT);
         self.recent.iter().filter_map(|id| self.vms.get(id).cloned()).collect()
     }
 
@@ -163,6 +177,16 @@
         vms.into_iter().any(|vm| vm.state != State::Live)
     }
 
+    fn insert(&mut self, vm: Vm) {
+        let is_noticed = self.noticed.get(&vm.id) == Some(&vm.incarnation);
+        let state = if is_noticed { vm.state.max(State::Leaving) } else { vm.state };
+        let vm = Vm { state, ..vm };
+        self.digest ^= hash(&vm);
+        if let Some(old) = self.vms.insert(vm.id.clone(), vm) {
+            self.digest ^= hash(&old);
+        }
+    }
+
     fn remember(&mut self, id: &str) {
         self.recent.retain(|it| it != id);
         self.recent.push_back(id.to_owned());
@@ -188,6 +212,10 @@
     }
 }
 
+/// A VM that is gone counts like one that was never known.
 fn hash(vm: &Vm) -> u64 {
+    if vm.state == State::Gone {
+        return 0;
+    }
     xxh3_64(format!("{} {} {}", vm.id, vm.incarnation, vm.state.name()).as_bytes())
 }
--- a/crates/membership/tests/fleet/cost.rs
+++ b/crates/membership/tests/fleet/cost.rs
@@ -17,8 +17,6 @@
 const PEERS_PER_ROUND: usize = 2;
 /// Rounds of 100 ms.
 const ROUNDS_PER_SECOND: usize = 10;
-/// Rounds of 100 ms between two times that a daemon tells its changes again.
-const ROUNDS_PER_REPAIR: usize = 20;
 /// Rounds of 100 ms; the users' bound for a leaving VM is "a few seconds".
 const ROUNDS: usize = 30;
 /// Bytes of an h2 exchange besides the frames: headers and frame heads of
@@ -67,7 +65,6 @@
 
 fn rounds_of(u: &mut Unstructured<'_>, views: &mut [View]) -> Result<Option<usize>> {
     let daemons = views.len();
-    let mut repair_at = vec![0; daemons];
     for round in 0..2 * ROUNDS {
         let unaware = |it: &View| it.live(Role::Endpoint).next().is_some();
         if !views.iter().any(unaware) {
@@ -88,13 +85,10 @@
             changes.iter().for_each(|it| {
                 views[to].merge(it);
             });
-            if digest != views[to].digest() && round >= repair_at[to] {
-                repair_at[to] = round + ROUNDS_PER_REPAIR;
-                let recent = views[to].recent();
-                recent.iter().for_each(|it| {
-                    views[from].merge(it);
-                });
-            }
+            let repair = views[to].repair(digest, (round / ROUNDS_PER_SECOND) as u64);
+            repair.iter().for_each(|it| {
+                views[from].merge(it);
+            });
         }
     }
     Ok(None)
--- a/crates/membership/tests/fleet/main.rs
+++ b/crates/membership/tests/fleet/main.rs
@@ -157,16 +157,32 @@
     let mut view = View::new(chart());
     view.merge(&vm("vm-a", 1, State::Gone));
     let told = (0..100).take_while(|_| !view.take_changes().is_empty()).count();
-    let quiet = view.recent();
+    let repair = view.repair(1, 0);
+    let again = [1, 2, 3, 6].map(|round| !view.repair(1, round).is_empty());
+    let agreeing = view.repair(view.digest(), 100);
 
     view.tell_again("vm-a");
     view.tell_again("vm-z");
 
     assert_eq!(told as u32, SPREAD);
-    assert_eq!(quiet, [vm("vm-a", 1, State::Gone)]);
+    assert_eq!(repair, [vm("vm-a", 1, State::Gone)]);
+    assert_eq!(again, [false, true, false, true], "repaired too often");
+    assert!(agreeing.is_empty());
     assert_eq!(view.take_changes(), [vm("vm-a", 1, State::Gone)]);
 }
 
+#[test]
+fn a_first_read_is_not_told() {
+    let mut view = View::new(chart());
+
+    view.load(&vm("vm-a", 1, State::Live));
+    let told = view.take_changes();
+    view.merge(&vm("vm-a", 1, State::Leaving));
+
+    assert_eq!(told, []);
+    assert_eq!(view.take_changes(), [vm("vm-a", 1, State::Leaving)]);
+}
+
 #[test]
 fn digests_are_equal_where_the_same_is_known() {
     let mut one = View::new(chart());
@@ -177,6 +193,7 @@
     other.merge(&vm("vm-b", 1, State::Leaving));
     let different = other.digest();
     other.merge(&vm("vm-a", 1, State::Live));
+    other.merge(&vm("vm-c", 1, State::Gone));
 
     assert_ne!(one.digest(), different);
     assert_eq!(one.digest(), other.digest());
