--- a/crates/lentilhook/src/daemon/fleet/mod.rs
+++ b/crates/lentilhook/src/daemon/fleet/mod.rs
@@ -70,7 +70,6 @@
     last_round: Instant,
     is_hurrying: bool,
     asks_notices: bool,
-    repair_at: u64,
     transport: Transport,
     worker: Worker,
     links: Links,
@@ -135,7 +134,6 @@
             last_round: cx.now(),
             is_hurrying: false,
             asks_notices: false,
-            repair_at: 0,
             transport,
             worker,
             links,
@@ -240,6 +238,15 @@
         }
     }
 
+    /// What a first read of a list says.
+    fn load(&mut self, cx: CX![], vm: &Vm) {
+        if vm.id == self.me.daemon {
+            self.learn(cx, vm);
+        } else if self.view.load(vm) == Change::Changed {
+            self.changed(cx, &vm.id);
+        }
+    }
+
     fn changed(&mut self, cx: CX![], id: &str) {
         let Some(vm) = self.view.get(id).cloned() else { return };
         self.liveness.learned(id, vm.incarnation);
