--- a/crates/lentilhook/src/daemon/dispatch/routing.rs
+++ b/crates/lentilhook/src/daemon/dispatch/routing.rs
@@ -166,7 +166,7 @@
         if known.pool.is_empty() {
             return None;
         }
-        let (free, all) = known.pool.places(now);
+        let (free, all) = known.pool.places(daemons, now);
         let daemons = daemons.max(1) as f64;
         let ends_per_second = all * 1000.0 / known.mean_hold_ms.max(1.0);
         Some(Supply {
--- a/crates/policy/src/pool.rs
+++ b/crates/policy/src/pool.rs
@@ -69,6 +69,8 @@
     /// Own sequences as a report of now would show them.
     reported_own: f64,
     reported_own_at: Duration,
+    /// Own sequences at the last report.
+    own_at_report: f64,
     /// Estimated sequences of other daemons, and when it was made.
     others: Option<(Duration, f64)>,
     polled_at: Duration,
@@ -168,6 +170,7 @@
         let Some(member) = self.member(id) else { return };
         member.settle_own(now);
         member.capacity = report.capacity;
+        member.own_at_report = f64::from(member.in_flight);
         let others = f64::from(report.running + report.waiting) - member.reported_own;
         member.estimate_others(others.max(0.0), now);
     }
@@ -220,14 +223,19 @@
         self.usable == 0
     }
 
-    /// Estimated places that are free, and all places.
-    pub fn places(&self, now: Duration) -> (f64, f64) {
+    /// Estimated places that are free, and all places. Other daemons are taken
+    /// to have started as many sequences since the last reports as this one.
+    pub fn places(&self, daemons: usize, now: Duration) -> (f64, f64) {
         let query = Query { blocks: &[], name: "", avoid: &[], now };
-        let usable = self.members.iter().filter(|it| it.usable);
-        usable.fold((0.0, 0.0), |(free, all), it| {
-            let capacity = if it.capacity > 0 { it.capacity() } else { PLACES_UNKNOWN };
-            (free + (capacity - it.busy(&query)).max(0.0), all + capacity)
-        })
+        let (mut free, mut all, mut started) = (0.0, 0.0, 0.0);
+        for member in self.members.iter().filter(|it| it.usable) {
+            let capacity = if member.capacity > 0 { member.capacity() } else { PLACES_UNKNOWN };
+            free += (capacity - member.busy(&query)).max(0.0);
+            all += capacity;
+            started += f64::from(member.in_flight) - member.own_at_report;
+        }
+        let unseen = f64::max(started, 0.0) * daemons.saturating_sub(1) as f64;
+        (f64::max(free - unseen, 0.0), all)
     }
 
     /// Every endpoint that takes work, nearest to the prompt first.
@@ -329,6 +337,7 @@
             capacity: 0,
             reported_own: 0.0,
             reported_own_at: Duration::ZERO,
+            own_at_report: 0.0,
             others: None,
             polled_at: Duration::ZERO,
             hints: Hints::default(),
--- a/crates/policy/tests/route.rs
+++ b/crates/policy/tests/route.rs
@@ -67,6 +67,20 @@
     assert_eq!(busy(&pool, later) - 3.0, others);
 }
 
+#[test]
+fn others_are_taken_to_start_as_much_as_this_daemon_between_reports() {
+    let check = |daemons: usize, sends: usize, free: f64| {
+        let mut pool = pool(1);
+        pool.reported("vm-0", Report { running: 0, waiting: 0, capacity: 20 }, NOW);
+        (0..sends).for_each(|_| pool.sent("vm-0", &[], NOW));
+        assert_eq!(pool.places(daemons, NOW), (free, 20.0));
+    };
+
+    check(1, 6, 14.0);
+    check(3, 6, 2.0);
+    check(7, 6, 0.0);
+}
+
 #[test]
 fn first_tokens_show_whether_an_endpoint_was_full() {
     let report = Report { running: 4, waiting: 0, capacity: 8 };
--- a/crates/standins/src/engine/generate.rs
+++ b/crates/standins/src/engine/generate.rs
@@ -45,7 +45,7 @@
         self.switches.crash_if_told(&prompt);
         let fields = [field("Content-Type", "text/event-stream")];
         let mut stream = responder.stream(200, &fields)?;
-        let _slot = self.slots.acquire(body.priority);
+        let _slot = self.slots.acquire(body.priority, || stream.send(b": keep-alive\n\n"))?;
         let id = request.field("x-request-id").unwrap_or_default().to_owned();
         let sequence = self.prefill(&mut stream, &body, id, prompt)?;
         let generated = self.generate(&mut stream, &sequence);
--- a/crates/standins/src/engine/slots.rs
+++ b/crates/standins/src/engine/slots.rs
@@ -2,9 +2,14 @@
 //! the rest wait, best priority first.
 
 use std::collections::BTreeSet;
+use std::io;
 use std::sync::Condvar;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::time::Duration;
+
+/// Longest wait without a sign of life.
+const KEEP_ALIVE: Duration = Duration::from_millis(500);
 
 /// Sequences running and waiting.
 #[derive(Debug)]
@@ -39,19 +44,35 @@
         Slots { capacity, queue: Mutex::default(), freed: Condvar::new() }
     }
 
-    /// Waits for a slot.
-    pub fn acquire(&self, priority: u8) -> Slot<'_> {
+    /// Waits for a slot; calls `waiting` now and then, whose error ends the wait.
+    pub fn acquire(
+        &self,
+        priority: u8,
+        mut waiting: impl FnMut() -> io::Result<()>,
+    ) -> io::Result<Slot<'_>> {
         let mut queue = self.queue();
         let ticket = Ticket { priority, number: queue.next_ticket };
         queue.next_ticket += 1;
         queue.waiting.insert(ticket);
         while queue.running >= self.capacity || queue.waiting.first() != Some(&ticket) {
-            queue = self.freed.wait(queue).unwrap_or_else(|poisoned| poisoned.into_inner());
+            let waited = self.freed.wait_timeout(queue, KEEP_ALIVE);
+            let (woken, timeout) = waited.unwrap_or_else(|poisoned| poisoned.into_inner());
+            queue = woken;
+            if timeout.timed_out() {
+                drop(queue);
+                let alive = waiting();
+                queue = self.queue();
+                if let Err(error) = alive {
+                    queue.waiting.remove(&ticket);
+                    self.freed.notify_all();
+                    return Err(error);
+                }
+            }
         }
         queue.waiting.remove(&ticket);
         queue.running += 1;
         self.freed.notify_all();
-        Slot { slots: self }
+        Ok(Slot { slots: self })
     }
 
     /// Sequences running now.
