Ping connections between daemons only while streams are open, close idle ones

Cause: each daemon gossips with peers at random and keeps every connection; both ends pinged it each second. At 420 daemons that is hundreds of PING frames a second for nobody.

Change: a connection counts its open streams; PING frames are sent only while there are any, an idle connection is forgotten after 15 s and closed a second later unless a stream got it just before. A stream without an answer stays open, so a silent connection is still found.

Ruled out: a fixed small set of gossip peers, which slows the spread that was measured with random ones.

--- a/crates/peer/src/connection.rs
+++ b/crates/peer/src/connection.rs
@@ -7,7 +7,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use h2::Ping;
 use h2::PingPong;
 use h2::client::SendRequest;
 use tokio::net::TcpListener;
@@ -20,13 +19,15 @@
 use crate::stream;
 use crate::stream::Incoming;
 use crate::transport::Sink;
+use crate::watch::Activity;
+use crate::watch::Leave;
+use crate::watch::OpenStream;
+use crate::watch::watch;
 
 /// Longest time to set up a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
-/// Time between two PING frames.
-const PING_INTERVAL: Duration = Duration::from_secs(1);
-/// Longest silence after a PING frame before a connection is left.
-const PING_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time for a stream that got an idle connection to show before it is closed.
+const CLOSE_GRACE: Duration = Duration::from_secs(1);
 /// Flow-control window of a stream, in bytes.
 const STREAM_WINDOW_BYTES: u32 = 1 << 20;
 /// Flow-control window of a connection, in bytes.
@@ -34,11 +35,26 @@
 /// Most streams that a peer may have open on a connection.
 const STREAMS_PER_CONNECTION: u32 = 4096;
 
-/// Connections opened by this daemon, one a peer.
+/// Connections opened by this daemon, one a peer. Idle ones are closed.
 #[derive(Clone)]
 pub struct Connections {
     secret: Arc<str>,
-    open: Arc<Mutex<HashMap<SocketAddr, SendRequest<Bytes>>>>,
+    open: Arc<Mutex<HashMap<SocketAddr, Open>>>,
+}
+
+/// An open connection.
+#[derive(Clone)]
+struct Open {
+    sender: SendRequest<Bytes>,
+    activity: Activity,
+}
+
+/// A connection that takes a stream.
+pub struct Ready {
+    /// Where the stream is opened.
+    pub sender: SendRequest<Bytes>,
+    /// Counts the stream; to be kept as long as it is open.
+    pub stream: OpenStream,
 }
 
 impl Connections {
@@ -48,12 +64,14 @@
     }
 
     /// The connection to a peer, made when there is none.
-    pub async fn get(&self, peer: SocketAddr) -> Result<SendRequest<Bytes>, String> {
+    pub async fn get(&self, peer: SocketAddr) -> Result<Ready, String> {
         let known = self.lock().get(&peer).cloned();
-        if let Some(known) = known
-            && let Ok(ready) = known.ready().await
-        {
-            return Ok(ready);
+        if let Some(known) = known {
+            // Counted before it is ready, so that it is not closed meanwhile.
+            let stream = known.activity.open();
+            if let Ok(sender) = known.sender.ready().await {
+                return Ok(Ready { sender, stream });
+            }
         }
         let made = timeout(CONNECT_TIMEOUT, self.connect(peer)).await;
         made.map_err(|_| format!("no connection to {peer} in time"))?
@@ -64,7 +82,7 @@
         self.lock().remove(&peer);
     }
 
-    async fn connect(&self, peer: SocketAddr) -> Result<SendRequest<Bytes>, String> {
+    async fn connect(&self, peer: SocketAddr) -> Result<Ready, String> {
         let mut socket = TcpStream::connect(peer).await.map_err(|it| it.to_string())?;
         let _ = socket.set_nodelay(true);
         proof::open(&mut socket, &self.secret).await?;
@@ -75,19 +93,36 @@
             .await;
         let (sender, mut connection) = handshake.map_err(|it| it.to_string())?;
         let pings = connection.ping_pong();
+        let activity = Activity::default();
+        let stream = activity.open();
+        let open = Open { sender: sender.clone(), activity: activity.clone() };
+        self.lock().insert(peer, open);
         let connections = self.clone();
         tokio::spawn(async move {
             tokio::select! {
                 _ = connection => {}
-                () = watch(pings) => {}
+                () = connections.watch(peer, pings, &activity) => {}
             }
             connections.forget(peer);
         });
-        self.lock().insert(peer, sender.clone());
-        sender.ready().await.map_err(|it| it.to_string())
+        let sender = sender.ready().await.map_err(|it| it.to_string())?;
+        Ok(Ready { sender, stream })
     }
 
-    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<SocketAddr, SendRequest<Bytes>>> {
+    /// Returns when a connection is to be closed.
+    async fn watch(&self, peer: SocketAddr, pings: Option<PingPong>, activity: &Activity) {
+        let Some(mut pings) = pings else { return };
+        while watch(&mut pings, activity).await == Leave::Idle {
+            // From here on it takes no new stream; one that got it just before counts.
+            self.forget(peer);
+            sleep(CLOSE_GRACE).await;
+            if activity.is_idle() {
+                return;
+            }
+        }
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<SocketAddr, Open>> {
         self.open.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
     }
 }
@@ -125,26 +160,25 @@
         .max_concurrent_streams(STREAMS_PER_CONNECTION)
         .handshake(socket);
     let Ok(Ok(mut connection)) = timeout(CONNECT_TIMEOUT, handshake).await else { return };
-    let Some(pings) = connection.ping_pong() else { return };
+    let Some(mut pings) = connection.ping_pong() else { return };
+    let activity = Activity::default();
     let streams = async {
         while let Some(Ok((request, respond))) = connection.accept().await {
-            tokio::spawn(stream::incoming(request, respond, sink.clone(), opened.clone()));
+            let open = activity.open();
+            let task = stream::incoming(request, respond, sink.clone(), opened.clone());
+            tokio::spawn(async move {
+                task.await;
+                drop(open);
+            });
         }
     };
     tokio::select! {
         () = streams => {}
-        () = watch(Some(pings)) => {}
+        () = watch_accepted(&mut pings, &activity) => {}
     }
 }
 
-/// Returns when the other end has not answered a PING frame in time.
-async fn watch(pings: Option<PingPong>) {
-    let Some(mut pings) = pings else { return };
-    loop {
-        sleep(PING_INTERVAL).await;
-        match timeout(PING_TIMEOUT, pings.ping(Ping::opaque())).await {
-            Ok(Ok(_)) => {}
-            _ => return,
-        }
-    }
+/// Returns when the peer is silent; an idle connection is the peer's to close.
+async fn watch_accepted(pings: &mut PingPong, activity: &Activity) {
+    while watch(pings, activity).await == Leave::Idle {}
 }
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -9,3 +9,4 @@
 mod connection;
 mod proof;
 mod stream;
+mod watch;
--- a/crates/peer/src/stream.rs
+++ b/crates/peer/src/stream.rs
@@ -17,10 +17,12 @@
 use tokio::sync::mpsc::unbounded_channel;
 
 use crate::connection::Connections;
+use crate::connection::Ready;
 use crate::traffic;
 use crate::transport::Event;
 use crate::transport::Sink;
 use crate::transport::StreamId;
+use crate::watch::OpenStream;
 use crate::wire;
 use crate::wire::Frame;
 
@@ -43,7 +45,7 @@
     sink: Sink,
 ) {
     let opened = open(&connections, peer).await;
-    let (response, out) = match opened {
+    let Opened { response, out, open: _open } = match opened {
         Ok(opened) => opened,
         Err(detail) => {
             connections.forget(peer);
@@ -78,17 +80,22 @@
     }
 }
 
-async fn open(
-    connections: &Connections,
-    peer: SocketAddr,
-) -> Result<(ResponseFuture, SendStream<Bytes>), String> {
-    let mut sender = connections.get(peer).await?;
+/// A stream that this daemon opened.
+struct Opened {
+    response: ResponseFuture,
+    out: SendStream<Bytes>,
+    open: OpenStream,
+}
+
+async fn open(connections: &Connections, peer: SocketAddr) -> Result<Opened, String> {
+    let Ready { mut sender, stream } = connections.get(peer).await?;
     let request = Request::builder()
         .method("POST")
         .uri(format!("http://{peer}/"))
         .body(())
         .map_err(|it| it.to_string())?;
-    sender.send_request(request, false).map_err(|it| it.to_string())
+    let (response, out) = sender.send_request(request, false).map_err(|it| it.to_string())?;
+    Ok(Opened { response, out, open: stream })
 }
 
 async fn pump(
