--- /dev/null
+++ b/crates/harness/tests/operating/documented.rs
@@ -0,0 +1,45 @@
+//! The commands that the operators' page shows, run as they stand there.
+
+use std::fs;
+use std::process::Command;
+
+use harness::caller::renew;
+use harness::cluster::Cluster;
+use harness::cluster::OPERATOR_TOKEN;
+use harness::cluster::WORKSPACE_TOKEN;
+use harness::cluster::wait_for;
+
+use crate::program;
+use crate::root;
+use crate::stderr;
+
+/// Address of the operators' port on the page.
+const ADDRESS: &str = "10.20.1.4:8081";
+
+#[test]
+fn a_newcomer_serves_a_renewal_by_the_page_alone() {
+    let mut cluster = Cluster::start().unwrap();
+    cluster.add_service("registry-1", &[]).unwrap();
+    cluster.add_daemon("entry-1", "tema-a").unwrap();
+    let daemon = &cluster.daemons[0];
+    let folder = cluster.folder.path();
+    fs::write(folder.join("operator.token"), OPERATOR_TOKEN).unwrap();
+    fs::write(folder.join("office.token"), WORKSPACE_TOKEN).unwrap();
+    let page = fs::read_to_string(root().join("docs/OPERATING.md")).unwrap();
+    let commands: Vec<&str> =
+        page.lines().filter_map(|it| it.strip_prefix("lentilhook admin ")).collect();
+
+    for command in &commands {
+        let command = command.replace(ADDRESS, &daemon.operators);
+        let mut run = Command::new(program());
+        run.arg("admin").args(command.split_whitespace()).current_dir(folder);
+        let output = run.output().unwrap();
+        assert!(output.status.success(), "{command}: {}", stderr(&output));
+    }
+    let answered = || renew(&daemon.callers, "key-1", "licence").is_ok_and(|it| it.status == 200);
+
+    assert!(commands.len() >= 3);
+    wait_for("a renewal to be served", answered).unwrap();
+    let log = fs::read_to_string(&daemon.process.log).unwrap();
+    assert!(log.contains("routed") && log.contains("registry-1"), "no decision in the log");
+}
--- a/crates/harness/tests/operating/main.rs
+++ b/crates/harness/tests/operating/main.rs
@@ -1,6 +1,7 @@
 //! A deployment as an operator runs it: command line, metrics, logs, access.
 
 mod bad_input;
+mod documented;
 mod later;
 mod peer_access;
 
--- a/crates/lentilhook/src/daemon/metrics.rs
+++ b/crates/lentilhook/src/daemon/metrics.rs
@@ -73,7 +73,7 @@
         };
         let control_bytes = IntCounter::new(
             "lentilhook_control_sent_bytes_total",
-            "Bytes of gossip sent to other daemons.",
+            "Bytes of gossip and configuration sent to other daemons.",
         )?;
         registry.register(Box::new(control_bytes.clone()))?;
         let service: &[&str] = &["service"];
--- a/crates/peer/src/traffic.rs
+++ b/crates/peer/src/traffic.rs
@@ -14,7 +14,7 @@
 
 /// Counts a frame that was encoded to `bytes` for sending.
 pub(crate) fn count_sent(frame: &Frame, bytes: usize) {
-    if matches!(frame, Frame::Gossip(_)) {
+    if matches!(frame, Frame::Gossip(_) | Frame::Config { .. }) {
         SENT.fetch_add(bytes as u64, Ordering::Relaxed);
     }
 }
