--- a/crates/harness/src/cluster.rs
+++ b/crates/harness/src/cluster.rs
@@ -103,6 +103,20 @@
         Ok(())
     }
 
+    /// Kills model engines, as at the end of a notice or before it.
+    pub fn kill_engines(&mut self, vms: &[&str]) -> io::Result<()> {
+        for engine in self.engines.iter_mut().filter(|it| vms.contains(&it.vm.as_str())) {
+            engine.process.kill()?;
+        }
+        self.engines.retain(|it| !vms.contains(&it.vm.as_str()));
+        Ok(())
+    }
+
+    /// What all daemons have logged.
+    pub fn logs(&self) -> io::Result<String> {
+        self.daemons.iter().map(|it| fs::read_to_string(&it.process.log)).collect()
+    }
+
     /// Starts a plain service; `extra` arguments go to the stand-in.
     pub fn add_service(&mut self, vm: &str, extra: &[&str]) -> io::Result<()> {
         let endpoint = self.start_endpoint("service", vm, extra)?;
@@ -274,6 +288,12 @@
     sent.map(|_| ()).map_err(io::Error::other)
 }
 
+/// Reads a text.
+pub fn get_text(address: &str, path: &str) -> io::Result<String> {
+    let called = ureq::get(format!("http://{address}{path}")).call();
+    called.map_err(io::Error::other)?.body_mut().read_to_string().map_err(io::Error::other)
+}
+
 /// Puts bytes on a path of a stand-in.
 pub fn put(address: &str, path: &str, body: &[u8]) -> io::Result<()> {
     let sent = ureq::put(format!("http://{address}{path}")).send(body);
--- a/crates/lentilhook/src/daemon/fleet/mod.rs
+++ b/crates/lentilhook/src/daemon/fleet/mod.rs
@@ -41,6 +41,9 @@
 use crate::daemon::identity::Identity;
 use crate::daemon::worker::Worker;
 
+/// Time for which endpoints known to be leaving are collected before the
+/// platform is asked when they end.
+const NOTICES_DELAY: Duration = Duration::from_millis(100);
 /// Time between two rounds of gossip and looks at the VM list.
 const ROUND: Duration = Duration::from_secs(1);
 /// Gap between two rounds after which this daemon counts as having been frozen.
@@ -67,6 +70,7 @@
     last_round: Instant,
     is_hurrying: bool,
     repair_at: u64,
+    asks_notices: bool,
     transport: Transport,
     worker: Worker,
     links: Links,
@@ -131,6 +135,7 @@
             last_round: cx.now(),
             is_hurrying: false,
             repair_at: 0,
+            asks_notices: false,
             transport,
             worker,
             links,
@@ -244,7 +249,12 @@
             state: ? = vm.state,
             address = vm.address.as_str(),
         });
+        let leaves = vm.role == Role::Endpoint && vm.state == State::Leaving;
         call!([self.links.dispatch], vm_changed(vm));
+        if leaves && !self.asks_notices {
+            self.asks_notices = true;
+            after!(NOTICES_DELAY, [cx], ask_notices());
+        }
         if !self.is_hurrying {
             self.is_hurrying = true;
             call!([cx], hurry());
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -9,6 +9,8 @@
 pub mod handover;
 pub mod hints;
 pub mod pool;
+pub mod recover;
 pub mod retry;
 pub mod ring;
 pub mod route;
+pub mod suspects;
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -20,6 +20,7 @@
 enum Command {
     Demo(Demo),
     Measure(Measure),
+    MeasureLedger(MeasureLedger),
     Scale(Scale),
     Replay(replay::Replay),
     Tidy(Tidy),
@@ -48,6 +49,11 @@
     endpoints: usize,
 }
 
+/// print the ledger's writes at several rates of calls; build with --release
+#[derive(FromArgs)]
+#[argh(subcommand, name = "measure-ledger")]
+struct MeasureLedger {}
+
 /// check the house rules that formatter and linter do not know
 #[derive(FromArgs)]
 #[argh(subcommand, name = "tidy")]
@@ -61,6 +67,7 @@
         Command::Scale(it) => {
             harness::scale::run(&it.daemons, it.endpoints).map_err(|it| it.to_string())
         }
+        Command::MeasureLedger(_) => harness::measure_ledger::run().map_err(|it| it.to_string()),
         Command::Replay(it) => replay::run(&it),
         Command::Trace(it) => replay::print(&it),
         Command::Tidy(_) => tidy::run(&root()),
