--- a/crates/endpoint/src/agent.rs
+++ b/crates/endpoint/src/agent.rs
@@ -1,7 +1,11 @@
 //! HTTP agents and the meaning of their errors.
 
+use std::io;
 use std::io::ErrorKind;
+use std::net::SocketAddr;
+use std::net::TcpStream;
 use std::sync::OnceLock;
+use std::thread;
 use std::time::Duration;
 
 use ureq::Agent;
@@ -14,6 +18,12 @@
 /// Longest silence of an endpoint. Engines send keep-alive comments.
 pub const SILENCE_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Looks at whether an endpoint still listens.
+const LOOKS: u32 = 3;
+/// Time between two looks.
+const LOOK_INTERVAL: Duration = Duration::from_millis(30);
+/// Longest time of a look.
+const LOOK_TIMEOUT: Duration = Duration::from_millis(300);
 /// Buffer of a connection in each direction; each open stream has two.
 const BUFFER_BYTES: usize = 8 * 1024;
 
@@ -41,21 +51,38 @@
             Failure::NotSent(detail)
         }
         ureq::Error::Timeout(_) => Failure::Silent(detail),
-        ureq::Error::Io(io) if is_timeout(io.kind()) => Failure::Silent(detail),
+        ureq::Error::Io(io) if is_timeout(io) => Failure::Silent(detail),
         _ => Failure::Broken(detail),
     }
 }
 
 /// What a failed read of a stream says about the attempt.
-pub fn read_failure(error: &std::io::Error) -> Failure {
-    if is_timeout(error.kind()) {
+pub fn read_failure(error: &io::Error) -> Failure {
+    if is_timeout(error) {
         return Failure::Silent(error.to_string());
     }
     Failure::Broken(error.to_string())
 }
 
-fn is_timeout(kind: ErrorKind) -> bool {
-    matches!(kind, ErrorKind::TimedOut | ErrorKind::WouldBlock)
+/// Finds out whether a broken connection was the end of its endpoint.
+pub fn examine(address: &str, failure: Failure) -> Failure {
+    let Failure::Broken(detail) = failure else { return failure };
+    let Ok(address) = address.parse::<SocketAddr>() else { return Failure::Broken(detail) };
+    for _ in 0..LOOKS {
+        let connected = TcpStream::connect_timeout(&address, LOOK_TIMEOUT);
+        if connected.is_err_and(|it| it.kind() == ErrorKind::ConnectionRefused) {
+            return Failure::Died(detail);
+        }
+        thread::sleep(LOOK_INTERVAL);
+    }
+    Failure::Broken(detail)
+}
+
+fn is_timeout(error: &io::Error) -> bool {
+    // The agent's own time limits come wrapped when a body is read.
+    let inner = error.get_ref().and_then(|it| it.downcast_ref::<ureq::Error>());
+    matches!(inner, Some(ureq::Error::Timeout(_)))
+        || matches!(error.kind(), ErrorKind::TimedOut | ErrorKind::WouldBlock)
 }
 
 fn build(idle: usize, silence: Option<Duration>) -> Agent {
--- a/crates/harness/src/lib.rs
+++ b/crates/harness/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod cluster;
 pub mod demo;
 pub mod deployment;
+pub mod load;
 pub mod measure;
 pub mod measure_ledger;
 pub mod placed;
--- a/crates/lentilhook/src/daemon/dispatch/problems.rs
+++ b/crates/lentilhook/src/daemon/dispatch/problems.rs
@@ -61,6 +61,12 @@
     Problem::new(410, "answer not kept", detail, Outcome::Failed)
 }
 
+/// The request has crashed too many endpoints.
+pub fn crashes_endpoints() -> Problem {
+    let detail = "endpoints crash when they run this request, so it is no longer run; change it";
+    Problem::new(422, "crashes endpoints", detail, Outcome::Failed)
+}
+
 /// The key was used for another request.
 pub fn key_reused() -> Problem {
     let detail = "this Idempotency-Key belongs to another request; use a new key";
--- a/crates/lentilhook/src/daemon/fleet/watch.rs
+++ b/crates/lentilhook/src/daemon/fleet/watch.rs
@@ -1,5 +1,7 @@
 //! What the platform is asked about VMs, and what its answers say.
 
+use std::time::Duration;
+
 use membership::update::Role;
 use membership::update::State;
 use membership::update::Vm;
@@ -11,7 +13,9 @@
 use platform::vm::Notice;
 use policy::ring;
 use stakker::CX;
+use stakker::call;
 
+use crate::daemon::dispatch::recovery;
 use crate::daemon::fleet::Answer;
 use crate::daemon::fleet::Fleet;
 use crate::daemon::identity::Identity;
@@ -56,6 +60,18 @@
         });
     }
 
+    /// A peer knows that an endpoint leaves; the platform says when.
+    pub(super) fn ask_notices(&mut self, _cx: CX![]) {
+        self.asks_notices = false;
+        let answers = self.answers.clone();
+        let notice = self.notice;
+        self.worker.queue(move |client| {
+            if let Ok(notices) = client.notices(notice) {
+                answers.send(Answer::Noticed(notices));
+            }
+        });
+    }
+
     fn register(&self) {
         let answers = self.answers.clone();
         let registered = self.registered;
@@ -95,6 +111,9 @@
             self.take_own_notice(notice);
             return;
         }
+        let (vm, incarnation) = (notice.vm.clone(), notice.incarnation);
+        let left = Duration::from_millis(notice.left_ms);
+        call!([self.links.dispatch], noticed(recovery::Notice { vm, incarnation, left }));
         if self.view.notice(&notice.vm, notice.incarnation) == Change::Changed {
             self.changed(cx, &notice.vm);
         }
