--- a/crates/ledger/src/shard/mod.rs
+++ b/crates/ledger/src/shard/mod.rs
@@ -13,6 +13,7 @@
 use crate::book::Book;
 use crate::book::Entry;
 use crate::message::Action;
+use crate::message::Counts;
 use crate::message::Input;
 use crate::message::Moment;
 use crate::message::Ticket;
@@ -21,6 +22,7 @@
 use crate::queue::Pending;
 use crate::queue::Queue;
 use crate::record::COMPACT_ROWS;
+use crate::record::Claim;
 use crate::record::Head;
 use crate::record::Holder;
 use crate::record::Identity;
@@ -44,7 +46,7 @@
     me: Holder,
     next_token: u64,
     lease: Lease,
-    asking: Vec<(Ticket, Identity)>,
+    asking: Vec<(Ticket, Claim)>,
     queue: Queue,
     book: Book,
     /// Calls that were granted under this lease and have not ended.
@@ -52,6 +54,7 @@
     used_at: Option<Instant>,
     releasing: bool,
     compact_rows: u64,
+    counts: Counts,
 }
 
 #[derive(Clone, Debug)]
@@ -157,6 +160,7 @@
             used_at: None,
             releasing: false,
             compact_rows: COMPACT_ROWS,
+            counts: Counts::default(),
         }
     }
 
@@ -169,7 +173,7 @@
     /// Takes an input and gives the actions to carry out, in order.
     pub fn handle(&mut self, now: Moment, input: Input) -> Vec<Action> {
         match input {
-            Input::Begin(ticket, identity) => self.begin(now, ticket, identity),
+            Input::Begin(ticket, claim) => self.begin(now, ticket, claim),
             Input::Withdraw(ticket) => self.withdraw(ticket),
             Input::End(identity, step) => self.end(now, identity, step),
             Input::HeadRead(result) => self.head_read(now, result),
@@ -190,6 +194,11 @@
         matches!(self.lease, Lease::Held(_))
     }
 
+    /// Calls that may be called unknown though they were not run.
+    pub fn counts(&self) -> Counts {
+        self.counts
+    }
+
     /// Fencing number, when held.
     pub fn fence(&self) -> Option<u64> {
         match &self.lease {
@@ -198,7 +207,7 @@
         }
     }
 
-    fn begin(&mut self, now: Moment, ticket: Ticket, identity: Identity) -> Vec<Action> {
+    fn begin(&mut self, now: Moment, ticket: Ticket, claim: Claim) -> Vec<Action> {
         self.used_at = Some(now.instant);
         if self.releasing {
             return vec![not_now(ticket, MOVE_RETRY_S)];
@@ -208,13 +217,13 @@
         }
         match &self.lease {
             Lease::Held(_) => {
-                let mut actions = self.decide(now, ticket, identity);
+                let mut actions = self.decide(now, ticket, claim);
                 actions.extend(self.pump(now));
                 actions
             }
             Lease::Away { seen } => {
                 let seen = seen.clone();
-                self.asking.push((ticket, identity));
+                self.asking.push((ticket, claim));
                 self.lease = Lease::Looking { seen };
                 vec![Action::ReadHead(head_key(self.id))]
             }
@@ -222,24 +231,26 @@
                 vec![not_now(ticket, TABLE_RETRY_S)]
             }
             _ => {
-                self.asking.push((ticket, identity));
+                self.asking.push((ticket, claim));
                 Vec::new()
             }
         }
     }
 
     /// Decides on a call while the lease is held.
-    fn decide(&mut self, now: Moment, ticket: Ticket, identity: Identity) -> Vec<Action> {
-        let verdict = match self.book.entry(&identity) {
+    fn decide(&mut self, now: Moment, ticket: Ticket, claim: Claim) -> Vec<Action> {
+        let verdict = match self.book.entry(&claim.identity) {
+            Some(_) if self.book.differs(&claim) => Verdict::Reused,
             Some(Entry::Running) => Verdict::Running,
             Some(Entry::Done(answer)) => Verdict::Done(answer.clone()),
             Some(Entry::Unknown) => Verdict::Unknown,
-            None if self.is_intended(&identity) => Verdict::Running,
+            None if self.is_intended(&claim.identity) => Verdict::Running,
             None if self.is_unresolved() => {
                 return vec![not_now(ticket, TABLE_RETRY_S)];
             }
             None => {
-                let record = Record { identity, step: Step::Intent, wall_s: now.wall_s };
+                let Claim { identity, request } = claim;
+                let record = Record { identity, step: Step::Intent, wall_s: now.wall_s, request };
                 self.queue.push(record, Some(ticket));
                 return Vec::new();
             }
@@ -281,8 +292,12 @@
     fn end(&mut self, now: Moment, identity: Identity, step: Step) -> Vec<Action> {
         self.used_at = Some(now.instant);
         self.running.remove(&identity);
-        // Without the lease the next holder counts the call as unknown.
-        if !self.is_held() || matches!(self.book.entry(&identity), Some(Entry::Done(_))) {
+        if !self.is_held() {
+            // The next holder counts the call as unknown.
+            self.counts.ends_lost += u64::from(step == Step::NotRun);
+            return Vec::new();
+        }
+        if matches!(self.book.entry(&identity), Some(Entry::Done(_))) {
             return Vec::new();
         }
         // Known here at once, so that a resubmission sees it before it is written.
@@ -291,7 +306,7 @@
     }
 
     fn record(&mut self, now: Moment, identity: Identity, step: Step) {
-        let record = Record { identity, step, wall_s: now.wall_s };
+        let record = Record { identity, step, wall_s: now.wall_s, request: 0 };
         self.book.note(&record);
         self.queue.push(record, None);
     }
--- a/crates/lentilhook/src/daemon/dispatch/attempts.rs
+++ b/crates/lentilhook/src/daemon/dispatch/attempts.rs
@@ -29,29 +29,39 @@
 use crate::daemon::dispatch::job::Stage;
 use crate::daemon::dispatch::problems;
 use crate::daemon::dispatch::recorded::ledger_identity;
+use crate::daemon::dispatch::routing::Choice;
+use crate::daemon::dispatch::routing::Routing;
+use crate::daemon::dispatch::waiting::Waiting;
+use crate::daemon::identity::Identity;
 use crate::daemon::metrics;
 
-/// Most attempts at one job.
-const TRIES: u32 = 4;
+/// Most attempts at one job that may fail.
+pub(super) const TRIES: u32 = 4;
 /// Longest time of a plain service to answer.
 const PLAIN_TIMEOUT: Duration = Duration::from_secs(10);
 
 impl Dispatch {
     /// Starts the next attempt at a job, or ends it when there is none.
     pub(super) fn attempt(&mut self, cx: CX![], id: JobId) {
-        let Some(job) = self.jobs.get(&id) else { return };
-        let daemons = self.live_daemons();
-        let choice = match job.tries < TRIES {
-            true => self.routing.choose(id, job, daemons, cx.now()),
-            false => None,
-        };
+        self.attempt_at(cx, id, None);
+    }
+
+    /// Starts the next attempt, at the preferred endpoint if there is one.
+    pub(super) fn attempt_at(&mut self, cx: CX![], id: JobId, preferred: Option<&str>) {
+        if self.refuse_suspect(cx, id) {
+            return;
+        }
+        let choice = self.choose(cx, id, preferred);
         let target = choice.as_ref().and_then(|it| self.endpoints.get(&it.endpoint));
         let (Some(address), Some(choice)) = (target.map(|it| it.vm.address.clone()), choice) else {
-            self.give_up(cx, id);
+            if self.wait(cx, id) == Waiting::GiveUp {
+                self.give_up(cx, id);
+            }
             return;
         };
         let endpoint = choice.endpoint.clone();
         let uncached = choice.uncached_tokens;
+        let Some(job) = self.jobs.get(&id) else { return };
         let service = job.call.service.clone();
         let attempt = AttemptId(self.take_number());
         self.routing.sent(attempt, &service, choice, cx.now());
@@ -59,7 +69,8 @@
         job.tries += 1;
         metrics::attempted(&service, job.tries, uncached);
         let number = job.progress.start_attempt();
-        let order = order(&self.me.daemon, id, job);
+        let request = request(&self.me, id, job);
+        let order = order(request.clone(), job);
         let events = self.events.clone();
         let sink = move |attempt: AttemptId, event: Event| {
             events.send(Endpoint { attempt, event });
@@ -68,7 +79,8 @@
         if let Some(target) = self.endpoints.get_mut(&endpoint) {
             target.in_flight += 1;
         }
-        job.stage = Stage::Running(Running { attempt, number, endpoint, cancel });
+        job.stage =
+            Stage::Running(Running { attempt, number, endpoint, request, since: cx.now(), cancel });
         self.by_attempt.insert(attempt, id);
     }
 
@@ -110,10 +122,23 @@
         self.forget(id);
     }
 
+    fn choose(&mut self, cx: CX![], id: JobId, preferred: Option<&str>) -> Option<Choice> {
+        let job = self.jobs.get(&id)?;
+        if let Some(endpoint) = preferred {
+            return Some(Routing::planned(endpoint, job));
+        }
+        if job.failures >= TRIES {
+            return None;
+        }
+        self.routing.choose(id, job, cx.now())
+    }
+
     fn token(&mut self, cx: CX![], id: JobId, number: Attempt, index: u32, text: &str) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
         match job.progress.take(number, index, text) {
             Taken::Next => {
+                job.accepted = true;
+                job.waiting_since = None;
                 job.timing.token(&job.service, job.opened, cx.now());
                 let transport = &self.transport;
                 let progress = &job.progress;
@@ -128,8 +153,13 @@
         let Some(job) = self.jobs.get(&id) else { return };
         match job.progress.finish(number, usage.completion_tokens) {
             End::Complete => {
+                let cached_tokens = usage.cached_tokens;
                 let usage = Usage { completion_tokens: job.progress.len(), ..usage };
-                self.remember_cached(cx, id);
+                if number.0 > 1 {
+                    let moved = job.moved;
+                    self.count_recomputed(id, moved, cached_tokens);
+                }
+                self.remember_cached(cx, id, &usage);
                 self.admission.succeeded();
                 self.close_running(cx, id);
                 self.end(cx, id, Reply::Finished(usage));
@@ -143,7 +173,7 @@
     }
 
     /// Leaves the open attempt of a job, which can't be used further.
-    fn leave(&mut self, cx: CX![], id: JobId, failure: Failure) {
+    pub(super) fn leave(&mut self, cx: CX![], id: JobId, failure: Failure) {
         let Some(Job { stage: Stage::Running(running), .. }) = self.jobs.get(&id) else { return };
         running.cancel.cancel();
         self.close_running(cx, id);
@@ -151,7 +181,7 @@
     }
 
     /// Stops hearing the open attempt of a job.
-    fn close_running(&mut self, cx: CX![], id: JobId) {
+    pub(super) fn close_running(&mut self, cx: CX![], id: JobId) {
         let Some(Job { stage: Stage::Running(running), .. }) = self.jobs.get(&id) else { return };
         let attempt = running.attempt;
         self.close(cx, attempt);
@@ -163,8 +193,19 @@
     }
 
     fn failed(&mut self, cx: CX![], id: JobId, failure: Failure) {
+        let reclaimed = self.runs_on_reclaimed(id);
+        let started = !matches!(failure, Failure::NotSent(_) | Failure::Refused(_));
+        if !reclaimed && matches!(failure, Failure::Died(_)) {
+            self.count_death(cx, id);
+        }
         metrics::attempt_failed(&failure);
         let Some(job) = self.jobs.get_mut(&id) else { return };
+        job.accepted |= started;
+        // What was lost in a reclaim, or never began at an endpoint, does not
+        // count against an accepted job.
+        if !reclaimed && (started || !job.accepted) {
+            job.failures += 1;
+        }
         if let Stage::Running(running) = &job.stage {
             spdlog::warn!("attempt failed", kv: {
                 job = id.0,
@@ -174,7 +215,6 @@
             });
             job.avoid.push(running.endpoint.clone());
         }
-        let started = matches!(failure, Failure::Broken(_) | Failure::Silent(_));
         if started && job.call.is_non_idempotent() {
             self.record(id, Step::Unknown);
             let detail = match failure {
@@ -184,7 +224,22 @@
             self.end(cx, id, Reply::Problem(problems::unknown(detail)));
             return;
         }
-        self.retry(cx, id);
+        if job.planned.is_some() {
+            // The plan says when and where it goes on.
+            job.stage = Stage::Waiting;
+            return;
+        }
+        match reclaimed {
+            true => self.attempt(cx, id),
+            false => self.retry(cx, id),
+        }
+    }
+
+    fn runs_on_reclaimed(&self, id: JobId) -> bool {
+        let Some(Job { stage: Stage::Running(running), .. }) = self.jobs.get(&id) else {
+            return false;
+        };
+        self.is_reclaimed(&running.endpoint)
     }
 
     /// No endpoint is left to try.
@@ -201,7 +256,7 @@
         self.end(cx, id, Reply::Problem(problem));
     }
 
-    fn record(&self, id: JobId, step: Step) {
+    pub(super) fn record(&self, id: JobId, step: Step) {
         let Some(job) = self.jobs.get(&id) else { return };
         if let Some(identity) = ledger_identity(&job.call)
             && job.fence.is_some()
@@ -211,11 +266,11 @@
     }
 
     /// The engine has the finished completion cached.
-    fn remember_cached(&mut self, cx: CX![], id: JobId) {
+    fn remember_cached(&mut self, cx: CX![], id: JobId, usage: &Usage) {
         let Some(job) = self.jobs.get(&id) else { return };
         if let (Body::Chat(chat), Stage::Running(running)) = (&job.call.body, &job.stage) {
             let text = format!("{}{}", chat.prompt, job.progress.text());
-            self.routing.finished(running.attempt, &text, cx.now());
+            self.routing.finished(running.attempt, &text, usage, cx.now());
         }
     }
 
@@ -231,10 +286,16 @@
     }
 }
 
-fn order(daemon: &str, id: JobId, job: &Job) -> Order {
+/// Names an attempt at its endpoint, where attempts of all daemons meet.
+fn request(me: &Identity, id: JobId, job: &Job) -> String {
+    format!("{}-{}-{}-{}", me.daemon, me.incarnation, id.0, job.tries)
+}
+
+fn order(request: String, job: &Job) -> Order {
     match &job.call.body {
         Body::Chat(chat) => Order::Chat(chat::Order {
-            request: format!("{daemon}-{}-{}", id.0, job.tries),
+            request,
+            fresh_connection: job.tries > 1,
             messages: chat.messages.clone(),
             max_tokens: chat.max_tokens,
             priority: job.service.priority,
@@ -245,6 +306,7 @@
             call: call.clone(),
             key: job.call.key.clone(),
             fence: job.fence,
+            fresh_connection: job.tries > 1,
             timeout: PLAIN_TIMEOUT,
         }),
     }
--- a/crates/lentilhook/src/daemon/dispatch/job.rs
+++ b/crates/lentilhook/src/daemon/dispatch/job.rs
@@ -9,6 +9,7 @@
 use job::call::Call;
 use job::progress::Attempt;
 use job::progress::Progress;
+use job::recompute::Recompute;
 use job::reply::Reply;
 use peer::transport::Command;
 use peer::transport::StreamId;
@@ -16,11 +17,11 @@
 use peer::wire::Frame;
 use tokio::sync::mpsc::UnboundedSender;
 
+use crate::daemon::dispatch::recorded::Again;
+use crate::daemon::dispatch::recovery::Planned;
 use crate::daemon::metrics;
 use crate::daemon::metrics::Timing;
 
-use crate::daemon::dispatch::recorded::Again;
-
 /// Names a job on this daemon.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct JobId(pub u64);
@@ -39,6 +40,18 @@
     pub stage: Stage,
     /// Attempts started.
     pub tries: u32,
+    /// Attempts that failed and count against the limit.
+    pub failures: u32,
+    /// Whether an endpoint has taken it up.
+    pub accepted: bool,
+    /// When it began to wait for an endpoint, until the next token.
+    pub waiting_since: Option<Instant>,
+    /// Planned change of endpoint.
+    pub planned: Option<Planned>,
+    /// Whether the KV cache was moved for the current attempt.
+    pub moved: bool,
+    /// What its recovery has cost.
+    pub recompute: Recompute,
     /// Endpoints where an attempt failed.
     pub avoid: Vec<String>,
     /// When it was taken.
@@ -49,6 +62,30 @@
     pub fence: Option<u64>,
 }
 
+impl Job {
+    /// A job that was just taken, without anyone who waits for it.
+    pub fn new(call: Call, service: Service, opened: Instant) -> Job {
+        Job {
+            call,
+            service,
+            waiters: Vec::new(),
+            progress: Progress::default(),
+            stage: Stage::Recording,
+            tries: 0,
+            failures: 0,
+            accepted: false,
+            waiting_since: None,
+            planned: None,
+            moved: false,
+            recompute: Recompute::default(),
+            avoid: Vec::new(),
+            opened,
+            timing: Timing::default(),
+            fence: None,
+        }
+    }
+}
+
 /// Where a job stands.
 pub enum Stage {
     /// Waits for the ledger, or for a place at an endpoint.
@@ -57,6 +94,8 @@
     Kept,
     /// An attempt is open.
     Running(Running),
+    /// Accepted; waits for an endpoint.
+    Waiting,
     /// Ended; the last reply is kept for callers who ask again.
     Ended(Reply),
 }
@@ -69,6 +108,10 @@
     pub number: Attempt,
     /// Endpoint.
     pub endpoint: String,
+    /// Request identifier at the endpoint.
+    pub request: String,
+    /// When it started.
+    pub since: Instant,
     /// Ends it.
     pub cancel: Cancel,
 }
--- a/crates/lentilhook/src/daemon/dispatch/mod.rs
+++ b/crates/lentilhook/src/daemon/dispatch/mod.rs
@@ -3,14 +3,17 @@
 mod admission;
 mod attempts;
 mod check;
+mod fingerprints;
 mod handover;
 mod job;
 mod load;
 mod lookup;
 mod problems;
 mod recorded;
+pub mod recovery;
 mod relays;
 mod routing;
+mod waiting;
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
@@ -20,7 +23,6 @@
 use ::job::call::Body;
 use ::job::call::Call;
 use ::job::problem::Problem;
-use ::job::progress::Progress;
 use ::job::reply::Reply;
 use config::catalog::Catalog;
 use config::object::Service;
@@ -38,6 +40,7 @@
 use peer::wire::Forward;
 use peer::wire::Frame;
 use policy::route::Mode;
+use policy::suspects::Suspects;
 use stakker::Actor;
 use stakker::CX;
 use stakker::Ret;
@@ -49,7 +52,6 @@
 use stakker::sync::ChannelGuard;
 
 use crate::daemon::identity;
-use crate::daemon::metrics::Timing;
 use crate::daemon::shards::Shards;
 
 use self::admission::Admission;
@@ -65,6 +67,7 @@
 use self::recorded::Again;
 use self::recorded::Words;
 use self::recorded::ledger_identity;
+use self::recovery::Recovery;
 use self::relays::Relay;
 use self::routing::Routing;
 
@@ -92,6 +95,9 @@
     by_attempt: HashMap<AttemptId, JobId>,
     relays: HashMap<StreamId, Relay>,
     lookups: HashMap<StreamId, Lookup>,
+    recovery: Recovery,
+    suspects: Suspects,
+    rounds_due: bool,
     handovers: HashMap<StreamId, Sent>,
     routing: Routing,
     admission: Admission,
@@ -147,6 +153,9 @@
             by_attempt: HashMap::new(),
             relays: HashMap::new(),
             lookups: HashMap::new(),
+            recovery: Recovery::new(cx),
+            suspects: Suspects::default(),
+            rounds_due: false,
             handovers: HashMap::new(),
             routing: Routing::new(mode, cx.now()),
             admission: Admission::new(cx.now()),
@@ -167,7 +176,7 @@
     }
 
     /// The state of a VM changed.
-    pub fn vm_changed(&mut self, _cx: CX![], vm: Vm) {
+    pub fn vm_changed(&mut self, cx: CX![], vm: Vm) {
         match vm.role {
             Role::Daemon => {
                 self.daemons.insert(vm.id.clone(), vm);
@@ -175,7 +184,8 @@
             Role::Endpoint => {
                 self.routing.vm_changed(&vm);
                 let in_flight = self.endpoints.get(&vm.id).map_or(0, |it| it.in_flight);
-                self.endpoints.insert(vm.id.clone(), Target { vm, in_flight });
+                self.endpoints.insert(vm.id.clone(), Target { vm: vm.clone(), in_flight });
+                self.endpoint_leaves(cx, &vm);
             }
         }
     }
@@ -216,6 +226,9 @@
                 }
                 self.relayed(cx, stream, reply);
             }
+            Event::Frame { stream, frame: Frame::Suspect(suspect) } => {
+                self.suspected(cx, stream, &suspect);
+            }
             Event::Frame { stream, frame: Frame::Handover(handover) } => {
                 self.take_over(cx, stream, *handover);
             }
@@ -338,30 +351,20 @@
     fn serve(&mut self, cx: CX![], call: Call, service: Service, way: Way) {
         let id = JobId(self.take_number());
         let identity = call.identity();
-        let recorded = ledger_identity(&call);
+        let recorded = recorded::claim(&call);
         let next_index = match &call.body {
             Body::Chat(chat) => chat.from_index,
             Body::Plain(_) => 0,
         };
-        let job = Job {
-            call,
-            service,
-            waiters: vec![Waiter { way, next_index }],
-            progress: Progress::default(),
-            stage: Stage::Recording,
-            tries: 0,
-            avoid: Vec::new(),
-            opened: cx.now(),
-            timing: Timing::default(),
-            fence: None,
-        };
+        let mut job = Job::new(call, service, cx.now());
+        job.waiters.push(Waiter { way, next_index });
         self.jobs.insert(id, job);
         if let Some(identity) = identity {
             self.by_identity.insert(identity, id);
         }
         match recorded {
-            Some(identity) => {
-                call!([self.shards], begin(Ticket(id.0), identity));
+            Some(claim) => {
+                call!([self.shards], begin(Ticket(id.0), claim));
                 after!(RECORD_TIMEOUT, [cx], record_timed_out(id));
             }
             None => self.admit(cx, id),
--- a/crates/membership/tests/fleet/main.rs
+++ b/crates/membership/tests/fleet/main.rs
@@ -177,9 +177,11 @@
 
     view.load(&vm("vm-a", 1, State::Live));
     let told = view.take_changes();
+    let repair = view.repair(0, 0);
     view.merge(&vm("vm-a", 1, State::Leaving));
 
     assert_eq!(told, []);
+    assert_eq!(repair, [vm("vm-a", 1, State::Live)]);
     assert_eq!(view.take_changes(), [vm("vm-a", 1, State::Leaving)]);
 }
 
