--- a/crates/membership/src/view.rs
+++ b/crates/membership/src/view.rs
@@ -85,12 +85,13 @@
     }
 
     /// Merges what a first read of a list says: everyone else has read it, so
-    /// it isn't told.
+    /// it isn't told, unless a digest shows that somebody has not.
     pub fn load(&mut self, vm: &Vm) -> Change {
         if self.vms.get(&vm.id).is_some_and(|known| !self.follows(known, vm)) {
             return Change::Stale;
         }
         self.insert(vm.clone());
+        self.remember(&vm.id);
         Change::Changed
     }
 
