Take requests through their lifecycle by the chart

Cause: `charts/request.json` was loaded and checked at the start, but nothing followed it; the dispatcher's stages went their own way.

Change: each job has a state of the chart, moved by `Dispatch::advance`; an attempt is sent only where the chart expects it, an unexpected event changes nothing and is logged.

Conclusion: stages still hold the data, the chart the allowed order.

--- a/crates/harness/tests/faults/main.rs
+++ b/crates/harness/tests/faults/main.rs
@@ -69,6 +69,7 @@
     cluster.daemons[1].process.signal(Signal::SIGCONT)?;
 
     assert_eq!(faults, NONE);
+    assert!(!cluster.logs()?.contains("unexpected event"), "the chart of requests was left");
     assert!(cluster.logs()?.contains("] forwarded {"), "no stream went through the other daemon");
     Ok(())
 }
--- a/crates/harness/tests/reclaim/main.rs
+++ b/crates/harness/tests/reclaim/main.rs
@@ -76,6 +76,7 @@
     add_engines(&mut cluster, &["e2"])?;
 
     assert_eq!(load.faults(), NONE);
+    assert!(!cluster.logs()?.contains("unexpected event"), "the chart of requests was left");
     Ok(())
 }
 
--- a/crates/lentilhook/src/daemon/dispatch/attempts.rs
+++ b/crates/lentilhook/src/daemon/dispatch/attempts.rs
@@ -33,6 +33,7 @@
 use crate::daemon::dispatch::routing::Routing;
 use crate::daemon::dispatch::waiting::Waiting;
 use crate::daemon::identity::Identity;
+use crate::daemon::lifecycle::request;
 use crate::daemon::metrics;
 
 /// Most attempts at one job that may fail.
@@ -59,6 +60,9 @@
             }
             return;
         };
+        if !self.advance(id, request::Event::Sent) {
+            return;
+        }
         let endpoint = choice.endpoint.clone();
         let uncached = choice.uncached_tokens;
         let Some(job) = self.jobs.get(&id) else { return };
@@ -69,7 +73,7 @@
         job.tries += 1;
         metrics::attempted(&service, job.tries, uncached);
         let number = job.progress.start_attempt();
-        let request = request(&self.me, id, job);
+        let request = name(&self.me, id, job);
         let order = order(request.clone(), job);
         let events = self.events.clone();
         let sink = move |attempt: AttemptId, event: Event| {
@@ -200,6 +204,7 @@
             self.count_death(cx, id);
         }
         metrics::attempt_failed(&failure);
+        self.advance(id, request::Event::AttemptLost);
         let Some(job) = self.jobs.get_mut(&id) else { return };
         job.accepted |= started;
         // What was lost in a reclaim, or never began at an endpoint, does not
@@ -299,7 +304,7 @@
 }
 
 /// Names an attempt at its endpoint, where attempts of all daemons meet.
-fn request(me: &Identity, id: JobId, job: &Job) -> String {
+fn name(me: &Identity, id: JobId, job: &Job) -> String {
     format!("{}-{}-{}-{}", me.daemon, me.incarnation, id.0, job.tries)
 }
 
--- a/crates/lentilhook/src/daemon/dispatch/handover.rs
+++ b/crates/lentilhook/src/daemon/dispatch/handover.rs
@@ -29,6 +29,7 @@
 use crate::daemon::dispatch::job::Stage;
 use crate::daemon::dispatch::job::Way;
 use crate::daemon::dispatch::problems;
+use crate::daemon::lifecycle::request;
 use crate::daemon::metrics::Timing;
 
 /// Time before the reclaim at which callers are told to go elsewhere.
@@ -198,6 +199,7 @@
             waiters: Vec::new(),
             progress: handover.progress,
             stage: handover.ended.map_or(Stage::Kept, Stage::Ended),
+            state: if ended { request::State::Done } else { request::State::Accepted },
             tries: 0,
             failures: 0,
             accepted: true,
--- a/crates/lentilhook/src/daemon/dispatch/job.rs
+++ b/crates/lentilhook/src/daemon/dispatch/job.rs
@@ -23,6 +23,7 @@
 use crate::daemon::dispatch::recorded::Again;
 
 use crate::daemon::dispatch::recovery::Planned;
+use crate::daemon::lifecycle::request::State;
 
 /// Names a job on this daemon.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -40,6 +41,8 @@
     pub progress: Progress,
     /// Where it stands.
     pub stage: Stage,
+    /// Its state in the chart of requests.
+    pub state: State,
     /// Attempts started.
     pub tries: u32,
     /// Attempts that failed and count against the limit.
--- /dev/null
+++ b/crates/lentilhook/src/daemon/dispatch/lifecycle.rs
@@ -0,0 +1,45 @@
+//! The state of each request, as the chart of requests says.
+
+use ::job::problem::Outcome;
+use ::job::reply::Reply;
+use statechart::Names;
+
+use crate::daemon::dispatch::Dispatch;
+use crate::daemon::dispatch::job::JobId;
+use crate::daemon::lifecycle::request::Event;
+
+impl Dispatch {
+    /// Takes a request on by an event; `false` when the chart doesn't expect it.
+    pub(super) fn advance(&mut self, id: JobId, event: Event) -> bool {
+        let Some(job) = self.jobs.get_mut(&id) else { return false };
+        match self.chart.next(job.state, event) {
+            Ok(state) => {
+                job.state = state;
+                true
+            }
+            Err(error) => {
+                spdlog::error!("unexpected event", kv: {
+                    job = id.0,
+                    state = job.state.name(),
+                    event = event.name(),
+                    error = error.to_string(),
+                });
+                false
+            }
+        }
+    }
+
+    /// Takes a request to its end by the last piece of its answer.
+    pub(super) fn advance_to_end(&mut self, id: JobId, reply: &Reply) {
+        let event = match reply {
+            Reply::Finished(_) | Reply::Whole(_) => Event::Completed,
+            Reply::Problem(problem) => match problem.outcome {
+                Outcome::NotRun => Event::Refused,
+                Outcome::Failed => Event::Failed,
+                Outcome::Unknown => Event::Uncertain,
+            },
+            _ => return,
+        };
+        self.advance(id, event);
+    }
+}
--- a/crates/lentilhook/src/daemon/dispatch/mod.rs
+++ b/crates/lentilhook/src/daemon/dispatch/mod.rs
@@ -6,6 +6,7 @@
 mod fingerprints;
 mod handover;
 mod job;
+mod lifecycle;
 mod load;
 mod lookup;
 mod problems;
@@ -54,6 +55,8 @@
 use stakker::sync::ChannelGuard;
 
 use crate::daemon::identity;
+use crate::daemon::lifecycle::request;
+use crate::daemon::lifecycle::request::Chart;
 use crate::daemon::metrics::Timing;
 use crate::daemon::shards::Shards;
 
@@ -86,6 +89,7 @@
 /// Calls and their state.
 pub struct Dispatch {
     me: identity::Identity,
+    chart: Chart,
     transport: Transport,
     shards: Actor<Shards>,
     events: Channel<Endpoint>,
@@ -131,6 +135,7 @@
     pub fn init(
         cx: CX![],
         me: identity::Identity,
+        chart: Chart,
         transport: Transport,
         shards: Actor<Shards>,
         mode: Mode,
@@ -144,6 +149,7 @@
         call!([cx], poll_turn());
         Some(Dispatch {
             me,
+            chart,
             transport,
             shards,
             events,
@@ -365,6 +371,7 @@
             waiters: vec![Waiter { way, next_index }],
             progress: Progress::default(),
             stage: Stage::Recording,
+            state: self.chart.initial(),
             tries: 0,
             failures: 0,
             accepted: false,
@@ -378,6 +385,7 @@
             fence: None,
         };
         self.jobs.insert(id, job);
+        self.advance(id, request::Event::Admitted);
         if let Some(identity) = identity {
             self.by_identity.insert(identity, id);
         }
@@ -392,6 +400,7 @@
 
     /// Ends a job; one with a key is kept for callers who ask again.
     fn end(&mut self, cx: CX![], id: JobId, reply: Reply) {
+        self.advance_to_end(id, &reply);
         let Some(job) = self.jobs.get_mut(&id) else { return };
         let kept = job.call.key.is_some();
         job.stage = Stage::Ended(reply.clone());
@@ -407,6 +416,7 @@
 
     /// Ends a job that was not run, so that the same key may be tried again.
     fn end_unkept(&mut self, id: JobId, reply: Reply) {
+        self.advance_to_end(id, &reply);
         if let Some(job) = self.jobs.get_mut(&id) {
             for waiter in job.waiters.drain(..) {
                 waiter.way.send(&self.transport, reply.clone());
--- a/crates/lentilhook/src/daemon/dispatch/recorded.rs
+++ b/crates/lentilhook/src/daemon/dispatch/recorded.rs
@@ -22,6 +22,7 @@
 use crate::daemon::dispatch::job::Stage;
 use crate::daemon::dispatch::job::Way;
 use crate::daemon::dispatch::problems;
+use crate::daemon::lifecycle::request::Event;
 
 /// Time for which a call that was turned away is kept, so that a grant that
 /// is on its way is given back.
@@ -85,6 +86,7 @@
         match verdict {
             Verdict::Granted { fence } => {
                 job.fence = Some(fence);
+                self.advance(id, Event::Recorded);
                 self.attempt(cx, id);
             }
             Verdict::Done(answer) => self.end(cx, id, Reply::Whole(answer.into())),
@@ -134,6 +136,8 @@
         for waiter in job.waiters.drain(..) {
             waiter.way.send(&self.transport, reply.clone());
         }
+        self.advance_to_end(id, &reply);
+        let Some(job) = self.jobs.get(&id) else { return };
         if let Some(identity) = job.call.identity() {
             self.by_identity.remove(&identity);
         }
--- a/crates/lentilhook/src/daemon/dispatch/recovery.rs
+++ b/crates/lentilhook/src/daemon/dispatch/recovery.rs
@@ -27,6 +27,7 @@
 use crate::daemon::dispatch::job::Job;
 use crate::daemon::dispatch::job::JobId;
 use crate::daemon::dispatch::job::Stage;
+use crate::daemon::lifecycle::request;
 
 /// Time for which notices are collected into a wave.
 const WAVE_WINDOW: Duration = Duration::from_millis(100);
@@ -348,6 +349,9 @@
             _ => return,
         }
         job.moved = moved;
+        if job.state == request::State::Running {
+            self.advance(id, request::Event::AttemptLost);
+        }
         self.close_running(cx, id);
         let live = !self.is_reclaimed(&planned.to);
         let preferred = live.then_some(planned.to.as_str());
--- a/crates/lentilhook/src/daemon/lifecycle/mod.rs
+++ b/crates/lentilhook/src/daemon/lifecycle/mod.rs
@@ -16,7 +16,7 @@
     /// A shard's lease.
     pub lease: Lifecycle<ledger::lifecycle::State, ledger::lifecycle::Event>,
     /// A request on this daemon.
-    pub request: Lifecycle<request::State, request::Event>,
+    pub request: request::Chart,
 }
 
 /// Reads and checks all charts. A daemon refuses to start on an error.
--- a/crates/lentilhook/src/daemon/lifecycle/request.rs
+++ b/crates/lentilhook/src/daemon/lifecycle/request.rs
@@ -1,7 +1,11 @@
 //! Lifecycle of a request on a daemon.
 
+use statechart::Lifecycle;
 use statechart::Names;
 
+/// The chart of requests.
+pub type Chart = Lifecycle<State, Event>;
+
 /// State of a request on this daemon.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum State {
--- a/crates/lentilhook/src/daemon/mod.rs
+++ b/crates/lentilhook/src/daemon/mod.rs
@@ -236,7 +236,7 @@
     let seed = me.incarnation.rotate_left(32) ^ xxhash_rust::xxh3::xxh3_64(me.daemon.as_bytes());
     call!([shards], Shards::init(me.clone(), worker.clone(), dispatch.clone()));
     let mode = settings.routing.mode;
-    call!([dispatch], Dispatch::init(me.clone(), transport.clone(), shards, mode));
+    call!([dispatch], Dispatch::init(me.clone(), charts.request, transport.clone(), shards, mode));
     call!(
         [configuration],
         Configuration::init(
