--- a/crates/lentilhook/src/daemon/dispatch/handover.rs
+++ b/crates/lentilhook/src/daemon/dispatch/handover.rs
@@ -6,7 +6,6 @@
 
 use ::job::call::Body;
 use ::job::call::Call;
-use ::job::recompute::Recompute;
 use ::job::reply::Reply;
 use membership::update::State;
 use membership::update::Vm;
@@ -30,7 +29,6 @@
 use crate::daemon::dispatch::job::Way;
 use crate::daemon::dispatch::problems;
 use crate::daemon::lifecycle::request;
-use crate::daemon::metrics::Timing;
 
 /// Time before the reclaim at which callers are told to go elsewhere.
 const LAST_WORD: Duration = Duration::from_millis(800);
@@ -194,23 +192,11 @@
             copy: ? = handover.copy,
         });
         let job = Job {
-            call: handover.call,
-            service,
-            waiters: Vec::new(),
             progress: handover.progress,
             stage: handover.ended.map_or(Stage::Kept, Stage::Ended),
             state: if ended { request::State::Done } else { request::State::Accepted },
-            tries: 0,
-            failures: 0,
             accepted: true,
-            waiting_since: None,
-            planned: None,
-            moved: false,
-            recompute: Recompute::default(),
-            avoid: Vec::new(),
-            opened: cx.now(),
-            timing: Timing::default(),
-            fence: None,
+            ..Job::new(handover.call, service, cx.now())
         };
         self.jobs.insert(id, job);
         self.by_identity.insert(identity, id);
--- a/crates/lentilhook/src/daemon/dispatch/job.rs
+++ b/crates/lentilhook/src/daemon/dispatch/job.rs
@@ -17,13 +17,11 @@
 use peer::wire::Frame;
 use tokio::sync::mpsc::UnboundedSender;
 
-use crate::daemon::metrics;
-use crate::daemon::metrics::Timing;
-
 use crate::daemon::dispatch::recorded::Again;
-
 use crate::daemon::dispatch::recovery::Planned;
 use crate::daemon::lifecycle::request::State;
+use crate::daemon::metrics;
+use crate::daemon::metrics::Timing;
 
 /// Names a job on this daemon.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -67,6 +65,31 @@
     pub fence: Option<u64>,
 }
 
+impl Job {
+    /// A job that was just taken, without anyone who waits for it.
+    pub fn new(call: Call, service: Service, opened: Instant) -> Job {
+        Job {
+            call,
+            service,
+            waiters: Vec::new(),
+            progress: Progress::default(),
+            stage: Stage::Recording,
+            state: State::Received,
+            tries: 0,
+            failures: 0,
+            accepted: false,
+            waiting_since: None,
+            planned: None,
+            moved: false,
+            recompute: Recompute::default(),
+            avoid: Vec::new(),
+            opened,
+            timing: Timing::default(),
+            fence: None,
+        }
+    }
+}
+
 /// Where a job stands.
 pub enum Stage {
     /// Waits for the ledger, or for a place at an endpoint.
--- a/crates/lentilhook/src/daemon/dispatch/mod.rs
+++ b/crates/lentilhook/src/daemon/dispatch/mod.rs
@@ -24,8 +24,6 @@
 use ::job::call::Body;
 use ::job::call::Call;
 use ::job::problem::Problem;
-use ::job::progress::Progress;
-use ::job::recompute::Recompute;
 use ::job::reply::Reply;
 use config::catalog::Catalog;
 use config::object::Service;
@@ -57,7 +55,6 @@
 use crate::daemon::identity;
 use crate::daemon::lifecycle::request;
 use crate::daemon::lifecycle::request::Chart;
-use crate::daemon::metrics::Timing;
 use crate::daemon::shards::Shards;
 
 use self::admission::Admission;
@@ -101,10 +98,10 @@
     by_identity: HashMap<String, JobId>,
     by_attempt: HashMap<AttemptId, JobId>,
     relays: HashMap<StreamId, Relay>,
+    lookups: HashMap<StreamId, Lookup>,
     recovery: Recovery,
     suspects: Suspects,
     rounds_due: bool,
-    lookups: HashMap<StreamId, Lookup>,
     handovers: HashMap<StreamId, Sent>,
     routing: Routing,
     admission: Admission,
@@ -161,10 +158,10 @@
             by_identity: HashMap::new(),
             by_attempt: HashMap::new(),
             relays: HashMap::new(),
+            lookups: HashMap::new(),
             recovery: Recovery::new(cx),
             suspects: Suspects::default(),
             rounds_due: false,
-            lookups: HashMap::new(),
             handovers: HashMap::new(),
             routing: Routing::new(mode, cx.now()),
             admission: Admission::new(cx.now()),
@@ -360,38 +357,22 @@
     fn serve(&mut self, cx: CX![], call: Call, service: Service, way: Way) {
         let id = JobId(self.take_number());
         let identity = call.identity();
-        let recorded = ledger_identity(&call);
+        let recorded = recorded::claim(&call);
         let next_index = match &call.body {
             Body::Chat(chat) => chat.from_index,
             Body::Plain(_) => 0,
         };
-        let job = Job {
-            call,
-            service,
-            waiters: vec![Waiter { way, next_index }],
-            progress: Progress::default(),
-            stage: Stage::Recording,
-            state: self.chart.initial(),
-            tries: 0,
-            failures: 0,
-            accepted: false,
-            waiting_since: None,
-            planned: None,
-            moved: false,
-            recompute: Recompute::default(),
-            avoid: Vec::new(),
-            opened: cx.now(),
-            timing: Timing::default(),
-            fence: None,
-        };
+        let mut job = Job::new(call, service, cx.now());
+        job.waiters.push(Waiter { way, next_index });
+        job.state = self.chart.initial();
         self.jobs.insert(id, job);
         self.advance(id, request::Event::Admitted);
         if let Some(identity) = identity {
             self.by_identity.insert(identity, id);
         }
         match recorded {
-            Some(identity) => {
-                call!([self.shards], begin(Ticket(id.0), identity));
+            Some(claim) => {
+                call!([self.shards], begin(Ticket(id.0), claim));
                 after!(RECORD_TIMEOUT, [cx], record_timed_out(id));
             }
             None => self.admit(cx, id),
