--- a/crates/lentilhook/src/daemon/dispatch/handover.rs
+++ b/crates/lentilhook/src/daemon/dispatch/handover.rs
@@ -28,6 +28,7 @@
 use crate::daemon::dispatch::job::Stage;
 use crate::daemon::dispatch::job::Way;
 use crate::daemon::dispatch::problems;
+use crate::daemon::lifecycle::request;
 
 /// Time before the reclaim at which callers are told to go elsewhere.
 const LAST_WORD: Duration = Duration::from_millis(800);
@@ -193,6 +194,7 @@
         let job = Job {
             progress: handover.progress,
             stage: handover.ended.map_or(Stage::Kept, Stage::Ended),
+            state: if ended { request::State::Done } else { request::State::Accepted },
             accepted: true,
             ..Job::new(handover.call, service, cx.now())
         };
--- a/crates/lentilhook/src/daemon/dispatch/job.rs
+++ b/crates/lentilhook/src/daemon/dispatch/job.rs
@@ -19,6 +19,7 @@
 
 use crate::daemon::dispatch::recorded::Again;
 use crate::daemon::dispatch::recovery::Planned;
+use crate::daemon::lifecycle::request::State;
 use crate::daemon::metrics;
 use crate::daemon::metrics::Timing;
 
@@ -38,6 +39,8 @@
     pub progress: Progress,
     /// Where it stands.
     pub stage: Stage,
+    /// Its state in the chart of requests.
+    pub state: State,
     /// Attempts started.
     pub tries: u32,
     /// Attempts that failed and count against the limit.
@@ -71,6 +74,7 @@
             waiters: Vec::new(),
             progress: Progress::default(),
             stage: Stage::Recording,
+            state: State::Received,
             tries: 0,
             failures: 0,
             accepted: false,
--- a/crates/lentilhook/src/daemon/dispatch/mod.rs
+++ b/crates/lentilhook/src/daemon/dispatch/mod.rs
@@ -6,6 +6,7 @@
 mod fingerprints;
 mod handover;
 mod job;
+mod lifecycle;
 mod load;
 mod lookup;
 mod problems;
@@ -52,6 +53,8 @@
 use stakker::sync::ChannelGuard;
 
 use crate::daemon::identity;
+use crate::daemon::lifecycle::request;
+use crate::daemon::lifecycle::request::Chart;
 use crate::daemon::shards::Shards;
 
 use self::admission::Admission;
@@ -83,6 +86,7 @@
 /// Calls and their state.
 pub struct Dispatch {
     me: identity::Identity,
+    chart: Chart,
     transport: Transport,
     shards: Actor<Shards>,
     events: Channel<Endpoint>,
@@ -128,6 +132,7 @@
     pub fn init(
         cx: CX![],
         me: identity::Identity,
+        chart: Chart,
         transport: Transport,
         shards: Actor<Shards>,
         mode: Mode,
@@ -141,6 +146,7 @@
         call!([cx], poll_turn());
         Some(Dispatch {
             me,
+            chart,
             transport,
             shards,
             events,
@@ -358,7 +364,9 @@
         };
         let mut job = Job::new(call, service, cx.now());
         job.waiters.push(Waiter { way, next_index });
+        job.state = self.chart.initial();
         self.jobs.insert(id, job);
+        self.advance(id, request::Event::Admitted);
         if let Some(identity) = identity {
             self.by_identity.insert(identity, id);
         }
@@ -373,6 +381,7 @@
 
     /// Ends a job; one with a key is kept for callers who ask again.
     fn end(&mut self, cx: CX![], id: JobId, reply: Reply) {
+        self.advance_to_end(id, &reply);
         let Some(job) = self.jobs.get_mut(&id) else { return };
         let kept = job.call.key.is_some();
         job.stage = Stage::Ended(reply.clone());
@@ -388,6 +397,7 @@
 
     /// Ends a job that was not run, so that the same key may be tried again.
     fn end_unkept(&mut self, id: JobId, reply: Reply) {
+        self.advance_to_end(id, &reply);
         if let Some(job) = self.jobs.get_mut(&id) {
             for waiter in job.waiters.drain(..) {
                 waiter.way.send(&self.transport, reply.clone());
