Give load reports what gossip leaves of the control budget

Change: policy::budget::Rest smooths gossip over 10 s; load reports fill at the rest of 2,600 B/s, between 200 and 1,800, and cache events keep 200.

Ruled out: paying gossip from the same budget, which a reclaimed zone's wave of 350 KB would empty for minutes when loads matter most.

At 420 daemons the sum is 2,848 B/s by these limits.

--- a/crates/lentilhook/src/daemon/dispatch/load.rs
+++ b/crates/lentilhook/src/daemon/dispatch/load.rs
@@ -13,6 +13,7 @@
 
 use endpoint::load;
 use policy::budget::Budget;
+use policy::budget::Rest;
 use stakker::CX;
 use stakker::after;
 use stakker::sync::Channel;
@@ -22,7 +23,11 @@
 
 /// Time between two questions.
 const TURN: Duration = Duration::from_millis(125);
-/// Bytes a second for load reports.
+/// Bytes a second for all control traffic.
+const CONTROL_BYTES_PER_SECOND: f64 = 2800.0;
+/// Bytes a second for load reports, whatever gossip takes.
+const LEAST_LOAD_BYTES_PER_SECOND: f64 = 200.0;
+/// Bytes a second for load reports when gossip takes little.
 const LOAD_BYTES_PER_SECOND: f64 = 1800.0;
 /// Bytes a second for cache events.
 const EVENT_BYTES_PER_SECOND: f64 = 200.0;
@@ -30,6 +35,7 @@
 /// Questions to endpoints.
 pub struct Poller {
     questions: Sender<Question>,
+    rest: Rest,
     load: Budget,
     events: Budget,
     started: Instant,
@@ -56,6 +62,11 @@
         thread::spawn(move || ask_all(&received, &answers));
         Poller {
             questions,
+            rest: Rest::new(
+                CONTROL_BYTES_PER_SECOND - EVENT_BYTES_PER_SECOND,
+                LEAST_LOAD_BYTES_PER_SECOND,
+                LOAD_BYTES_PER_SECOND,
+            ),
             load: Budget::new(LOAD_BYTES_PER_SECOND),
             events: Budget::new(EVENT_BYTES_PER_SECOND),
             started,
@@ -72,6 +83,8 @@
         self.admission_turn(cx);
         let now = cx.now();
         let since = now.saturating_duration_since(self.poller.started);
+        self.poller.rest.observe(since, peer::traffic::control_bytes_sent());
+        self.poller.load.set_rate(self.poller.rest.per_second());
         if self.poller.is_waiting || !self.poller.load.is_open(since) {
             return;
         }
--- a/crates/policy/src/budget.rs
+++ b/crates/policy/src/budget.rs
@@ -5,6 +5,46 @@
 /// Time whose income the budget can hold.
 const HELD: Duration = Duration::from_secs(2);
 
+/// Time over which a first use's rate is averaged.
+const SMOOTHED: Duration = Duration::from_secs(10);
+
+/// What a first use leaves of an allowance to a second one.
+#[derive(Clone, Copy, Debug)]
+pub struct Rest {
+    allowance: f64,
+    least: f64,
+    most: f64,
+    used_per_second: f64,
+    used: u64,
+    at: Duration,
+}
+
+impl Rest {
+    /// The second use gets at least `least` and at most `most` of the
+    /// `allowance`, all in amounts a second.
+    pub fn new(allowance: f64, least: f64, most: f64) -> Rest {
+        Rest { allowance, least, most, used_per_second: 0.0, used: 0, at: Duration::ZERO }
+    }
+
+    /// The first use has come to `used` in all.
+    pub fn observe(&mut self, now: Duration, used: u64) {
+        let passed = now.saturating_sub(self.at).as_secs_f64();
+        if passed <= 0.0 {
+            return;
+        }
+        let rate = used.saturating_sub(self.used) as f64 / passed;
+        let weight = (passed / SMOOTHED.as_secs_f64()).min(1.0);
+        self.used_per_second += (rate - self.used_per_second) * weight;
+        self.used = used;
+        self.at = now;
+    }
+
+    /// Rate of the second use.
+    pub fn per_second(&self) -> f64 {
+        (self.allowance - self.used_per_second).clamp(self.least, self.most)
+    }
+}
+
 /// An amount that may be spent.
 #[derive(Clone, Copy, Debug)]
 pub struct Budget {
@@ -29,6 +69,11 @@
         self.left > 0.0
     }
 
+    /// Fills at another rate from now on.
+    pub fn set_rate(&mut self, per_second: f64) {
+        self.per_second = per_second;
+    }
+
     /// Spends.
     pub fn spend(&mut self, amount: f64) {
         self.left -= amount;
