End a handover that its successor did not take

Cause: a successor that ends its side without a word (it does not know the service yet) left the handover open for ever, and with it the drain; two successors that failed in turn were asked again without end. Found by reading.

Change: the end of a stream counts as not taken, and a successor is asked once for each completion.

Ruled out: a time limit on the drain, which would cut what still runs.

--- a/crates/harness/tests/departure/main.rs
+++ b/crates/harness/tests/departure/main.rs
@@ -92,6 +92,25 @@
     check_reclaim(&["entry-1", "entry-2"], Duration::from_secs(30), Duration::from_millis(1800))
 }
 
+#[test]
+fn a_stop_ends_although_those_who_should_take_its_answers_are_frozen() -> io::Result<()> {
+    let mut cluster = deployment(3)?;
+    for number in 0..12 {
+        let key = format!("ended-{number}");
+        let mut draft = Draft::new(&cluster.daemons[0].callers, "a short question", 2);
+        draft.key = Some(&key);
+        assert!(draft.stream(|_| {})?.complete);
+    }
+    cluster.daemons[1].process.signal(Signal::SIGSTOP)?;
+    cluster.daemons[2].process.signal(Signal::SIGSTOP)?;
+
+    cluster.daemons[0].process.signal(Signal::SIGTERM)?;
+
+    let status = cluster.daemons[0].process.wait(EXIT_TIMEOUT)?;
+    assert!(status.is_some_and(|it| it.success()), "ended with {status:?}");
+    Ok(())
+}
+
 /// Notices the first daemons, which serve drafts, and kills them after
 /// `alive`; every draft must be answered whole.
 fn check_reclaim(names: &[&str], notice: Duration, alive: Duration) -> io::Result<()> {
--- a/crates/lentilhook/src/daemon/dispatch/handover.rs
+++ b/crates/lentilhook/src/daemon/dispatch/handover.rs
@@ -38,6 +38,8 @@
     job: JobId,
     successor: String,
     copy: Copy,
+    /// Daemons that did not take it.
+    refused_by: Vec<String>,
 }
 
 impl Dispatch {
@@ -90,7 +92,9 @@
     pub(super) fn handover_failed(&mut self, _cx: CX![], stream: StreamId) {
         let Some(sent) = self.handovers.remove(&stream) else { return };
         if sent.copy == Copy::Serve {
-            self.hand_over(sent.job, Copy::Serve, &[&sent.successor]);
+            let mut refused_by = sent.refused_by;
+            refused_by.push(sent.successor);
+            self.hand_over(sent.job, Copy::Serve, &refused_by);
         }
     }
 
@@ -146,27 +150,28 @@
 
     /// Sends copies to the daemons that will serve the key. The first one does
     /// as `copy` says, the others keep theirs.
-    fn hand_over(&mut self, id: JobId, copy: Copy, except: &[&str]) {
+    fn hand_over(&mut self, id: JobId, copy: Copy, refused_by: &[String]) {
         let Some(job) = self.jobs.get(&id) else { return };
         let Some(identity) = job.call.identity() else { return };
         if !matches!(job.call.body, Body::Chat(_)) {
             return;
         }
         let handover = handover(job);
-        let chosen = self.successors(&identity, except);
+        let chosen = self.successors(&identity, refused_by);
         for (rank, vm) in chosen.into_iter().enumerate() {
             let Ok(peer) = vm.address.parse::<SocketAddr>() else { continue };
             let copy = if rank == 0 { copy } else { Copy::Keep };
             let stream = StreamId(self.take_number());
             let frame = Frame::Handover(Box::new(Handover { copy, ..handover.clone() }));
             self.transport.command(Command::Open { stream, peer, frame });
-            self.handovers.insert(stream, Sent { job: id, successor: vm.id, copy });
+            let refused_by = refused_by.to_vec();
+            self.handovers.insert(stream, Sent { job: id, successor: vm.id, copy, refused_by });
         }
     }
 
-    fn successors(&self, identity: &str, except: &[&str]) -> Vec<Vm> {
+    fn successors(&self, identity: &str, refused_by: &[String]) -> Vec<Vm> {
         let usable = self.daemons.values().filter(|vm| {
-            vm.state == State::Live && vm.id != self.me.daemon && !except.contains(&vm.id.as_str())
+            vm.state == State::Live && vm.id != self.me.daemon && !refused_by.contains(&vm.id)
         });
         let daemons: Vec<Daemon<'_>> =
             usable.map(|vm| Daemon { id: &vm.id, zone: &vm.zone }).collect();
--- a/crates/lentilhook/src/daemon/dispatch/mod.rs
+++ b/crates/lentilhook/src/daemon/dispatch/mod.rs
@@ -247,7 +247,11 @@
             {
                 self.lookup_ended(stream);
             }
-            Event::Finished { stream } => self.relay_ended(cx, stream, true),
+            Event::Finished { stream } => {
+                // A successor that ends its side without a word has not taken the copy.
+                self.handover_failed(cx, stream);
+                self.relay_ended(cx, stream, true);
+            }
             Event::Failed { stream, sent, .. } => {
                 self.handover_failed(cx, stream);
                 self.relay_ended(cx, stream, sent);
