--- a/crates/harness/tests/at_most_once/main.rs
+++ b/crates/harness/tests/at_most_once/main.rs
@@ -5,11 +5,10 @@
 
 use std::io;
 
-use nix::sys::signal::Signal;
-use serde_json::json;
-
 use bench::Bench;
 use bench::Word;
+use nix::sys::signal::Signal;
+use serde_json::json;
 
 const NO_FAULTS: &str = "{}";
 const FROZEN: &str = r#"{"freeze": true}"#;
--- a/crates/ledger/tests/interleavings/main.rs
+++ b/crates/ledger/tests/interleavings/main.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use arbtest::arbtest;
-
 use world::Tally;
 use world::World;
 
--- a/crates/ledger/tests/shard/main.rs
+++ b/crates/ledger/tests/shard/main.rs
@@ -16,7 +16,6 @@
 use ledger::record::batch_key;
 use ledger::record::head_key;
 use platform::objects::Objects;
-
 use store::SHARD;
 use store::Store;
 
--- a/crates/lentilhook/src/command/admin/mod.rs
+++ b/crates/lentilhook/src/command/admin/mod.rs
@@ -16,10 +16,9 @@
 use serde_json::Value;
 use serde_json::json;
 
-use crate::command::Failure;
-
 use self::kind::Kind;
 use self::kind::Listing;
+use crate::command::Failure;
 
 /// Time between two looks at the configuration by `watch`.
 const WATCH_POLL: Duration = Duration::from_secs(1);
--- a/crates/lentilhook/src/daemon/dispatch/mod.rs
+++ b/crates/lentilhook/src/daemon/dispatch/mod.rs
@@ -52,11 +52,6 @@
 use stakker::sync::Channel;
 use stakker::sync::ChannelGuard;
 
-use crate::daemon::identity;
-use crate::daemon::lifecycle::request;
-use crate::daemon::lifecycle::request::Chart;
-use crate::daemon::shards::Shards;
-
 use self::admission::Admission;
 use self::handover::Sent;
 use self::job::Job;
@@ -73,6 +68,10 @@
 use self::recovery::Recovery;
 use self::relays::Relay;
 use self::routing::Routing;
+use crate::daemon::identity;
+use crate::daemon::lifecycle::request;
+use crate::daemon::lifecycle::request::Chart;
+use crate::daemon::shards::Shards;
 
 /// Longest wait for the ledger before a call is turned away.
 const RECORD_TIMEOUT: Duration = Duration::from_secs(2);
--- a/crates/lentilhook/src/daemon/mod.rs
+++ b/crates/lentilhook/src/daemon/mod.rs
@@ -48,8 +48,6 @@
 use statechart::Names;
 use web::server::Limits;
 
-use crate::settings::Settings;
-
 use self::catalog::Configuration;
 use self::departure::Departure;
 use self::departure::Departures;
@@ -65,6 +63,7 @@
 use self::runtime::Runtime;
 use self::shards::Shards;
 use self::worker::Worker;
+use crate::settings::Settings;
 
 /// Threads for the platform calls of all actors but placement.
 const PLATFORM_THREADS: usize = 4;
--- a/xtask/src/tidy.rs
+++ b/xtask/src/tidy.rs
@@ -61,6 +61,10 @@
         if found > group && group != 0 && !lines[at - 1].is_empty() {
             problems.push(format!("{name}:{}: put a blank line between import groups", at + 1));
         }
+        let is_apart = at > 0 && lines[at - 1].is_empty();
+        if found == group && is_apart {
+            problems.push(format!("{name}:{}: join it to the import group above", at + 1));
+        }
         group = found;
     }
     problems
