--- a/crates/policy/src/route.rs
+++ b/crates/policy/src/route.rs
@@ -15,7 +15,7 @@
 /// Sequences by which the estimate of those at an endpoint is uncertain.
 const UNCERTAINTY: f64 = 1.2;
 /// Sequences that may have come to an endpoint since it was heard of.
-const UNSEEN: f64 = 3.0;
+const UNSEEN: f64 = 8.0;
 /// Score by which a later place in the order of affinity is worse.
 const PLACE_WEIGHT: f64 = 0.002;
 
