--- /dev/null
+++ b/crates/balance/src/pool.rs
@@ -0,0 +1,242 @@
+//! The endpoints that a daemon knows, with load and health.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::endpoint::Change;
+use crate::endpoint::Endpoint;
+use crate::endpoint::Roster;
+use crate::health::Health;
+use crate::health::Outcome;
+use crate::load::Load;
+use crate::model::Speed;
+
+/// Time for which an endpoint whose entry lapsed while the store was away is
+/// still used after the store's return. Endpoints that live write themselves
+/// again within two seconds of it.
+pub const LAPSE_GRACE: Duration = Duration::from_millis(1_500);
+/// Time for which a part of a prompt is taken to be in an engine's cache.
+const CACHED_FOR: Duration = Duration::from_secs(30);
+/// Most cached parts remembered for an endpoint.
+const CACHED_PARTS: usize = 1_024;
+
+/// An endpoint with what is known of it.
+#[derive(Clone, Debug)]
+pub struct Member {
+    /// Its newest description.
+    pub endpoint: Endpoint,
+    /// Whether its entry stands in the list.
+    pub listed: bool,
+    /// Whether it has said, or its missing entry says, that it is leaving.
+    /// Invariant: does not turn false for a life of the endpoint.
+    pub leaving: bool,
+    /// Until when it is used without an entry.
+    pub lapses_at: Option<Instant>,
+    /// Work that this daemon has sent.
+    pub own: Load,
+    /// Health by outcomes.
+    pub health: Health,
+    /// Speeds.
+    pub speed: Speed,
+    /// Parts of prompts that this daemon has sent, by identity.
+    cached: HashMap<u64, Instant>,
+}
+
+impl Member {
+    fn new(endpoint: Endpoint) -> Member {
+        let leaving = endpoint.leaving;
+        Member {
+            endpoint,
+            listed: true,
+            leaving,
+            lapses_at: None,
+            own: Load::default(),
+            health: Health::default(),
+            speed: Speed::default(),
+            cached: HashMap::new(),
+        }
+    }
+
+    /// Whether new requests may go to it.
+    pub fn is_usable(&self, now: Instant) -> bool {
+        !self.leaving && (self.listed || self.lapses_at.is_some_and(|it| now < it))
+    }
+
+    /// Whether the part was sent here lately.
+    pub fn has_cached(&self, part: u64, now: Instant) -> bool {
+        self.cached.get(&part).is_some_and(|at| now - *at < CACHED_FOR)
+    }
+
+    /// Notes a part that was sent here.
+    pub fn note_cached(&mut self, part: u64, now: Instant) {
+        if self.cached.len() >= CACHED_PARTS {
+            self.cached.retain(|_, at| now - *at < CACHED_FOR);
+        }
+        self.cached.insert(part, now);
+    }
+}
+
+/// What a change of the list did to an endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Effect {
+    /// It is new, or a new life of its identity.
+    Joined,
+    /// It takes no new requests any more.
+    Left,
+    /// Nothing that matters for requests.
+    Unchanged,
+}
+
+/// All endpoints.
+#[derive(Clone, Debug, Default)]
+pub struct Pool {
+    members: BTreeMap<String, Member>,
+    /// Work that other daemons have sent, by daemon and endpoint.
+    others: HashMap<String, HashMap<String, Load>>,
+    /// Version of the store up to which the list is complete.
+    pub version: u64,
+}
+
+impl Pool {
+    /// Applies a change of the list. `was_away` tells whether the store has
+    /// just been out of reach, so that entries may have lapsed meanwhile.
+    pub fn apply(&mut self, change: Change, was_away: bool, now: Instant) -> Effect {
+        match change {
+            Change::Is(endpoint) => self.set(endpoint),
+            Change::Gone { id } => self.remove(&id, was_away, now),
+        }
+    }
+
+    /// Replaces the whole list.
+    pub fn replace(
+        &mut self,
+        roster: Roster,
+        was_away: bool,
+        now: Instant,
+    ) -> Vec<(String, Effect)> {
+        if roster.version < self.version {
+            return Vec::new();
+        }
+        self.version = roster.version;
+        let listed = |id: &String| roster.endpoints.iter().any(|it| it.id == *id);
+        let gone: Vec<String> = self.members.keys().filter(|it| !listed(it)).cloned().collect();
+        let mut effects = Vec::new();
+        for id in gone {
+            let effect = self.remove(&id, was_away, now);
+            effects.push((id, effect));
+        }
+        for endpoint in roster.endpoints {
+            let id = endpoint.id.clone();
+            let effect = self.set(endpoint);
+            effects.push((id, effect));
+        }
+        effects.retain(|(_, effect)| *effect != Effect::Unchanged);
+        effects
+    }
+
+    /// The list for another daemon.
+    pub fn roster(&self) -> Roster {
+        let listed = self.members.values().filter(|it| it.listed);
+        let described = listed.map(|it| Endpoint { leaving: it.leaving, ..it.endpoint.clone() });
+        Roster { version: self.version, endpoints: described.collect() }
+    }
+
+    /// Hears that an endpoint's life is leaving.
+    pub fn note_leaving(&mut self, id: &str, born_ms: u64) -> Effect {
+        let Some(member) = self.members.get_mut(id) else { return Effect::Unchanged };
+        if member.leaving || member.endpoint.born_ms != born_ms {
+            return Effect::Unchanged;
+        }
+        member.leaving = true;
+        Effect::Left
+    }
+
+    /// Sets what another daemon has sent.
+    pub fn hear_loads(&mut self, daemon: &str, loads: HashMap<String, Load>) {
+        self.others.insert(daemon.to_owned(), loads);
+    }
+
+    /// Forgets a daemon that has ended.
+    pub fn forget_daemon(&mut self, daemon: &str) {
+        self.others.remove(daemon);
+    }
+
+    /// Work at an endpoint, of all daemons.
+    pub fn load(&self, id: &str) -> Load {
+        let own = self.members.get(id).map_or(Load::default(), |it| it.own);
+        let loads = self.others.values().filter_map(|it| it.get(id));
+        loads.fold(own, |sum, it| sum.plus(*it))
+    }
+
+    /// An endpoint.
+    pub fn member(&self, id: &str) -> Option<&Member> {
+        self.members.get(id)
+    }
+
+    /// An endpoint, to change.
+    pub fn member_mut(&mut self, id: &str) -> Option<&mut Member> {
+        self.members.get_mut(id)
+    }
+
+    /// All endpoints in the order of their identities.
+    pub fn members(&self) -> impl Iterator<Item = &Member> {
+        self.members.values()
+    }
+
+    /// Notes an outcome of a request.
+    pub fn note(&mut self, id: &str, outcome: Outcome, now: Instant) {
+        if let Some(member) = self.members.get_mut(id) {
+            member.health.note(outcome, now);
+        }
+    }
+
+    /// Forgets endpoints that have left and to which nothing is open.
+    pub fn sweep(&mut self, now: Instant) {
+        self.members.retain(|_, it| it.listed || it.own.open > 0 || it.is_usable(now));
+    }
+
+    fn set(&mut self, endpoint: Endpoint) -> Effect {
+        let Some(member) = self.members.get_mut(&endpoint.id) else {
+            let effect = if endpoint.leaving { Effect::Left } else { Effect::Joined };
+            self.members.insert(endpoint.id.clone(), Member::new(endpoint));
+            return effect;
+        };
+        if endpoint.born_ms < member.endpoint.born_ms {
+            return Effect::Unchanged;
+        }
+        let is_new_life = endpoint.born_ms > member.endpoint.born_ms
+            || endpoint.address != member.endpoint.address
+            || endpoint.service != member.endpoint.service;
+        if is_new_life {
+            let own = member.own;
+            *member = Member::new(endpoint);
+            member.own = own;
+            return if member.leaving { Effect::Left } else { Effect::Joined };
+        }
+        let was_usable = !member.leaving && member.listed;
+        member.listed = true;
+        member.lapses_at = None;
+        member.leaving |= endpoint.leaving;
+        member.endpoint = endpoint;
+        match (was_usable, member.leaving) {
+            (true, true) => Effect::Left,
+            (false, false) => Effect::Joined,
+            _ => Effect::Unchanged,
+        }
+    }
+
+    fn remove(&mut self, id: &str, was_away: bool, now: Instant) -> Effect {
+        let Some(member) = self.members.get_mut(id) else { return Effect::Unchanged };
+        if !member.listed {
+            return Effect::Unchanged;
+        }
+        member.listed = false;
+        if was_away && !member.leaving {
+            member.lapses_at = Some(now + LAPSE_GRACE);
+            return Effect::Unchanged;
+        }
+        if member.leaving { Effect::Unchanged } else { Effect::Left }
+    }
+}
--- a/crates/config/src/replica/follow.rs
+++ b/crates/config/src/replica/follow.rs
@@ -3,8 +3,8 @@
 use std::rc::Rc;
 use std::time::Instant;
 
-use platform::table::ABSENT;
-use platform::table::Row;
+use store::table::ABSENT;
+use store::table::Row;
 
 use crate::log;
 use crate::log::Entry;
@@ -49,7 +49,7 @@
     pub(super) fn snapshot_read(
         &mut self,
         now: Instant,
-        result: Result<Option<Snapshot>, platform::Error>,
+        result: Result<Option<Snapshot>, store::Error>,
     ) {
         self.reading = None;
         if let Ok(Some(snapshot)) = result {
@@ -64,7 +64,7 @@
         self.read(now);
     }
 
-    pub(super) fn head_read(&mut self, now: Instant, result: Result<Row, platform::Error>) {
+    pub(super) fn head_read(&mut self, now: Instant, result: Result<Row, store::Error>) {
         let Some(reading) = self.reading.take() else { return };
         let row = match result {
             Ok(row) => row,
@@ -83,7 +83,7 @@
         self.reach(now);
     }
 
-    pub(super) fn entries_read(&mut self, now: Instant, result: Result<Vec<Row>, platform::Error>) {
+    pub(super) fn entries_read(&mut self, now: Instant, result: Result<Vec<Row>, store::Error>) {
         let rows = match result {
             Ok(rows) => rows,
             Err(error) => {
--- a/crates/config/src/replica/mod.rs
+++ b/crates/config/src/replica/mod.rs
@@ -16,9 +16,9 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use platform::table::Commit;
-use platform::table::Row;
-use platform::table::Transaction;
+use store::table::Commit;
+use store::table::Row;
+use store::table::Transaction;
 
 use crate::Error;
 use crate::catalog::Catalog;
@@ -61,15 +61,15 @@
     /// An operator's change.
     Change(Ticket, Change),
     /// The head row was read, or could not be.
-    HeadRead(Result<Row, platform::Error>),
+    HeadRead(Result<Row, store::Error>),
     /// Change rows were read, or could not be.
-    EntriesRead(Result<Vec<Row>, platform::Error>),
+    EntriesRead(Result<Vec<Row>, store::Error>),
     /// The newest snapshot was read, if there is one, or could not be.
-    SnapshotRead(Result<Option<Snapshot>, platform::Error>),
+    SnapshotRead(Result<Option<Snapshot>, store::Error>),
     /// The commit with this token was answered.
-    Committed(u64, Result<Commit, platform::Error>),
+    Committed(u64, Result<Commit, store::Error>),
     /// The change row of the commit with this token was read, or could not be.
-    EntryRead(u64, Result<Row, platform::Error>),
+    EntryRead(u64, Result<Row, store::Error>),
     /// A peer sent something.
     Received(ReplyTo, Message),
     /// A peer at this address has this revision in force.
--- a/crates/config/src/replica/write.rs
+++ b/crates/config/src/replica/write.rs
@@ -4,13 +4,13 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use platform::table::ABSENT;
-use platform::table::Check;
-use platform::table::Commit;
-use platform::table::Put;
-use platform::table::Row;
-use platform::table::Transaction;
 use serde::Serialize;
+use store::table::ABSENT;
+use store::table::Check;
+use store::table::Commit;
+use store::table::Put;
+use store::table::Row;
+use store::table::Transaction;
 
 use crate::Error;
 use crate::change::Change;
@@ -92,7 +92,7 @@
         &mut self,
         now: Instant,
         token: u64,
-        result: Result<Commit, platform::Error>,
+        result: Result<Commit, store::Error>,
     ) {
         let Some(mut writing) = self.take_writing(token) else { return };
         match result {
@@ -108,7 +108,7 @@
                 self.writing = Some(writing);
             }
             Err(error) => {
-                writing.uncertain |= !matches!(error, platform::Error::Refused { .. });
+                writing.uncertain |= !matches!(error, store::Error::Refused { .. });
                 writing.phase = Phase::Resend;
                 self.writing = Some(writing);
             }
@@ -121,7 +121,7 @@
         &mut self,
         now: Instant,
         token: u64,
-        result: Result<Row, platform::Error>,
+        result: Result<Row, store::Error>,
     ) {
         let Some(mut writing) = self.take_writing(token) else { return };
         let Ok(row) = result else {
@@ -168,9 +168,9 @@
 
     /// The table can't be read: without an answer there is still time to try
     /// again.
-    pub(super) fn read_failed(&mut self, now: Instant, error: &platform::Error) {
+    pub(super) fn read_failed(&mut self, now: Instant, error: &store::Error) {
         let in_time = |it: &Waiting| now.duration_since(it.since) < GIVE_UP;
-        if matches!(error, platform::Error::NoAnswer { .. }) && self.waiting.iter().all(in_time) {
+        if matches!(error, store::Error::NoAnswer { .. }) && self.waiting.iter().all(in_time) {
             return;
         }
         self.refuse_waiting(&error.to_string());
--- a/crates/config/tests/replica/main.rs
+++ b/crates/config/tests/replica/main.rs
@@ -14,8 +14,8 @@
 use config::replica::READ_INTERVAL;
 use config::replica::Replica;
 use config::replica::snapshot::Snapshot;
-use platform::table::ABSENT;
-use platform::table::Row;
+use store::table::ABSENT;
+use store::table::Row;
 
 use crate::world::World;
 
--- a/crates/config/tests/replica/world.rs
+++ b/crates/config/tests/replica/world.rs
@@ -21,10 +21,10 @@
 use config::replica::TICK;
 use config::replica::Ticket;
 use config::replica::message::Message;
-use platform::memory::Memory;
-use platform::table::Put;
-use platform::table::Table;
-use platform::table::Transaction;
+use store::memory::Memory;
+use store::table::Put;
+use store::table::Table;
+use store::table::Transaction;
 
 const FREEZE: Duration = Duration::from_secs(20);
 const ROUNDS: usize = 60;
@@ -293,10 +293,10 @@
         let fault = if self.down { Fault::Refused } else { fault };
         let failure = match fault {
             Fault::Refused => {
-                Some(platform::Error::Refused { status: 503, detail: "down".to_owned() })
+                Some(store::Error::Refused { status: 503, detail: "down".to_owned() })
             }
             Fault::LostBefore | Fault::LostAfter | Fault::Late => {
-                Some(platform::Error::NoAnswer { detail: "lost".to_owned() })
+                Some(store::Error::NoAnswer { detail: "lost".to_owned() })
             }
             Fault::None | Fault::Twice => None,
         };
--- /dev/null
+++ b/crates/duty/src/order.rs
@@ -0,0 +1,215 @@
+//! How many endpoints to order, of which kind and where.
+//!
+//! Answers loads that change within minutes and waves that take all
+//! reclaimable endpoints of a zone with seconds of notice: reclaimable ones
+//! serve as long as they are to be had, with more of them than the load needs;
+//! those on demand fill what a wave leaves open, and go when it is over.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+use std::time::Instant;
+
+use route::config::Scale;
+
+/// Part of an engine's time that load may take: above it, prompts wait behind
+/// each other longer than callers' objectives allow.
+const UTILISATION: f64 = 0.5;
+/// Reclaimable endpoints ordered for each one needed: the loss of a zone
+/// leaves enough until replacements serve.
+const RECLAIMABLE_SPARE: f64 = 1.5;
+/// Time for which endpoints on demand stay after they were last needed.
+const KEEP_ON_DEMAND: Duration = Duration::from_secs(6);
+/// Time for which fewer are not ordered after the load was higher.
+const KEEP_LOAD: Duration = Duration::from_secs(15);
+/// Time between tries of an order that was refused.
+const TRY_AGAIN: Duration = Duration::from_millis(2_500);
+/// Time beyond the boot after which a missing endpoint is ordered again.
+const OVERDUE: Duration = Duration::from_millis(1_500);
+
+/// Kind of endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Kind {
+    /// Stays until it is sent away.
+    OnDemand,
+    /// The cloud may take it back.
+    Reclaimable,
+}
+
+/// An order: so many endpoints of a kind in a zone.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Order {
+    /// Availability zone.
+    pub zone: String,
+    /// Kind.
+    pub kind: Kind,
+    /// Number wanted in all.
+    pub count: u32,
+}
+
+/// Endpoints of a zone that serve.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Present {
+    /// On demand.
+    pub on_demand: u32,
+    /// Reclaimable.
+    pub reclaimable: u32,
+}
+
+/// What was ordered of a kind in a zone.
+#[derive(Clone, Debug)]
+struct Placed {
+    count: u32,
+    at: Instant,
+    refused_until: Option<Instant>,
+}
+
+/// Orders of one service, by one holder of the lease.
+#[derive(Clone, Debug, Default)]
+pub struct Planner {
+    placed: BTreeMap<(String, Kind), Placed>,
+    /// Highest recent need, and when it was seen.
+    need: Option<(f64, Instant)>,
+    on_demand_needed_at: Option<Instant>,
+}
+
+impl Planner {
+    /// Orders to give now. `busy` is the load in engines that it keeps busy.
+    pub fn plan(
+        &mut self,
+        scale: &Scale,
+        present: &BTreeMap<String, Present>,
+        busy: f64,
+        now: Instant,
+    ) -> Vec<Order> {
+        let need = self.need(busy / UTILISATION, scale, now);
+        let zones = scale.zones.len().max(1) as u32;
+        let buys_reclaimable = scale.reclaimable_price.is_some();
+        let reclaimable = match buys_reclaimable {
+            true => ((f64::from(need) * RECLAIMABLE_SPARE / f64::from(zones)).ceil() as u32)
+                .clamp(scale.min, scale.max),
+            false => 0,
+        };
+        let on_demand = self.on_demand(scale, present, need, reclaimable, now);
+        let mut orders = Vec::new();
+        for price in &scale.zones {
+            let here = present.get(&price.zone).copied().unwrap_or_default();
+            let on_demand = on_demand.get(&price.zone).copied().unwrap_or(0);
+            // The limits hold for both kinds together.
+            let reclaimable = reclaimable.min(scale.max - on_demand.min(scale.max));
+            let wanted = [
+                (Kind::Reclaimable, reclaimable, here.reclaimable),
+                (Kind::OnDemand, on_demand, here.on_demand),
+            ];
+            for (kind, count, serving) in wanted {
+                if kind == Kind::Reclaimable && !buys_reclaimable {
+                    continue;
+                }
+                if self.is_to_be_placed(scale, &price.zone, kind, count, serving, now) {
+                    orders.push(Order { zone: price.zone.clone(), kind, count });
+                }
+            }
+        }
+        orders
+    }
+
+    /// Notes that an order was taken.
+    pub fn taken(&mut self, order: &Order, now: Instant) {
+        let placed = Placed { count: order.count, at: now, refused_until: None };
+        self.placed.insert((order.zone.clone(), order.kind), placed);
+    }
+
+    /// Notes that an order was refused because nothing is to be had.
+    pub fn refused(&mut self, order: &Order, now: Instant) {
+        let key = (order.zone.clone(), order.kind);
+        let placed =
+            self.placed.entry(key).or_insert(Placed { count: 0, at: now, refused_until: None });
+        placed.refused_until = Some(now + TRY_AGAIN);
+    }
+
+    /// Endpoints needed: follows a rise at once, a fall late.
+    fn need(&mut self, wanted: f64, scale: &Scale, now: Instant) -> u32 {
+        let kept = self.need.filter(|(need, at)| *need > wanted && now < *at + KEEP_LOAD);
+        let (need, at) = kept.unwrap_or((wanted, now));
+        self.need = Some((need, at));
+        let least = scale.min * scale.zones.len() as u32;
+        (need.ceil() as u32).max(least)
+    }
+
+    /// Endpoints on demand by zone, the cheapest zones first.
+    fn on_demand(
+        &mut self,
+        scale: &Scale,
+        present: &BTreeMap<String, Present>,
+        need: u32,
+        reclaimable: u32,
+        now: Instant,
+    ) -> BTreeMap<String, u32> {
+        let mut coming = 0;
+        for price in &scale.zones {
+            let here = present.get(&price.zone).copied().unwrap_or_default();
+            let is_booting = self.is_booting(scale, &price.zone, now);
+            coming += if is_booting { reclaimable.max(here.reclaimable) } else { here.reclaimable };
+        }
+        let missing = need.saturating_sub(coming);
+        let there: u32 = present.values().map(|it| it.on_demand).sum();
+        if missing > 0 {
+            self.on_demand_needed_at = Some(now);
+        }
+        let is_kept = self.on_demand_needed_at.is_some_and(|it| now < it + KEEP_ON_DEMAND);
+        let mut left = if is_kept { missing.max(there) } else { missing };
+        let mut cheapest: Vec<_> = scale.zones.iter().collect();
+        cheapest.sort_by(|a, b| a.price.total_cmp(&b.price));
+        let mut wanted = BTreeMap::new();
+        // What is there stays where it is, as far as it is needed.
+        for price in &cheapest {
+            let here = present.get(&price.zone).map_or(0, |it| it.on_demand);
+            let stays = here.min(left);
+            left -= stays;
+            wanted.insert(price.zone.clone(), stays);
+        }
+        while left > 0 {
+            let before = left;
+            for price in &cheapest {
+                let here = present.get(&price.zone).copied().unwrap_or_default();
+                let count = wanted.entry(price.zone.clone()).or_default();
+                if left > 0 && *count + here.reclaimable < scale.max {
+                    *count += 1;
+                    left -= 1;
+                }
+            }
+            if left == before {
+                break;
+            }
+        }
+        wanted
+    }
+
+    fn is_booting(&self, scale: &Scale, zone: &str, now: Instant) -> bool {
+        let boot = Duration::from_millis(scale.boot_ms) + OVERDUE;
+        self.placed
+            .get(&(zone.to_owned(), Kind::Reclaimable))
+            .is_some_and(|it| it.refused_until.is_none() && now < it.at + boot)
+    }
+
+    fn is_to_be_placed(
+        &self,
+        scale: &Scale,
+        zone: &str,
+        kind: Kind,
+        count: u32,
+        serving: u32,
+        now: Instant,
+    ) -> bool {
+        let Some(placed) = self.placed.get(&(zone.to_owned(), kind)) else {
+            return count != serving || kind == Kind::Reclaimable;
+        };
+        if placed.refused_until.is_some_and(|it| now < it) {
+            return false;
+        }
+        if placed.refused_until.is_some() || placed.count != count {
+            return true;
+        }
+        let boot = Duration::from_millis(scale.boot_ms) + OVERDUE;
+        serving != count && now >= placed.at + boot
+    }
+}
--- /dev/null
+++ b/crates/front/src/broker/mod.rs
@@ -0,0 +1,329 @@
+//! The actor that decides: what it knows, and how it learns.
+
+mod duties;
+mod gossip;
+mod requests;
+
+use std::cell::Cell;
+use std::collections::HashMap;
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use balance::pool::Effect;
+use balance::pool::Pool;
+use balance::suspects::Suspects;
+use duty::clock::Clock;
+use duty::lease::Lease;
+use duty::order::Planner;
+use duty::usage::Usage;
+use membership::digest::Peers;
+use platform::feed::Written;
+use platform::settings::Settings;
+use quota::retry::Budget;
+use quota::workspace::Bucket;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use relay::server::Phase;
+use route::config::Config;
+use route::config::Limits;
+use route::table::Table;
+use stakker::CX;
+use stakker::StopCause;
+use stakker::after;
+use store::Error;
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::sync::watch;
+
+use self::requests::Open;
+use crate::clock;
+use crate::cloud;
+use crate::event::Event;
+use crate::lease;
+use crate::metrics;
+use crate::peers::Streams;
+
+/// Time between looks at what is due.
+const TICK: Duration = Duration::from_millis(50);
+/// Time between summaries to the other daemons.
+const GOSSIP_EVERY: Duration = Duration::from_millis(200);
+/// Time between plans of the endpoints to order.
+const PLAN_EVERY: Duration = Duration::from_millis(500);
+/// Time for which entries may be missing after the store was out of reach.
+const STORE_SETTLES: Duration = Duration::from_secs(4);
+/// Time after SIGTERM in which the balancer still sends new connections: it
+/// asks once a second and takes a daemon out after two misses.
+const BALANCER_LAG: Duration = Duration::from_millis(2_300);
+/// Time before SIGKILL at which a daemon ends with requests open.
+const LAST_MOMENT: Duration = Duration::from_millis(400);
+
+/// What the broker starts with.
+#[derive(Debug)]
+pub struct Parts {
+    /// Settings.
+    pub settings: Settings,
+    /// Name of this life of the daemon.
+    pub life: String,
+    /// Calls of the duties to the store.
+    pub lease_jobs: UnboundedSender<lease::Job>,
+    /// Calls of the duties to the cloud API.
+    pub cloud_jobs: UnboundedSender<cloud::Job>,
+    /// Streams to the other daemons.
+    pub streams: Streams,
+    /// Bounds for new connections of callers.
+    pub limits: Rc<Cell<Limits>>,
+    /// Tells the callers' connections of the end.
+    pub phase: watch::Sender<Phase>,
+    /// Tells the balancer.
+    pub ready: watch::Sender<bool>,
+    /// Seed of random choices.
+    pub seed: u64,
+}
+
+/// Where a daemon is in its life.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stage {
+    Running,
+    Stopping { since: Instant },
+}
+
+/// The actor.
+pub struct Broker {
+    parts: Parts,
+    rng: SmallRng,
+    stage: Stage,
+    table: Table,
+    pool: Pool,
+    suspects: Suspects,
+    /// Requests whose endpoint broke off, until it shows whether it crashed.
+    broken: VecDeque<requests::Broken>,
+    buckets: HashMap<String, Bucket>,
+    budgets: HashMap<String, Budget>,
+    requests: HashMap<u64, Open>,
+    next_ticket: u64,
+    peers: Peers,
+    sequence: u64,
+    gossiped_at: Instant,
+    /// When each peer was last asked for what it knows better.
+    pulled_at: Option<Instant>,
+    clock: Clock,
+    usage: Usage,
+    lease: Lease,
+    /// Whether the lease allowed to act at the last look.
+    leads: bool,
+    duties: duties::Open,
+    planners: HashMap<String, Planner>,
+    planned_at: Instant,
+    /// Engine time of this daemon's requests since its start, by service.
+    work_ms: HashMap<String, f64>,
+    work_seen: HashMap<String, duties::Rate>,
+    store_failed_at: HashMap<&'static str, Instant>,
+    /// Feeds whose last call failed.
+    store_away: HashMap<&'static str, bool>,
+}
+
+impl Broker {
+    /// Starts with nothing known.
+    pub fn init(cx: CX![], parts: Parts) -> Option<Self> {
+        let now = cx.now();
+        let boot = clock::since_boot();
+        after!(TICK, [cx], tick());
+        Some(Broker {
+            rng: SmallRng::seed_from_u64(parts.seed),
+            stage: Stage::Running,
+            table: Table::default(),
+            pool: Pool::default(),
+            suspects: Suspects::default(),
+            broken: VecDeque::new(),
+            buckets: HashMap::new(),
+            budgets: HashMap::new(),
+            requests: HashMap::new(),
+            next_ticket: 0,
+            peers: Peers::default(),
+            sequence: 0,
+            gossiped_at: now,
+            pulled_at: None,
+            clock: Clock::new(clock::wall_ms(), boot),
+            usage: Usage::new(parts.settings.bounds.usage_window),
+            lease: Lease::new(parts.life.clone()),
+            leads: false,
+            duties: duties::Open::default(),
+            planners: HashMap::new(),
+            planned_at: now,
+            work_ms: HashMap::new(),
+            work_seen: HashMap::new(),
+            store_failed_at: HashMap::new(),
+            store_away: HashMap::new(),
+            parts,
+        })
+    }
+
+    /// Takes an event.
+    pub fn handle(&mut self, cx: CX![], event: Event) {
+        let now = cx.now();
+        match event {
+            Event::Ask(ask) => self.ask(ask, now),
+            Event::Config(Written::Config(config)) => self.set_config(*config, "store", now),
+            Event::Config(Written::Malformed { detail }) => {
+                spdlog::error!("configuration can't be decoded; the former one stays in force",
+                    kv: { cause = detail, version = self.table.config.version });
+            }
+            Event::Roster(roster) => {
+                let was_away = self.was_away("endpoints", now);
+                let effects = self.pool.replace(roster, was_away, now);
+                self.note_effects(effects, "store", now);
+            }
+            Event::Endpoints { changes, version } => {
+                let was_away = self.was_away("endpoints", now);
+                let mut effects = Vec::new();
+                for change in changes {
+                    let id = requests::changed(&change).to_owned();
+                    effects.push((id, self.pool.apply(change, was_away, now)));
+                }
+                self.pool.version = self.pool.version.max(version);
+                self.note_effects(effects, "store", now);
+            }
+            Event::Store { feed, failure } => self.note_store(feed, failure, now),
+            Event::Daemons(rows) => self.learn_daemons(&rows, now),
+            Event::Peer(message) => self.peer_message(message, now),
+            Event::PeerLost { stream, detail } => self.peer_lost(stream, &detail),
+            Event::LeaseRead(result) => self.lease_read(result),
+            Event::LeaseWritten(result) => self.lease_written(result),
+            Event::Fixed { window, counts, result } => self.fixed(window, counts, result),
+            Event::Reported { window, result } => self.reported(window, result),
+            Event::Ordered { service, order, result } => {
+                self.ordered(&service, &order, result, now);
+            }
+            Event::Stop => self.stop(now),
+            Event::Reload => spdlog::info!("settings checked", kv: { changed = false }),
+        }
+    }
+
+    /// Starts to talk to the other daemons.
+    pub fn start_streams(
+        &mut self,
+        _: CX![],
+        address: SocketAddr,
+        secret: String,
+        events: UnboundedSender<Event>,
+    ) {
+        if let Err(error) = self.parts.streams.start(address, &secret, events) {
+            spdlog::error!("daemons not heard", kv: { cause = error.to_string() });
+        }
+    }
+
+    fn tick(&mut self, cx: CX![]) {
+        after!(TICK, [cx], tick());
+        let now = cx.now();
+        self.parts.ready.send_replace(self.is_ready());
+        if now >= self.gossiped_at + GOSSIP_EVERY {
+            self.gossip(now);
+        }
+        self.tend_duties(now);
+        self.pool.sweep(now);
+        self.end_if_due(cx, now);
+    }
+
+    fn is_ready(&self) -> bool {
+        self.stage == Stage::Running && self.table.config.version > 0 && self.pool.version > 0
+    }
+
+    fn stop(&mut self, now: Instant) {
+        if self.stage != Stage::Running {
+            return;
+        }
+        self.stage = Stage::Stopping { since: now };
+        self.parts.ready.send_replace(false);
+        self.parts.phase.send_replace(Phase::Closing);
+        spdlog::info!("stopping", kv: { open = self.requests.len() });
+        self.gossip(now);
+    }
+
+    fn end_if_due(&mut self, cx: CX![], now: Instant) {
+        let Stage::Stopping { since } = self.stage else { return };
+        let passed = now.saturating_duration_since(since);
+        if passed < BALANCER_LAG {
+            return;
+        }
+        self.parts.phase.send_replace(Phase::Closed);
+        let is_last = passed + LAST_MOMENT >= self.parts.settings.bounds.grace;
+        if self.requests.is_empty() && passed > BALANCER_LAG + TICK * 3 || is_last {
+            spdlog::info!("stopped", kv: { open = self.requests.len() });
+            cx.shutdown(StopCause::Stopped);
+        }
+    }
+
+    /// Puts a configuration in force if it is newer than the one that is.
+    fn set_config(&mut self, config: Config, source: &'static str, now: Instant) {
+        // Invariant: within a life of the daemon the version only grows.
+        if config.version <= self.table.config.version {
+            return;
+        }
+        spdlog::info!("configuration in force", kv: {
+            version = config.version,
+            before = self.table.config.version,
+            source = source,
+            routes = config.routes.len(),
+        });
+        metrics::state("configuration", config.version as i64);
+        self.parts.limits.set(config.limits);
+        for workspace in &config.workspaces {
+            let Some(quota) = workspace.quota else {
+                self.buckets.remove(&workspace.name);
+                continue;
+            };
+            let limit = quota::workspace::Limit { rate: quota.rate, burst: quota.burst };
+            match self.buckets.get_mut(&workspace.name) {
+                Some(bucket) => bucket.set_limit(limit, now),
+                None => {
+                    self.buckets.insert(workspace.name.clone(), Bucket::new(limit, now));
+                }
+            }
+        }
+        self.table = Table::new(Arc::new(config));
+        self.gossip(now);
+    }
+
+    fn note_effects(&mut self, effects: Vec<(String, Effect)>, source: &'static str, now: Instant) {
+        let mut has_left = false;
+        for (id, effect) in effects {
+            match effect {
+                Effect::Joined => self.confirm_crash(&id, now),
+                Effect::Left => has_left = true,
+                Effect::Unchanged => continue,
+            }
+            spdlog::info!("endpoint", kv: {
+                endpoint = id,
+                effect:? = effect,
+                source = source,
+                version = self.pool.version,
+            });
+        }
+        if has_left {
+            self.gossip(now);
+        }
+    }
+
+    fn note_store(&mut self, feed: &'static str, failure: Option<Error>, now: Instant) {
+        let is_away = failure.is_some();
+        let was_away = self.store_away.insert(feed, is_away).unwrap_or(false);
+        if let Some(error) = failure {
+            self.store_failed_at.insert(feed, now);
+            metrics::count("store_failed", feed);
+            if !was_away {
+                spdlog::warn!("store lost", kv: { feed = feed, cause = error.to_string() });
+            }
+        } else if was_away {
+            spdlog::info!("store regained", kv: { feed = feed });
+        }
+    }
+
+    /// Whether the store was out of reach so lately that entries may have
+    /// lapsed meanwhile.
+    fn was_away(&self, feed: &'static str, now: Instant) -> bool {
+        self.store_failed_at.get(feed).is_some_and(|it| now < *it + STORE_SETTLES)
+    }
+}
--- /dev/null
+++ b/crates/front/src/lib.rs
@@ -0,0 +1,14 @@
+//! The daemon that forwards callers' requests on the users' platform: its
+//! actor, the tasks that own sockets, and their wiring.
+
+pub mod broker;
+pub mod event;
+pub mod run;
+
+mod clock;
+mod cloud;
+mod feeds;
+mod lease;
+mod metrics;
+mod peers;
+mod probe;
--- /dev/null
+++ b/crates/front/src/peers.rs
@@ -0,0 +1,82 @@
+//! Streams to the other daemons.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use membership::digest::Message;
+use peer::transport;
+use peer::transport::Command;
+use peer::transport::Sink;
+use peer::transport::StreamId;
+use peer::transport::Transport;
+use peer::wire::Frame;
+use tokio::sync::mpsc::UnboundedSender;
+
+use crate::event::Event;
+
+/// One open stream to each daemon that is told things.
+#[derive(Debug)]
+pub struct Streams {
+    transport: Option<Transport>,
+    by_address: HashMap<SocketAddr, StreamId>,
+    next: u64,
+}
+
+impl Streams {
+    /// No streams; nothing is sent before the transport has started.
+    pub fn new() -> Streams {
+        Streams { transport: None, by_address: HashMap::new(), next: 0 }
+    }
+
+    /// Starts to accept and to open streams.
+    pub fn start(
+        &mut self,
+        address: SocketAddr,
+        secret: &str,
+        events: UnboundedSender<Event>,
+    ) -> Result<(), transport::Error> {
+        let sink: Sink = Arc::new(move |event| {
+            let event = match event {
+                transport::Event::Frame { frame: Frame::Front(message), .. } => {
+                    Event::Peer(*message)
+                }
+                transport::Event::Failed { stream, detail, .. } => {
+                    Event::PeerLost { stream, detail }
+                }
+                transport::Event::Frame { .. } | transport::Event::Finished { .. } => return,
+            };
+            let _ = events.send(event);
+        });
+        self.transport = Some(Transport::start(&address.to_string(), secret, sink)?);
+        Ok(())
+    }
+
+    /// Sends a message.
+    pub fn send(&mut self, to: SocketAddr, message: &Message) {
+        let Some(transport) = &self.transport else { return };
+        let frame = Frame::Front(Box::new(message.clone()));
+        if let Some(stream) = self.by_address.get(&to) {
+            transport.command(Command::Send { stream: *stream, frame });
+            return;
+        }
+        self.next += 2;
+        let stream = StreamId(self.next);
+        self.by_address.insert(to, stream);
+        transport.command(Command::Open { stream, peer: to, frame });
+    }
+
+    /// Forgets a stream that broke; gives the address that it led to.
+    pub fn lost(&mut self, stream: StreamId) -> Option<SocketAddr> {
+        let (address, _) = self.by_address.iter().find(|(_, it)| **it == stream)?;
+        let address = *address;
+        self.by_address.remove(&address);
+        Some(address)
+    }
+}
+
+impl Default for Streams {
+    fn default() -> Streams {
+        Streams::new()
+    }
+}
--- /dev/null
+++ b/crates/front/src/probe.rs
@@ -0,0 +1,50 @@
+//! Answers the balancer's question for readiness, and requests for metrics.
+
+use std::convert::Infallible;
+
+use bytes::Bytes;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use platform::settings::READY_PATH;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::task::spawn_local;
+
+use crate::metrics;
+
+/// Serves both on a listener.
+pub async fn run(listener: TcpListener, ready: watch::Receiver<bool>) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            // The next connection may find a free descriptor.
+            tokio::task::yield_now().await;
+            continue;
+        };
+        let ready = ready.clone();
+        spawn_local(async move {
+            let service = service_fn(|request: Request<Incoming>| {
+                let response = answer(request.uri().path(), *ready.borrow());
+                async move { Ok::<_, Infallible>(response) }
+            });
+            // Whoever asks comes again when its connection breaks.
+            let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+        });
+    }
+}
+
+fn answer(path: &str, is_ready: bool) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::default());
+    match path {
+        "/metrics" => *response.body_mut() = Full::from(metrics::text()),
+        READY_PATH if is_ready => {}
+        READY_PATH => *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE,
+        _ => *response.status_mut() = StatusCode::NOT_FOUND,
+    }
+    response
+}
--- /dev/null
+++ b/crates/front/src/run.rs
@@ -0,0 +1,206 @@
+//! Start, wiring and end of the daemon.
+
+use std::cell::Cell;
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use platform::settings::Settings;
+use rand::RngExt;
+use relay::server;
+use relay::server::Phase;
+use relay::server::Server;
+use route::config::Limits;
+use snafu::ResultExt;
+use snafu::Snafu;
+use stakker::ActorOwn;
+use stakker::Stakker;
+use stakker::actor;
+use stakker::call;
+use stakker::ret_nop;
+use tokio::net::TcpListener;
+use tokio::runtime::Builder;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::sync::mpsc::unbounded_channel;
+use tokio::sync::watch;
+use tokio::task::LocalSet;
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+
+use crate::broker::Broker;
+use crate::broker::Parts;
+use crate::cloud;
+use crate::event::Event;
+use crate::feeds;
+use crate::lease;
+use crate::peers::Streams;
+use crate::probe;
+
+/// Longest sleep without a timer.
+const IDLE_WAIT: Duration = Duration::from_secs(5);
+/// Time between sweeps of idle connections to endpoints.
+const SWEEP_EVERY: Duration = Duration::from_millis(250);
+/// Time for the last answers to reach their callers.
+const LINGER: Duration = Duration::from_millis(50);
+/// Events taken before timers get their turn.
+const EVENTS_AT_ONCE: usize = 64;
+/// Bytes of the daemons' secret.
+const SECRET_BYTES: usize = 32;
+
+/// Why the daemon could not run.
+#[derive(Debug, Snafu)]
+pub enum Error {
+    /// The runtime could not start.
+    #[snafu(display("cannot start: {source}; check the limits of the process"))]
+    Start {
+        /// Cause.
+        source: io::Error,
+    },
+    /// An address could not be bound.
+    #[snafu(display(
+        "cannot listen on {address}: {source}; free the port or correct the settings"
+    ))]
+    Listen {
+        /// Address.
+        address: std::net::SocketAddr,
+        /// Cause.
+        source: io::Error,
+    },
+}
+
+/// Runs the daemon until it has drained.
+pub fn run(settings: Settings) -> Result<(), Error> {
+    let runtime = Builder::new_current_thread().enable_all().build().context(StartSnafu)?;
+    LocalSet::new().block_on(&runtime, serve(settings))
+}
+
+async fn serve(settings: Settings) -> Result<(), Error> {
+    let listen = |address| server::listen(address).context(ListenSnafu { address });
+    let callers = listen(settings.callers)?;
+    let readiness = listen(settings.readiness)?;
+    let metrics = listen(settings.metrics)?;
+    let mut rng = rand::rng();
+    let life = format!("{}#{:016x}", settings.daemon, rng.random::<u64>());
+    spdlog::info!("started", kv: {
+        life = life.as_str(),
+        zone = settings.zone.as_str(),
+        callers = settings.callers.to_string(),
+        metrics = settings.metrics.to_string(),
+    });
+    let (events, received) = unbounded_channel();
+    let (lease_jobs, lease_calls) = unbounded_channel();
+    let (cloud_jobs, cloud_calls) = unbounded_channel();
+    let (phase, phases) = watch::channel(Phase::default());
+    let (ready, is_ready) = watch::channel(false);
+    let limits = Rc::new(Cell::new(Limits::default()));
+    let parts = Parts {
+        settings: settings.clone(),
+        life: life.clone(),
+        lease_jobs,
+        cloud_jobs,
+        streams: Streams::new(),
+        limits: limits.clone(),
+        phase,
+        ready,
+        seed: rng.random(),
+    };
+    let mut stakker = Stakker::new(Instant::now());
+    let broker = actor!(&mut stakker, Broker::init(parts), ret_nop!());
+    spawn_local(feeds::config(settings.store, events.clone()));
+    spawn_local(feeds::endpoints(settings.store, events.clone()));
+    spawn_local(feeds::daemons(settings.store, settings.peers, life, events.clone()));
+    spawn_local(lease::run(settings.store, lease_calls, events.clone()));
+    if let Some(address) = settings.cloud {
+        let daemon = settings.daemon.clone();
+        spawn_local(cloud::run(address, daemon, cloud_calls, events.clone()));
+    }
+    spawn_local(probe::run(readiness, is_ready.clone()));
+    spawn_local(probe::run(metrics, is_ready));
+    spawn_local(watch_signals(events.clone()));
+    spawn_local(sweep(serve_callers(callers, &events, limits, phases)));
+    let (secrets, secret) = unbounded_channel();
+    let fresh: String = (0..SECRET_BYTES).map(|_| format!("{:02x}", rng.random::<u8>())).collect();
+    spawn_local(async move {
+        let _ = secrets.send(feeds::secret(settings.store, fresh).await);
+    });
+    drive(stakker, &broker, received, secret, &events, &settings).await;
+    sleep(LINGER).await;
+    Ok(())
+}
+
+/// Runs the actor until it ends the daemon.
+async fn drive(
+    mut stakker: Stakker,
+    broker: &ActorOwn<Broker>,
+    mut received: UnboundedReceiver<Event>,
+    mut secret: UnboundedReceiver<String>,
+    events: &UnboundedSender<Event>,
+    settings: &Settings,
+) {
+    stakker.run(Instant::now(), false);
+    while stakker.not_shutdown() {
+        let wait = stakker.next_wait_max(Instant::now(), IDLE_WAIT, false);
+        tokio::select! {
+            Some(event) = received.recv() => {
+                call!([broker], handle(event));
+                for _ in 0..EVENTS_AT_ONCE {
+                    let Ok(event) = received.try_recv() else { break };
+                    call!([broker], handle(event));
+                }
+            }
+            Some(secret) = secret.recv() => {
+                let (address, events) = (settings.peers, events.clone());
+                call!([broker], start_streams(address, secret, events));
+            }
+            () = sleep(wait) => {}
+        }
+        stakker.run(Instant::now(), false);
+    }
+}
+
+fn serve_callers(
+    callers: TcpListener,
+    events: &UnboundedSender<Event>,
+    limits: Rc<Cell<Limits>>,
+    phases: watch::Receiver<Phase>,
+) -> Server {
+    let (asks, mut asked) = unbounded_channel();
+    let events = events.clone();
+    spawn_local(async move {
+        while let Some(ask) = asked.recv().await {
+            let _ = events.send(Event::Ask(ask));
+        }
+    });
+    let server = Server::new(asks, limits, phases);
+    spawn_local(server.clone().run(callers));
+    server
+}
+
+async fn sweep(server: Server) {
+    loop {
+        sleep(SWEEP_EVERY).await;
+        server.links().sweep();
+    }
+}
+
+async fn watch_signals(events: UnboundedSender<Event>) {
+    let kinds = [SignalKind::terminate(), SignalKind::interrupt(), SignalKind::hangup()];
+    let [terminate, interrupt, hangup] = kinds.map(signal);
+    let (Ok(mut terminate), Ok(mut interrupt), Ok(mut hangup)) = (terminate, interrupt, hangup)
+    else {
+        spdlog::error!("signals can't be received; check the limits of the process");
+        return;
+    };
+    loop {
+        let event = tokio::select! {
+            _ = terminate.recv() => Event::Stop,
+            _ = interrupt.recv() => Event::Stop,
+            _ = hangup.recv() => Event::Reload,
+        };
+        let _ = events.send(event);
+    }
+}
--- a/crates/harness/src/measure/control.rs
+++ b/crates/harness/src/measure/control.rs
@@ -4,11 +4,11 @@
 use std::thread;
 use std::time::Duration;
 
-use platform::vm::Role;
-use platform::vm::State;
-use platform::vm::Vm;
 use serde_json::json;
 use standins::platform::Calls;
+use store::vm::Role;
+use store::vm::State;
+use store::vm::Vm;
 
 use crate::cluster;
 use crate::cluster::Cluster;
--- a/crates/harness/tests/at_most_once/bench.rs
+++ b/crates/harness/tests/at_most_once/bench.rs
@@ -16,9 +16,9 @@
 use ledger::record::Identity;
 use ledger::record::batch_prefix;
 use nix::sys::signal::Signal;
-use platform::table::Row;
 use serde_json::Value;
 use standins::service::Execution;
+use store::table::Row;
 
 /// Key of the call under test.
 pub const KEY: &str = "renewal";
--- a/crates/harness/tests/placement/main.rs
+++ b/crates/harness/tests/placement/main.rs
@@ -6,9 +6,9 @@
 use harness::cluster;
 use harness::cluster::Cluster;
 use harness::cluster::MODEL_SERVICE;
-use platform::vm::Start;
 use serde_json::json;
 use standins::engine::protocol::Order;
+use store::vm::Start;
 
 /// In order of name.
 const ZONES: [&str; 3] = ["kpone", "tema-a", "tema-b"];
--- a/crates/ledger/src/message.rs
+++ b/crates/ledger/src/message.rs
@@ -3,9 +3,9 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use platform::table::Commit;
-use platform::table::Row;
-use platform::table::Transaction;
+use store::table::Commit;
+use store::table::Row;
+use store::table::Transaction;
 
 use crate::Error;
 use crate::record::Answer;
@@ -37,15 +37,15 @@
     /// A call that was granted has ended.
     End(Identity, Step),
     /// The head row was read, or could not be.
-    HeadRead(Result<Row, platform::Error>),
+    HeadRead(Result<Row, store::Error>),
     /// The snapshot was read, or could not be.
-    SnapshotRead(Result<Option<Vec<u8>>, platform::Error>),
+    SnapshotRead(Result<Option<Vec<u8>>, store::Error>),
     /// The batch rows were read, or could not be.
-    BatchesRead(Result<Vec<Row>, platform::Error>),
+    BatchesRead(Result<Vec<Row>, store::Error>),
     /// The commit under way was answered.
-    Committed(Result<Commit, platform::Error>),
+    Committed(Result<Commit, store::Error>),
     /// This snapshot was written, or could not be.
-    SnapshotWritten(String, Result<(), platform::Error>),
+    SnapshotWritten(String, Result<(), store::Error>),
     /// Time has passed.
     Tick,
     /// The daemon shuts down: give the lease up once nothing runs.
--- a/crates/ledger/src/record.rs
+++ b/crates/ledger/src/record.rs
@@ -5,11 +5,11 @@
 use base64::Engine;
 use base64::prelude::BASE64_STANDARD;
 use job::reply::Whole;
-use platform::table::ABSENT;
-use platform::table::Row;
 use serde::Deserialize;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use store::table::ABSENT;
+use store::table::Row;
 use xxhash_rust::xxh3::xxh3_64;
 use xxhash_rust::xxh3::xxh3_128;
 
--- a/crates/ledger/src/shard/acquire.rs
+++ b/crates/ledger/src/shard/acquire.rs
@@ -1,7 +1,7 @@
 //! Taking the lease and reading what earlier holders wrote.
 
-use platform::table::Commit;
-use platform::table::Row;
+use store::table::Commit;
+use store::table::Row;
 
 use crate::Error;
 use crate::book::Book;
@@ -32,7 +32,7 @@
     pub(super) fn head_read(
         &mut self,
         now: Moment,
-        result: Result<Row, platform::Error>,
+        result: Result<Row, store::Error>,
     ) -> Vec<Action> {
         if let Lease::Loading(Loading { version, doubt: Some(error), .. }) = &self.lease {
             let (version, error) = (*version, error.clone());
@@ -80,7 +80,7 @@
     pub(super) fn taken(
         &mut self,
         taking: Taking,
-        result: Result<Commit, platform::Error>,
+        result: Result<Commit, store::Error>,
     ) -> Vec<Action> {
         match outcome(&taking.head, result) {
             Effect::Took(version) => self.load(taking.head, version),
@@ -110,7 +110,7 @@
 
     pub(super) fn snapshot_read(
         &mut self,
-        result: Result<Option<Vec<u8>>, platform::Error>,
+        result: Result<Option<Vec<u8>>, store::Error>,
     ) -> Vec<Action> {
         let Lease::Loading(loading) = &mut self.lease else { return Vec::new() };
         let Some(named) = &loading.head.snapshot else { return Vec::new() };
@@ -125,7 +125,7 @@
     pub(super) fn batches_read(
         &mut self,
         now: Moment,
-        result: Result<Vec<Row>, platform::Error>,
+        result: Result<Vec<Row>, store::Error>,
     ) -> Vec<Action> {
         let Lease::Loading(loading) = &mut self.lease else { return Vec::new() };
         let Ok(rows) = result else { return self.give_up_loading() };
@@ -172,7 +172,7 @@
         &mut self,
         version: u64,
         error: Error,
-        result: Result<Row, platform::Error>,
+        result: Result<Row, store::Error>,
     ) -> Vec<Action> {
         match result {
             Ok(row) if row.version == version => self.refuse(error),
--- a/crates/ledger/src/shard/commit.rs
+++ b/crates/ledger/src/shard/commit.rs
@@ -2,10 +2,10 @@
 
 use std::time::Instant;
 
-use platform::table::Check;
-use platform::table::Commit;
-use platform::table::Put;
-use platform::table::Transaction;
+use store::table::Check;
+use store::table::Commit;
+use store::table::Put;
+use store::table::Transaction;
 
 use crate::lifecycle::Event;
 use crate::message::Action;
@@ -54,7 +54,7 @@
     pub(super) fn committed(
         &mut self,
         now: Moment,
-        result: Result<Commit, platform::Error>,
+        result: Result<Commit, store::Error>,
     ) -> Vec<Action> {
         match std::mem::replace(&mut self.lease, Lease::Away { seen: None }) {
             Lease::Taking(taking) => self.taken(taking, result),
@@ -239,7 +239,7 @@
 }
 
 /// Whether a commit that wrote `head` took effect.
-pub(super) fn outcome(head: &Head, result: Result<Commit, platform::Error>) -> Effect {
+pub(super) fn outcome(head: &Head, result: Result<Commit, store::Error>) -> Effect {
     match result {
         Ok(Commit::Done { version }) => Effect::Took(version),
         Ok(Commit::Conflict { rows }) => {
--- a/crates/ledger/src/shard/compact.rs
+++ b/crates/ledger/src/shard/compact.rs
@@ -78,7 +78,7 @@
         &mut self,
         now: Moment,
         name: &str,
-        result: Result<(), platform::Error>,
+        result: Result<(), store::Error>,
     ) -> Vec<Action> {
         let Lease::Held(held) = &mut self.lease else { return Vec::new() };
         let Compaction::Writing(draft) = &held.compaction else { return Vec::new() };
--- a/crates/ledger/src/shard/mod.rs
+++ b/crates/ledger/src/shard/mod.rs
@@ -8,7 +8,7 @@
 use std::rc::Rc;
 use std::time::Instant;
 
-use platform::table::Transaction;
+use store::table::Transaction;
 
 use crate::Error;
 use crate::book::Book;
--- a/crates/ledger/tests/interleavings/world.rs
+++ b/crates/ledger/tests/interleavings/world.rs
@@ -24,9 +24,9 @@
 use ledger::record::decode_head;
 use ledger::record::head_key;
 use ledger::shard::Shard;
-use platform::memory::Memory;
-use platform::objects::Objects;
-use platform::table::Table;
+use store::memory::Memory;
+use store::objects::Objects;
+use store::table::Table;
 
 /// Keys in use at a time.
 const KEYS: usize = 4;
@@ -309,8 +309,8 @@
         }
         let number = *u.choose(&waiting)?;
         let action = self.flights[number].action.clone();
-        let lost = platform::Error::NoAnswer { detail: "lost".to_owned() };
-        let refused = platform::Error::Refused { status: 503, detail: "down".to_owned() };
+        let lost = store::Error::NoAnswer { detail: "lost".to_owned() };
+        let refused = store::Error::Refused { status: 503, detail: "down".to_owned() };
         let answer = match u.int_in_range(0..=9u8)? {
             0 => failed(&action, refused),
             1 => {
@@ -487,7 +487,7 @@
     }
 }
 
-fn failed(action: &Action, error: platform::Error) -> Input {
+fn failed(action: &Action, error: store::Error) -> Input {
     match action {
         Action::ReadHead(_) => Input::HeadRead(Err(error)),
         Action::ReadBatches(_) => Input::BatchesRead(Err(error)),
--- a/crates/ledger/tests/shard/main.rs
+++ b/crates/ledger/tests/shard/main.rs
@@ -4,6 +4,7 @@
 
 use std::time::Duration;
 
+use ::store::objects::Objects;
 use job::reply::Whole;
 use ledger::message::Input;
 use ledger::message::Ticket;
@@ -15,7 +16,6 @@
 use ledger::record::RETENTION_S;
 use ledger::record::batch_key;
 use ledger::record::head_key;
-use platform::objects::Objects;
 use store::SHARD;
 use store::Store;
 
--- a/crates/ledger/tests/shard/store.rs
+++ b/crates/ledger/tests/shard/store.rs
@@ -22,11 +22,11 @@
 use ledger::record::batch_prefix;
 use ledger::record::head_key;
 use ledger::shard::Shard;
-use platform::memory::Memory;
-use platform::objects::Objects;
-use platform::table::Put;
-use platform::table::Table;
-use platform::table::Transaction;
+use store::memory::Memory;
+use store::objects::Objects;
+use store::table::Put;
+use store::table::Table;
+use store::table::Transaction;
 
 /// Shard under test.
 pub const SHARD: ShardId = ShardId(3);
--- /dev/null
+++ b/crates/lentilhook/src/command/front.rs
@@ -0,0 +1,15 @@
+//! `lentilhook front`.
+
+use platform::settings;
+
+use crate::command::Failure;
+use crate::command::Front;
+use crate::log;
+
+/// Forwards callers' requests until SIGTERM, then drains.
+pub fn run(arguments: &Front) -> Result<(), Failure> {
+    let path = arguments.settings.clone().unwrap_or_else(settings::path);
+    let settings = settings::read(path).map_err(Failure::usage)?;
+    log::init_bounded().map_err(Failure::failed)?;
+    front::run::run(settings).map_err(Failure::failed)
+}
--- a/crates/lentilhook/src/command/mod.rs
+++ b/crates/lentilhook/src/command/mod.rs
@@ -3,6 +3,7 @@
 mod admin;
 mod check;
 mod failure;
+mod front;
 mod replay;
 mod serve;
 
@@ -32,6 +33,7 @@
 #[argh(subcommand)]
 enum Command {
     Serve(Serve),
+    Front(Front),
     Check(check::Check),
     Admin(admin::Admin),
     Replay(replay::Replay),
@@ -51,6 +53,16 @@
     pub settings: PathBuf,
 }
 
+/// forward callers' requests on the users' platform until SIGTERM
+#[derive(FromArgs)]
+#[argh(subcommand, name = "front", example = "{command_name}")]
+pub struct Front {
+    /// settings file of the platform; the environment names it where this is
+    /// not given
+    #[argh(option)]
+    pub settings: Option<PathBuf>,
+}
+
 /// print the version
 #[derive(FromArgs)]
 #[argh(subcommand, name = "version")]
@@ -66,6 +78,7 @@
     };
     let result = match arguments.command {
         Command::Serve(it) => serve::run(&it),
+        Command::Front(it) => front::run(&it),
         Command::Check(it) => check::run(&it),
         Command::Admin(it) => admin::run(&it),
         Command::Replay(it) => replay::run(&it),
--- a/crates/lentilhook/src/daemon/catalog.rs
+++ b/crates/lentilhook/src/daemon/catalog.rs
@@ -25,12 +25,6 @@
 use config::replica::snapshot::object_name;
 use gateway::server::Readiness;
 use peer::transport::StreamId;
-use platform::client::Client;
-use platform::objects::Objects;
-use platform::table::ABSENT;
-use platform::table::Put;
-use platform::table::Table;
-use platform::table::Transaction;
 use stakker::Actor;
 use stakker::CX;
 use stakker::Ret;
@@ -40,6 +34,12 @@
 use stakker::ret;
 use stakker::sync::Channel;
 use stakker::sync::ChannelGuard;
+use store::client::Client;
+use store::objects::Objects;
+use store::table::ABSENT;
+use store::table::Put;
+use store::table::Table;
+use store::table::Transaction;
 
 use crate::daemon::dispatch::Dispatch;
 use crate::daemon::fleet::Fleet;
@@ -207,7 +207,7 @@
     message::encode(message).ok()
 }
 
-fn read_snapshot(client: &Client) -> Result<Option<Snapshot>, platform::Error> {
+fn read_snapshot(client: &Client) -> Result<Option<Snapshot>, store::Error> {
     let row = client.read(POINTER_KEY)?;
     if row.version == ABSENT {
         return Ok(None);
@@ -217,13 +217,13 @@
             key = POINTER_KEY,
             error = error.to_string(),
         });
-        platform::Error::Malformed { detail: error.to_string() }
+        store::Error::Malformed { detail: error.to_string() }
     })?;
     let content = client.get(&object_name(pointer.revision))?;
     Ok(content.map(|content| Snapshot { pointer, content }))
 }
 
-fn save_snapshot(client: &Client, snapshot: &Snapshot) -> Result<(), platform::Error> {
+fn save_snapshot(client: &Client, snapshot: &Snapshot) -> Result<(), store::Error> {
     let revision = snapshot.pointer.revision;
     client.put(&object_name(revision), &snapshot.content)?;
     let value = serde_json::to_string(&snapshot.pointer).unwrap_or_default();
--- a/crates/lentilhook/src/daemon/fleet/mod.rs
+++ b/crates/lentilhook/src/daemon/fleet/mod.rs
@@ -22,8 +22,6 @@
 use peer::transport::StreamId;
 use peer::transport::Transport;
 use peer::wire::Frame;
-use platform::vm::Notice;
-use platform::vm::Page;
 use rand::seq::IteratorRandom;
 use stakker::Actor;
 use stakker::CX;
@@ -34,6 +32,8 @@
 use stakker::ret;
 use stakker::sync::Channel;
 use stakker::sync::ChannelGuard;
+use store::vm::Notice;
+use store::vm::Page;
 
 use crate::daemon::catalog::Configuration;
 use crate::daemon::departure::Departure;
--- a/crates/lentilhook/src/daemon/fleet/watch.rs
+++ b/crates/lentilhook/src/daemon/fleet/watch.rs
@@ -6,14 +6,14 @@
 use membership::update::State;
 use membership::update::Vm;
 use membership::view::Change;
-use platform::table::Put;
-use platform::table::Table;
-use platform::table::Transaction;
-use platform::vm::Cloud;
-use platform::vm::Notice;
 use policy::ring;
 use stakker::CX;
 use stakker::call;
+use store::table::Put;
+use store::table::Table;
+use store::table::Transaction;
+use store::vm::Cloud;
+use store::vm::Notice;
 
 use crate::daemon::dispatch::recovery;
 use crate::daemon::fleet::Answer;
@@ -124,38 +124,38 @@
     }
 }
 
-fn from_list(vm: &platform::vm::Vm) -> Vm {
+fn from_list(vm: &store::vm::Vm) -> Vm {
     Vm {
         id: vm.id.clone(),
         incarnation: vm.incarnation,
         role: match vm.role {
-            platform::vm::Role::Daemon => Role::Daemon,
-            platform::vm::Role::Endpoint => Role::Endpoint,
+            store::vm::Role::Daemon => Role::Daemon,
+            store::vm::Role::Endpoint => Role::Endpoint,
         },
         service: vm.service.clone(),
         zone: vm.zone.clone(),
         address: vm.address.clone(),
         price_per_hour: vm.price_per_hour,
         state: match vm.state {
-            platform::vm::State::Live => State::Live,
-            platform::vm::State::Leaving => State::Leaving,
-            platform::vm::State::Gone => State::Gone,
+            store::vm::State::Live => State::Live,
+            store::vm::State::Leaving => State::Leaving,
+            store::vm::State::Gone => State::Gone,
         },
     }
 }
 
 fn daemon_put(me: &Identity) -> Put {
-    let vm = platform::vm::Vm {
+    let vm = store::vm::Vm {
         id: me.daemon.clone(),
         incarnation: me.incarnation,
-        role: platform::vm::Role::Daemon,
+        role: store::vm::Role::Daemon,
         service: String::new(),
         zone: me.zone.clone(),
         class: String::new(),
         address: me.peer_address.clone(),
         price_per_hour: 0.0,
         reclaimable: true,
-        state: platform::vm::State::Live,
+        state: store::vm::State::Live,
     };
     let value = serde_json::to_string(&vm).unwrap_or_default();
     Put { key: format!("{DAEMON_PREFIX}{}", me.daemon), value }
--- a/crates/lentilhook/src/daemon/metrics.rs
+++ b/crates/lentilhook/src/daemon/metrics.rs
@@ -11,7 +11,6 @@
 use endpoint::attempt::Failure;
 use job::problem::Outcome;
 use job::reply::Reply;
-use platform::client::Call;
 use prometheus::Error;
 use prometheus::HistogramOpts;
 use prometheus::HistogramVec;
@@ -21,6 +20,7 @@
 use prometheus::Opts;
 use prometheus::Registry;
 use prometheus::TextEncoder;
+use store::client::Call;
 
 /// Upper bounds for the first token, in seconds.
 const FIRST_TOKEN_S: [f64; 10] = [0.05, 0.1, 0.2, 0.4, 0.67, 1.0, 2.0, 5.0, 10.0, 30.0];
--- a/crates/lentilhook/src/daemon/mod.rs
+++ b/crates/lentilhook/src/daemon/mod.rs
@@ -29,7 +29,6 @@
 use peer::transport::StreamId;
 use peer::transport::Transport;
 use peer::wire::Frame;
-use platform::client::Client;
 use signal_hook::consts::SIGINT;
 use signal_hook::consts::SIGTERM;
 use signal_hook::iterator::Signals;
@@ -46,6 +45,7 @@
 use stakker::ret_nop;
 use stakker::sync::Channel;
 use statechart::Names;
+use store::client::Client;
 use web::server::Limits;
 
 use self::catalog::Configuration;
--- a/crates/lentilhook/src/daemon/placement/mod.rs
+++ b/crates/lentilhook/src/daemon/placement/mod.rs
@@ -18,9 +18,6 @@
 use ::placement::plan::Planner;
 use config::catalog::Catalog;
 use membership::update::Vm;
-use platform::table::Commit;
-use platform::vm::Offer;
-use platform::vm::Start;
 use stakker::Actor;
 use stakker::CX;
 use stakker::Ret;
@@ -31,6 +28,9 @@
 use stakker::ret_some_to;
 use stakker::sync::Channel;
 use stakker::sync::ChannelGuard;
+use store::table::Commit;
+use store::vm::Offer;
+use store::vm::Start;
 
 use crate::daemon::fleet::Fleet;
 use crate::daemon::identity::Identity;
@@ -73,7 +73,7 @@
         /// Version read.
         version: u64,
         /// Row written and the answer to it.
-        written: Option<(Row, Result<Commit, platform::Error>)>,
+        written: Option<(Row, Result<Commit, store::Error>)>,
     },
     /// The lease's row could not be read.
     LeaseUnread,
@@ -192,7 +192,7 @@
         &mut self,
         cx: CX![],
         version: u64,
-        written: Option<(Row, Result<Commit, platform::Error>)>,
+        written: Option<(Row, Result<Commit, store::Error>)>,
     ) {
         let now = self.now(cx);
         self.seen = Some(lease::observe(now, self.seen, version));
--- a/crates/lentilhook/src/daemon/shards.rs
+++ b/crates/lentilhook/src/daemon/shards.rs
@@ -18,10 +18,6 @@
 use ledger::record::ShardId;
 use ledger::record::Step;
 use ledger::shard::Shard;
-use platform::client::Client;
-use platform::objects::Objects;
-use platform::table::Row;
-use platform::table::Table;
 use stakker::Actor;
 use stakker::CX;
 use stakker::Ret;
@@ -31,6 +27,10 @@
 use stakker::ret;
 use stakker::sync::Channel;
 use stakker::sync::ChannelGuard;
+use store::client::Client;
+use store::objects::Objects;
+use store::table::Row;
+use store::table::Table;
 
 use crate::daemon::dispatch::Dispatch;
 use crate::daemon::identity;
@@ -227,7 +227,7 @@
     matches!(input, Input::Committed(Err(_)))
 }
 
-fn scan_all(table: &impl Table, prefix: &str) -> Result<Vec<Row>, platform::Error> {
+fn scan_all(table: &impl Table, prefix: &str) -> Result<Vec<Row>, store::Error> {
     let mut rows: Vec<Row> = Vec::new();
     loop {
         let after = rows.last().map(|row| row.key.clone()).unwrap_or_default();
--- a/crates/lentilhook/src/daemon/worker.rs
+++ b/crates/lentilhook/src/daemon/worker.rs
@@ -7,7 +7,7 @@
 use std::sync::mpsc::channel;
 use std::thread;
 
-use platform::client::Client;
+use store::client::Client;
 
 /// A call to carry out; it tells its result itself.
 type Task = Box<dyn FnOnce(&Client) + Send>;
--- a/crates/lentilhook/src/log.rs
+++ b/crates/lentilhook/src/log.rs
@@ -1,11 +1,15 @@
 //! Set-up of the structured log.
 
+use std::num::NonZeroUsize;
 use std::sync::Arc;
 
 use spdlog::Level;
 use spdlog::LevelFilter;
 use spdlog::Logger;
+use spdlog::ThreadPool;
 use spdlog::formatter::JsonFormatter;
+use spdlog::sink::AsyncPoolSink;
+use spdlog::sink::OverflowPolicy;
 use spdlog::sink::StdStream;
 use spdlog::sink::StdStreamSink;
 
@@ -13,6 +17,9 @@
 use crate::settings::LogFormat;
 use crate::settings::LogLevel;
 
+/// Lines that wait for a slow reader of standard output.
+const QUEUE_LINES: NonZeroUsize = NonZeroUsize::new(4_096).unwrap();
+
 /// Sends log lines to standard error as the settings say.
 pub fn init(settings: Log) -> Result<(), spdlog::Error> {
     let builder = StdStreamSink::builder().std_stream(StdStream::Stderr);
@@ -26,6 +33,25 @@
     Ok(())
 }
 
+/// Sends JSON lines to standard output from a thread of its own. Lines beyond
+/// what the reader takes are dropped rather than waited for.
+pub fn init_bounded() -> Result<(), spdlog::Error> {
+    let stdout = StdStreamSink::builder()
+        .std_stream(StdStream::Stdout)
+        .formatter(JsonFormatter::new())
+        .build_arc()?;
+    let thread = ThreadPool::builder().capacity(QUEUE_LINES).build_arc()?;
+    let sink = AsyncPoolSink::builder()
+        .sink(stdout)
+        .thread_pool(thread)
+        .overflow_policy(OverflowPolicy::DropIncoming)
+        .build_arc()?;
+    let logger = Logger::builder().sink(sink).build()?;
+    spdlog::set_default_logger(Arc::new(logger));
+    set_level(LogLevel::Info);
+    Ok(())
+}
+
 /// Changes the least severe level that is written from now on.
 pub fn set_level(level: LogLevel) {
     let level = match level {
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -10,6 +10,7 @@
 use job::call::Call;
 use job::progress::Progress;
 use job::reply::Reply;
+use membership::digest::Message;
 use membership::update::Gossip;
 use snafu::Snafu;
 
@@ -41,6 +42,8 @@
     HandoverTaken,
     /// Asks what became of the job with this identity; opens a stream.
     Look(String),
+    /// A message between daemons that forward requests; opens a stream.
+    Front(Box<Message>),
 }
 
 /// A completion whose daemon will end.
--- a/crates/placement/src/mix.rs
+++ b/crates/placement/src/mix.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use platform::vm::Offer;
+use store::vm::Offer;
 
 /// What is needed of a mix.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/placement/src/plan.rs
+++ b/crates/placement/src/plan.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use platform::vm::Offer;
+use store::vm::Offer;
 
 use crate::mix;
 use crate::mix::Need;
--- a/crates/placement/tests/plan.rs
+++ b/crates/placement/tests/plan.rs
@@ -14,7 +14,7 @@
 use placement::plan::Reason;
 use placement::plan::View;
 use placement::plan::Vm;
-use platform::vm::Offer;
+use store::vm::Offer;
 
 const SEEDS: [u64; 3] = [0x1_0000_0400, 0x2_0000_0400, 0x3_0000_0400];
 const ZONES: [&str; 4] = ["tema-a", "tema-b", "kpone", "spintex"];
--- a/crates/standins/src/main.rs
+++ b/crates/standins/src/main.rs
@@ -6,14 +6,14 @@
 use std::time::Duration;
 
 use argh::FromArgs;
-use platform::vm::Role;
-use platform::vm::State;
-use platform::vm::Vm;
 use signal_hook::consts::SIGINT;
 use signal_hook::consts::SIGTERM;
 use signal_hook::iterator::Signals;
 use standins::engine;
 use standins::engine::Shape;
+use store::vm::Role;
+use store::vm::State;
+use store::vm::Vm;
 use web::server::Server;
 
 /// small stand-ins of the systems around lentilhook, for development and tests
--- a/crates/standins/src/platform/mod.rs
+++ b/crates/standins/src/platform/mod.rs
@@ -9,15 +9,15 @@
 use std::thread;
 use std::time::Duration;
 
-use platform::client::Stop;
-use platform::memory::Memory;
-use platform::objects::Objects;
-use platform::table::Table;
-use platform::table::Transaction;
-use platform::vm::Start;
-use platform::vm::Vm;
 use serde::Deserialize;
 use serde::Serialize;
+use store::client::Stop;
+use store::memory::Memory;
+use store::objects::Objects;
+use store::table::Table;
+use store::table::Transaction;
+use store::vm::Start;
+use store::vm::Vm;
 use web::answer::Responder;
 use web::problem::Problem;
 use web::request::Request;
@@ -192,6 +192,6 @@
     serde_json::to_vec(value).map_err(|it| Problem::not_run(500, "encoder", it.to_string()))
 }
 
-fn broken(error: platform::Error) -> Problem {
+fn broken(error: store::Error) -> Problem {
     Problem::not_run(500, "stand-in failed", error.to_string())
 }
--- a/crates/standins/src/platform/spares.rs
+++ b/crates/standins/src/platform/spares.rs
@@ -4,9 +4,9 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 
-use platform::vm::Offer;
-use platform::vm::Start;
-use platform::vm::Vm;
+use store::vm::Offer;
+use store::vm::Start;
+use store::vm::Vm;
 
 /// Spare VMs and the starts asked for.
 #[derive(Debug, Default)]
--- a/crates/standins/src/platform/vms.rs
+++ b/crates/standins/src/platform/vms.rs
@@ -5,10 +5,10 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use platform::vm::Notice;
-use platform::vm::Page;
-use platform::vm::State;
-use platform::vm::Vm;
+use store::vm::Notice;
+use store::vm::Page;
+use store::vm::State;
+use store::vm::Vm;
 
 use crate::platform::Reclaim;
 
