Order endpoints on demand only for what reclaimable ones leave open

The need itself was inflated: the learnt reading speed fell with every wait caused by work of other daemons.

Change: on-demand endpoints only get room that reclaimable ones leave; a new holder starts from the endpoints that are there; the learnt speed rises fast and falls slowly.

--- a/crates/balance/src/model.rs
+++ b/crates/balance/src/model.rs
@@ -22,8 +22,11 @@
     }
 }
 
-/// Weight of the newest answer in the learnt speed.
-const NEWEST: f64 = 0.05;
+/// Weight of an answer that shows a higher speed than is known.
+const RISE: f64 = 0.2;
+/// Weight of one that shows a lower speed: work that was not known of may have
+/// delayed it.
+const FALL: f64 = 0.01;
 /// Fewest tokens of an answer's wait from which the speed can be told.
 const TELLING_TOKENS: u32 = 4_000;
 /// Bounds of the learnt speed in relation to the default.
@@ -57,6 +60,7 @@
         let base = Speed::default().read_per_ms;
         let reading = (waited.as_secs_f64() * 1e3 - self.first_ms).max(1.0);
         let seen = (f64::from(tokens) / reading).clamp(base * SPEED_RANGE.0, base * SPEED_RANGE.1);
-        self.read_per_ms += (seen - self.read_per_ms) * NEWEST;
+        let weight = if seen > self.read_per_ms { RISE } else { FALL };
+        self.read_per_ms += (seen - self.read_per_ms) * weight;
     }
 }
--- a/crates/duty/src/order.rs
+++ b/crates/duty/src/order.rs
@@ -81,29 +81,18 @@
         busy: f64,
         now: Instant,
     ) -> Vec<Order> {
-        let need = self.need(busy / UTILISATION, scale, now);
-        let zones = scale.zones.len().max(1) as u32;
-        let buys_reclaimable = scale.reclaimable_price.is_some();
-        let reclaimable = match buys_reclaimable {
-            true => ((f64::from(need) * RECLAIMABLE_SPARE / f64::from(zones)).ceil() as u32)
-                .clamp(scale.min, scale.max),
-            false => 0,
-        };
+        let need = self.need(busy / UTILISATION, scale, present, now);
+        let reclaimable = reclaimable_a_zone(scale, need);
         let on_demand = self.on_demand(scale, present, need, reclaimable, now);
         let mut orders = Vec::new();
         for price in &scale.zones {
             let here = present.get(&price.zone).copied().unwrap_or_default();
             let on_demand = on_demand.get(&price.zone).copied().unwrap_or(0);
-            // The limits hold for both kinds together.
-            let reclaimable = reclaimable.min(scale.max - on_demand.min(scale.max));
-            let wanted = [
-                (Kind::Reclaimable, reclaimable, here.reclaimable),
-                (Kind::OnDemand, on_demand, here.on_demand),
-            ];
+            let mut wanted = vec![(Kind::OnDemand, on_demand, here.on_demand)];
+            if scale.reclaimable_price.is_some() {
+                wanted.insert(0, (Kind::Reclaimable, reclaimable, here.reclaimable));
+            }
             for (kind, count, serving) in wanted {
-                if kind == Kind::Reclaimable && !buys_reclaimable {
-                    continue;
-                }
                 if self.is_to_be_placed(scale, &price.zone, kind, count, serving, now) {
                     orders.push(Order { zone: price.zone.clone(), kind, count });
                 }
@@ -126,10 +115,19 @@
         placed.refused_until = Some(now + TRY_AGAIN);
     }
 
-    /// Endpoints needed: follows a rise at once, a fall late.
-    fn need(&mut self, wanted: f64, scale: &Scale, now: Instant) -> u32 {
-        let kept = self.need.filter(|(need, at)| *need > wanted && now < *at + KEEP_LOAD);
-        let (need, at) = kept.unwrap_or((wanted, now));
+    /// Endpoints needed: follows a rise at once, a fall late. A new holder
+    /// begins with what its predecessor had ordered.
+    fn need(
+        &mut self,
+        wanted: f64,
+        scale: &Scale,
+        present: &BTreeMap<String, Present>,
+        now: Instant,
+    ) -> u32 {
+        let there: u32 = present.values().map(|it| it.on_demand + it.reclaimable).sum();
+        let before = self.need.unwrap_or((f64::from(there) / RECLAIMABLE_SPARE, now));
+        let is_kept = before.0 > wanted && now < before.1 + KEEP_LOAD;
+        let (need, at) = if is_kept { before } else { (wanted, now) };
         self.need = Some((need, at));
         let least = scale.min * scale.zones.len() as u32;
         (need.ceil() as u32).max(least)
@@ -145,34 +143,38 @@
         now: Instant,
     ) -> BTreeMap<String, u32> {
         let mut coming = 0;
+        let mut rooms = Vec::new();
         for price in &scale.zones {
             let here = present.get(&price.zone).copied().unwrap_or_default();
             let is_booting = self.is_booting(scale, &price.zone, now);
-            coming += if is_booting { reclaimable.max(here.reclaimable) } else { here.reclaimable };
+            let expected =
+                if is_booting { reclaimable.max(here.reclaimable) } else { here.reclaimable };
+            coming += expected;
+            // The limits hold for both kinds together; what is not to be had
+            // leaves its room to the other kind.
+            let room = scale.max.saturating_sub(expected.max(here.reclaimable));
+            rooms.push((price, room, here.on_demand));
         }
         let missing = need.saturating_sub(coming);
-        let there: u32 = present.values().map(|it| it.on_demand).sum();
         if missing > 0 {
             self.on_demand_needed_at = Some(now);
         }
         let is_kept = self.on_demand_needed_at.is_some_and(|it| now < it + KEEP_ON_DEMAND);
+        let there: u32 = present.values().map(|it| it.on_demand).sum();
         let mut left = if is_kept { missing.max(there) } else { missing };
-        let mut cheapest: Vec<_> = scale.zones.iter().collect();
-        cheapest.sort_by(|a, b| a.price.total_cmp(&b.price));
+        rooms.sort_by(|a, b| a.0.price.total_cmp(&b.0.price));
         let mut wanted = BTreeMap::new();
         // What is there stays where it is, as far as it is needed.
-        for price in &cheapest {
-            let here = present.get(&price.zone).map_or(0, |it| it.on_demand);
-            let stays = here.min(left);
+        for (price, room, there) in &rooms {
+            let stays = (*there).min(left).min(*room);
             left -= stays;
             wanted.insert(price.zone.clone(), stays);
         }
         while left > 0 {
             let before = left;
-            for price in &cheapest {
-                let here = present.get(&price.zone).copied().unwrap_or_default();
+            for (price, room, _) in &rooms {
                 let count = wanted.entry(price.zone.clone()).or_default();
-                if left > 0 && *count + here.reclaimable < scale.max {
+                if left > 0 && *count < *room {
                     *count += 1;
                     left -= 1;
                 }
@@ -213,3 +215,13 @@
         serving != count && now >= placed.at + boot
     }
 }
+
+/// Reclaimable endpoints to order in each zone.
+fn reclaimable_a_zone(scale: &Scale, need: u32) -> u32 {
+    if scale.reclaimable_price.is_none() {
+        return 0;
+    }
+    let zones = scale.zones.len().max(1) as f64;
+    let wanted = (f64::from(need) * RECLAIMABLE_SPARE / zones).ceil() as u32;
+    wanted.clamp(scale.min, scale.max.max(scale.min))
+}
