Read the store on two daemons for all, bound the fan-out of gossip

Change: the first two daemons in rank read, others hear configuration and changes of endpoints by gossip and step in by rank when what was read gets old. Seven daemons are told at a time; usage and engine time go to the holder of the lease only. News is sent with the next tick, not at once.

A list's stamp is now the sender's.

--- a/crates/balance/src/pool.rs
+++ b/crates/balance/src/pool.rs
@@ -97,16 +97,41 @@
     others: HashMap<String, HashMap<String, Load>>,
     /// Version of the store up to which the list is complete.
     pub version: u64,
+    /// Version of the last change that matters for requests. Daemons compare
+    /// it, since endpoints write heartbeats all the time.
+    pub stamp: u64,
 }
 
 impl Pool {
-    /// Applies a change of the list. `was_away` tells whether the store has
-    /// just been out of reach, so that entries may have lapsed meanwhile.
-    pub fn apply(&mut self, change: Change, was_away: bool, now: Instant) -> Effect {
-        match change {
-            Change::Is(endpoint) => self.set(endpoint),
-            Change::Gone { id } => self.remove(&id, was_away, now),
+    /// Applies changes of the list, complete up to `version`. `was_away` tells
+    /// whether the store has just been out of reach, so that entries may have
+    /// lapsed meanwhile.
+    pub fn apply(
+        &mut self,
+        changes: Vec<Change>,
+        version: u64,
+        was_away: bool,
+        now: Instant,
+    ) -> Vec<(String, Effect)> {
+        self.version = self.version.max(version);
+        let mut effects = Vec::new();
+        for change in changes {
+            match change {
+                Change::Is(endpoint) => {
+                    let id = endpoint.id.clone();
+                    effects.push((id, self.set(endpoint)));
+                }
+                Change::Gone { id } => {
+                    let effect = self.remove(&id, was_away, now);
+                    effects.push((id, effect));
+                }
+            }
         }
+        effects.retain(|(_, effect)| *effect != Effect::Unchanged);
+        if !effects.is_empty() {
+            self.stamp = self.stamp.max(version);
+        }
+        effects
     }
 
     /// Replaces the whole list.
@@ -116,10 +141,10 @@
         was_away: bool,
         now: Instant,
     ) -> Vec<(String, Effect)> {
-        if roster.version < self.version {
+        if roster.version < self.stamp {
             return Vec::new();
         }
-        self.version = roster.version;
+        self.version = self.version.max(roster.version);
         let listed = |id: &String| roster.endpoints.iter().any(|it| it.id == *id);
         let gone: Vec<String> = self.members.keys().filter(|it| !listed(it)).cloned().collect();
         let mut effects = Vec::new();
@@ -132,15 +157,17 @@
             let effect = self.set(endpoint);
             effects.push((id, effect));
         }
+        // Not a version of its own: whoever has the same list has the same stamp.
+        self.stamp = self.stamp.max(roster.version);
         effects.retain(|(_, effect)| *effect != Effect::Unchanged);
         effects
     }
 
-    /// The list for another daemon.
+    /// The list for another daemon, with entries that have just lapsed.
     pub fn roster(&self) -> Roster {
-        let listed = self.members.values().filter(|it| it.listed);
-        let described = listed.map(|it| Endpoint { leaving: it.leaving, ..it.endpoint.clone() });
-        Roster { version: self.version, endpoints: described.collect() }
+        let told = self.members.values().filter(|it| it.listed || it.lapses_at.is_some());
+        let described = told.map(|it| Endpoint { leaving: it.leaving, ..it.endpoint.clone() });
+        Roster { version: self.stamp, endpoints: described.collect() }
     }
 
     /// Hears that an endpoint's life is leaving.
@@ -192,9 +219,21 @@
         }
     }
 
-    /// Forgets endpoints that have left and to which nothing is open.
-    pub fn sweep(&mut self, now: Instant) {
+    /// Forgets endpoints that have left and to which nothing is open; gives
+    /// those whose entries did not come back in time.
+    pub fn sweep(&mut self, now: Instant) -> Vec<(String, Effect)> {
+        let mut lapsed = Vec::new();
+        for member in self.members.values_mut() {
+            if member.lapses_at.is_some_and(|it| now >= it) {
+                member.lapses_at = None;
+                lapsed.push((member.endpoint.id.clone(), Effect::Left));
+            }
+        }
         self.members.retain(|_, it| it.listed || it.own.open > 0 || it.is_usable(now));
+        if !lapsed.is_empty() {
+            self.stamp = self.version.max(self.stamp + 1);
+        }
+        lapsed
     }
 
     fn set(&mut self, endpoint: Endpoint) -> Effect {
--- a/crates/duty/src/lease.rs
+++ b/crates/duty/src/lease.rs
@@ -105,9 +105,9 @@
         }
     }
 
-    /// Hears that another daemon holds the lease.
-    pub fn hear_holder(&mut self, now: Duration) {
-        self.heard_at = Some(now);
+    /// Hears that another daemon held the lease at a time.
+    pub fn hear_holder(&mut self, at: Duration) {
+        self.heard_at = self.heard_at.max(Some(at));
     }
 
     /// What is to be done now. At most one action is open at a time.
--- a/crates/duty/src/order.rs
+++ b/crates/duty/src/order.rs
@@ -13,16 +13,16 @@
 
 /// Part of an engine's time that load may take: above it, prompts wait behind
 /// each other longer than callers' objectives allow.
-const UTILISATION: f64 = 0.5;
+const UTILISATION: f64 = 0.6;
 /// Reclaimable endpoints ordered for each one needed: the loss of a zone
 /// leaves enough until replacements serve.
-const RECLAIMABLE_SPARE: f64 = 1.5;
+const RECLAIMABLE_SPARE: f64 = 1.4;
 /// Time for which endpoints on demand stay after they were last needed.
 const KEEP_ON_DEMAND: Duration = Duration::from_secs(6);
 /// Time for which fewer are not ordered after the load was higher.
 const KEEP_LOAD: Duration = Duration::from_secs(15);
 /// Time between tries of an order that was refused.
-const TRY_AGAIN: Duration = Duration::from_millis(2_500);
+const TRY_AGAIN: Duration = Duration::from_millis(4_000);
 /// Time beyond the boot after which a missing endpoint is ordered again.
 const OVERDUE: Duration = Duration::from_millis(1_500);
 
--- a/crates/front/src/broker/duties.rs
+++ b/crates/front/src/broker/duties.rs
@@ -183,6 +183,7 @@
             // What a former holder ordered is not known.
             self.planners.clear();
             self.work_seen.clear();
+            self.work_heard.clear();
         }
         let fence = grant.map_or(0, |it| it.fence);
         spdlog::info!("lease", kv: { held = leads, fence = fence });
@@ -220,14 +221,11 @@
 
     /// Engines that the load keeps busy.
     fn busy(&mut self, service: &str, now: Instant) -> f64 {
-        let of_service = |work: &[(String, f64)]| {
-            work.iter().find(|(name, _)| name == service).map_or(0.0, |(_, it)| *it)
-        };
         let own = self.work_ms.get(service).copied().unwrap_or(0.0);
         let mut totals = vec![(self.parts.life.clone(), own)];
-        for (life, peer) in self.peers.live(now) {
-            let work = peer.digest.as_ref().map_or(0.0, |it| of_service(&it.work_ms));
-            totals.push((life.clone(), work));
+        for (life, _) in self.peers.live(now) {
+            let heard = self.work_heard.get(life).and_then(|it| it.get(service));
+            totals.extend(heard.map(|it| (life.clone(), *it)));
         }
         let mut per_s = 0.0;
         for (life, total) in totals {
--- a/crates/front/src/broker/gossip.rs
+++ b/crates/front/src/broker/gossip.rs
@@ -4,10 +4,16 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use membership::digest::Account;
 use membership::digest::Digest;
+use membership::digest::FANOUT;
+use membership::digest::Holder;
 use membership::digest::Message;
+use membership::digest::Peer;
 use peer::transport::StreamId;
+use rand::seq::SliceRandom;
 use store::table::Row;
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::Broker;
 use super::Stage;
@@ -15,28 +21,55 @@
 
 /// Least time between pulls: an answer takes some milliseconds.
 const PULL_EVERY: Duration = Duration::from_millis(150);
-/// Time without the store after which peers' lists are asked for.
-const STORE_SILENT: Duration = Duration::from_millis(600);
+/// Time for which a holder of the lease that is not heard any more is told
+/// things.
+const HOLDER_KEPT: Duration = Duration::from_secs(3);
+/// Daemons that read the store for all.
+const READERS: usize = 2;
+/// Age of what others read after which the next daemon in rank reads too, where
+/// all daemons are told each time.
+const READ_OLD: Duration = Duration::from_millis(700);
+/// The same where news takes several rounds of gossip.
+const READ_OLD_MANY: Duration = Duration::from_millis(1_400);
+/// Further age for each rank, so that daemons step in one after the other.
+const READ_OLD_RANK: Duration = Duration::from_millis(40);
 
 impl Broker {
-    /// Tells all daemons what this one knows.
+    /// Tells some daemons what this one knows, and the holder of the lease what
+    /// it needs.
     pub(super) fn gossip(&mut self, now: Instant) {
         self.gossiped_at = now;
+        self.has_news = false;
         for life in self.peers.sweep(now) {
             self.pool.forget_daemon(&life);
         }
-        let digest = self.digest(now);
-        let others: Vec<(String, SocketAddr)> =
-            self.peers.live(now).map(|(life, it)| (life.clone(), it.address)).collect();
+        let silence = self.peers.silence();
+        self.buckets.values_mut().for_each(|it| it.set_silence(silence));
         let own = self.parts.settings.peers;
+        let holder = self.holder(now).map(|it| it.address);
         let mut addresses = self.peers.addresses(now);
+        let mut others: Vec<(String, SocketAddr)> =
+            self.peers.live(now).map(|(life, it)| (life.clone(), it.address)).collect();
         if others.is_empty() {
             addresses.extend(&self.parts.settings.seeds);
         }
+        addresses.retain(|it| *it != own && Some(*it) != holder);
         addresses.sort_unstable();
         addresses.dedup();
+        addresses.shuffle(&mut self.rng);
+        addresses.truncate(FANOUT);
+        others.shuffle(&mut self.rng);
+        others.truncate(FANOUT);
+        let mut digest = self.digest(now);
+        let account = self.account();
+        if let Some(holder) = holder.filter(|it| *it != own) {
+            let told = Digest { account: Some(account), ..digest.clone() };
+            let message = Message::Digest { digest: told, others: others.clone() };
+            self.parts.streams.send(holder, &message);
+        }
+        digest.account = None;
         let message = Message::Digest { digest, others };
-        for address in addresses.into_iter().filter(|it| *it != own) {
+        for address in addresses {
             self.parts.streams.send(address, &message);
         }
     }
@@ -65,7 +98,7 @@
             Message::Pull { to, config_version, roster_version } => {
                 let config = &self.table.config;
                 let newer = (config.version > config_version).then(|| config.as_ref().clone());
-                let roster = (self.pool.version > roster_version).then(|| self.pool.roster());
+                let roster = (self.pool.stamp > roster_version).then(|| self.pool.roster());
                 if newer.is_some() || roster.is_some() {
                     let push = Message::Push { config: newer, roster };
                     self.parts.streams.send(to, &push);
@@ -76,7 +109,7 @@
                     self.set_config(config, "peer", now);
                 }
                 if let Some(roster) = roster
-                    && roster.version > self.pool.version
+                    && roster.version > self.pool.stamp
                 {
                     let effects = self.pool.replace(roster, false, now);
                     self.note_effects(effects, "peer", now);
@@ -105,8 +138,13 @@
             let address = digest.address.to_string();
             spdlog::info!("daemon heard", kv: { daemon = life.as_str(), address = address });
         }
-        if digest.leads {
-            self.lease.hear_holder(clock::since_boot());
+        if let Some(read_at) =
+            digest.read_ago_ms.and_then(|it| now.checked_sub(Duration::from_millis(it)))
+        {
+            self.others_read_at = self.others_read_at.max(Some(read_at));
+        }
+        if let Some(holder) = digest.holder {
+            self.hear_holder(holder.address, Duration::from_millis(holder.ago_ms), now);
         }
         self.pool.hear_loads(&life, digest.loads.into_iter().collect());
         for (workspace, admitted) in &digest.admitted {
@@ -114,7 +152,10 @@
                 bucket.hear(&life, *admitted, now);
             }
         }
-        self.usage.hear(&life, &digest.windows, digest.settled);
+        if let Some(account) = digest.account {
+            self.usage.hear(&life, &account.windows, account.settled);
+            self.work_heard.insert(life.clone(), account.work_ms.into_iter().collect());
+        }
         for (print, count) in digest.crashes {
             self.suspects.hear(&life, print, count, now);
         }
@@ -134,12 +175,7 @@
     /// Asks a peer for what it knows better.
     fn pull(&mut self, to: SocketAddr, config_version: u64, roster_version: u64, now: Instant) {
         let wants_config = config_version > self.table.config.version;
-        let is_cut = self.store_away.get("endpoints").copied().unwrap_or(true)
-            && self
-                .store_failed_at
-                .get("endpoints")
-                .is_none_or(|it| now < *it + STORE_SILENT + Duration::from_secs(2));
-        let wants_roster = is_cut && roster_version > self.pool.version;
+        let wants_roster = roster_version > self.pool.stamp;
         let is_early = self.pulled_at.is_some_and(|it| now < it + PULL_EVERY);
         if is_early || !(wants_config || wants_roster) {
             return;
@@ -148,7 +184,7 @@
         let message = Message::Pull {
             to: self.parts.settings.peers,
             config_version: self.table.config.version,
-            roster_version: if wants_roster { self.pool.version } else { u64::MAX },
+            roster_version: if wants_roster { self.pool.stamp } else { u64::MAX },
         };
         self.parts.streams.send(to, &message);
     }
@@ -180,16 +216,73 @@
             sequence: self.sequence,
             now_ms,
             config_version: self.table.config.version,
-            roster_version: self.pool.version,
-            leads: self.leads,
+            roster_version: self.pool.stamp,
+            read_ago_ms: self.read_ago(now).map(|it| it.as_millis() as u64),
+            holder: self.holder(now),
             stopping: self.stage != Stage::Running,
             loads: loaded.map(|it| (it.endpoint.id.clone(), it.own)).collect(),
             admitted: self.buckets.iter().map(|(name, it)| (name.clone(), it.admitted())).collect(),
-            windows: self.usage.told(now_ms),
-            settled: self.usage.settled(now_ms),
+            account: None,
             crashes: self.suspects.seen_by(&self.parts.life, now),
             leaving: leaving.map(|it| (it.endpoint.id.clone(), it.endpoint.born_ms)).collect(),
+        }
+    }
+
+    fn account(&self) -> Account {
+        let now_ms = self.clock.now_ms(clock::since_boot());
+        Account {
+            windows: self.usage.told(now_ms),
+            settled: self.usage.settled(now_ms),
             work_ms: self.work_ms.iter().map(|(name, it)| (name.clone(), *it)).collect(),
         }
     }
+
+    /// The holder of the lease, if it was heard lately.
+    fn holder(&self, now: Instant) -> Option<Holder> {
+        if self.leads {
+            return Some(Holder { address: self.parts.settings.peers, ago_ms: 0 });
+        }
+        let (address, at) = self.holder_heard?;
+        let ago = now.saturating_duration_since(at);
+        let ago_ms = ago.as_millis() as u64;
+        (ago < HOLDER_KEPT).then_some(Holder { address, ago_ms })
+    }
+
+    fn hear_holder(&mut self, address: SocketAddr, ago: Duration, now: Instant) {
+        let Some(at) = now.checked_sub(ago) else { return };
+        if address == self.parts.settings.peers {
+            return;
+        }
+        if self.holder_heard.is_none_or(|(_, heard)| heard < at) {
+            self.holder_heard = Some((address, at));
+        }
+        self.lease.hear_holder(clock::since_boot().saturating_sub(ago));
+    }
+
+    /// Whether this daemon reads the store: the first few in rank do, and the
+    /// next ones while what the first read gets old.
+    pub(super) fn is_reader(&self, now: Instant) -> bool {
+        let own = rank(&self.parts.life);
+        let ranked = |(life, it): &(&String, &Peer)| {
+            rank(life) < own && it.digest.as_ref().is_none_or(|it| !it.stopping)
+        };
+        let before = self.peers.live(now).filter(ranked).count();
+        if before < READERS {
+            return true;
+        }
+        let old = if before < FANOUT { READ_OLD } else { READ_OLD_MANY };
+        let limit = old + READ_OLD_RANK * before as u32;
+        self.others_read_at.is_none_or(|it| now >= it + limit)
+    }
+
+    /// Age of the newest list of endpoints that this daemon has or heard of.
+    fn read_ago(&self, now: Instant) -> Option<Duration> {
+        let newest = self.read_at.max(self.others_read_at)?;
+        Some(now.saturating_duration_since(newest))
+    }
+}
+
+/// Rank of a daemon's life among readers.
+fn rank(life: &str) -> u64 {
+    xxh3_64(life.as_bytes())
 }
--- a/crates/front/src/broker/mod.rs
+++ b/crates/front/src/broker/mod.rs
@@ -79,6 +79,8 @@
     pub phase: watch::Sender<Phase>,
     /// Tells the balancer.
     pub ready: watch::Sender<bool>,
+    /// Tells the feeds whether this daemon reads the store for others.
+    pub reads: watch::Sender<bool>,
     /// Seed of random choices.
     pub seed: u64,
 }
@@ -107,6 +109,8 @@
     peers: Peers,
     sequence: u64,
     gossiped_at: Instant,
+    /// Whether something changed that others are to hear with the next tick.
+    has_news: bool,
     /// When each peer was last asked for what it knows better.
     pulled_at: Option<Instant>,
     clock: Clock,
@@ -117,9 +121,17 @@
     duties: duties::Open,
     planners: HashMap<String, Planner>,
     planned_at: Instant,
+    /// Where another daemon holds the lease, and when it said so.
+    holder_heard: Option<(SocketAddr, Instant)>,
+    /// Engine time of the other daemons' requests, by daemon and service.
+    work_heard: HashMap<String, HashMap<String, f64>>,
     /// Engine time of this daemon's requests since its start, by service.
     work_ms: HashMap<String, f64>,
     work_seen: HashMap<String, duties::Rate>,
+    /// When this daemon last read the endpoints.
+    read_at: Option<Instant>,
+    /// When others last read them, as heard.
+    others_read_at: Option<Instant>,
     store_failed_at: HashMap<&'static str, Instant>,
     /// Feeds whose last call failed.
     store_away: HashMap<&'static str, bool>,
@@ -145,6 +157,7 @@
             peers: Peers::default(),
             sequence: 0,
             gossiped_at: now,
+            has_news: false,
             pulled_at: None,
             clock: Clock::new(clock::wall_ms(), boot),
             usage: Usage::new(parts.settings.bounds.usage_window),
@@ -153,8 +166,12 @@
             duties: duties::Open::default(),
             planners: HashMap::new(),
             planned_at: now,
+            holder_heard: None,
+            work_heard: HashMap::new(),
             work_ms: HashMap::new(),
             work_seen: HashMap::new(),
+            read_at: None,
+            others_read_at: None,
             store_failed_at: HashMap::new(),
             store_away: HashMap::new(),
             parts,
@@ -172,23 +189,20 @@
                     kv: { cause = detail, version = self.table.config.version });
             }
             Event::Roster(roster) => {
+                self.read_at = Some(now);
                 let was_away = self.was_away("endpoints", now);
                 let effects = self.pool.replace(roster, was_away, now);
                 self.note_effects(effects, "store", now);
             }
             Event::Endpoints { changes, version } => {
+                self.read_at = Some(now);
                 let was_away = self.was_away("endpoints", now);
-                let mut effects = Vec::new();
-                for change in changes {
-                    let id = requests::changed(&change).to_owned();
-                    effects.push((id, self.pool.apply(change, was_away, now)));
-                }
-                self.pool.version = self.pool.version.max(version);
+                let effects = self.pool.apply(changes, version, was_away, now);
                 self.note_effects(effects, "store", now);
             }
             Event::Store { feed, failure } => self.note_store(feed, failure, now),
             Event::Daemons(rows) => self.learn_daemons(&rows, now),
-            Event::Peer(message) => self.peer_message(message, now),
+            Event::Peer(message) => self.peer_message(*message, now),
             Event::PeerLost { stream, detail } => self.peer_lost(stream, &detail),
             Event::LeaseRead(result) => self.lease_read(result),
             Event::LeaseWritten(result) => self.lease_written(result),
@@ -219,11 +233,16 @@
         after!(TICK, [cx], tick());
         let now = cx.now();
         self.parts.ready.send_replace(self.is_ready());
-        if now >= self.gossiped_at + GOSSIP_EVERY {
+        if self.has_news || now >= self.gossiped_at + GOSSIP_EVERY {
             self.gossip(now);
         }
         self.tend_duties(now);
-        self.pool.sweep(now);
+        let lapsed = self.pool.sweep(now);
+        self.note_effects(lapsed, "lapse", now);
+        self.parts.reads.send_if_modified(|it| {
+            let reads = self.is_reader(now);
+            std::mem::replace(it, reads) != reads
+        });
         self.end_if_due(cx, now);
     }
 
@@ -284,16 +303,15 @@
             }
         }
         self.table = Table::new(Arc::new(config));
-        self.gossip(now);
+        self.has_news = true;
     }
 
     fn note_effects(&mut self, effects: Vec<(String, Effect)>, source: &'static str, now: Instant) {
-        let mut has_left = false;
+        let is_news = !effects.is_empty();
         for (id, effect) in effects {
             match effect {
                 Effect::Joined => self.confirm_crash(&id, now),
-                Effect::Left => has_left = true,
-                Effect::Unchanged => continue,
+                Effect::Left | Effect::Unchanged => {}
             }
             spdlog::info!("endpoint", kv: {
                 endpoint = id,
@@ -302,9 +320,7 @@
                 version = self.pool.version,
             });
         }
-        if has_left {
-            self.gossip(now);
-        }
+        self.has_news |= is_news;
     }
 
     fn note_store(&mut self, feed: &'static str, failure: Option<Error>, now: Instant) {
--- a/crates/front/src/broker/requests.rs
+++ b/crates/front/src/broker/requests.rs
@@ -6,7 +6,6 @@
 use balance::choose;
 use balance::choose::Choice;
 use balance::choose::Need;
-use balance::endpoint::Change;
 use balance::health::Outcome;
 use balance::load::Load;
 use quota::retry;
@@ -69,14 +68,6 @@
     at: Instant,
 }
 
-/// The endpoint that a change is about.
-pub fn changed(change: &Change) -> &str {
-    match change {
-        Change::Is(endpoint) => &endpoint.id,
-        Change::Gone { id } => id,
-    }
-}
-
 /// Why a request is refused, for logs and metrics.
 #[derive(Clone, Copy, Debug)]
 enum Cause {
--- a/crates/front/src/event.rs
+++ b/crates/front/src/event.rs
@@ -68,7 +68,7 @@
         result: Result<Taken, Error>,
     },
     /// Another daemon sent something.
-    Peer(Message),
+    Peer(Box<Message>),
     /// A stream to another daemon broke.
     PeerLost {
         /// Stream.
--- a/crates/front/src/feeds.rs
+++ b/crates/front/src/feeds.rs
@@ -12,16 +12,20 @@
 use store::table::Put;
 use store::table::Transaction;
 use tokio::sync::mpsc::UnboundedSender;
+use tokio::sync::watch;
 use tokio::time::sleep;
 
 use crate::event::Event;
 
-/// Longest wait of a call for changes; the platform's limit is 30 s.
-const WAIT: Duration = Duration::from_secs(15);
+/// Longest wait of a call for changes of endpoints, which write heartbeats more
+/// often. A connection that has gone silent shows by the missing answer.
+const ENDPOINTS_WAIT: Duration = Duration::from_millis(1_200);
+/// Longest wait of a call for the configuration.
+const CONFIG_WAIT: Duration = Duration::from_secs(4);
 /// Least time between calls for endpoints: they write every 1.2 s each, and a
 /// call at every write would be many. Within the 2 s in which a leaving one
 /// must be known.
-const ENDPOINTS_EVERY: Duration = Duration::from_millis(400);
+const ENDPOINTS_EVERY: Duration = Duration::from_millis(500);
 /// Least time between calls for the configuration.
 const CONFIG_EVERY: Duration = Duration::from_millis(100);
 /// Time between calls for the daemons, which hear of each other by gossip.
@@ -31,17 +35,24 @@
 /// Table of the daemons; one row each, its address as the key.
 pub const DAEMONS: &str = "daemons";
 
-/// Follows the operators' configuration.
-pub async fn config(store: SocketAddr, events: UnboundedSender<Event>) {
+/// Follows the operators' configuration while this daemon reads for others.
+pub async fn config(
+    store: SocketAddr,
+    events: UnboundedSender<Event>,
+    mut reads: watch::Receiver<bool>,
+) {
     let mut client = Client::new(store);
     let mut since = None;
     loop {
+        if wait_for_turn(&mut reads).await {
+            since = None;
+        }
         let result = match since {
             None => feed::read_config(&mut client).await.map(|(config, version)| News::Changes {
                 items: config.into_iter().collect(),
                 version,
             }),
-            Some(since) => feed::follow_config(&mut client, since, WAIT).await,
+            Some(since) => feed::follow_config(&mut client, since, CONFIG_WAIT).await,
         };
         let next = follow(result, since, "config", &events, |items, _| {
             items.into_iter().map(Event::Config).collect()
@@ -50,11 +61,18 @@
     }
 }
 
-/// Follows the endpoints' descriptions.
-pub async fn endpoints(store: SocketAddr, events: UnboundedSender<Event>) {
+/// Follows the endpoints' descriptions while this daemon reads for others.
+pub async fn endpoints(
+    store: SocketAddr,
+    events: UnboundedSender<Event>,
+    mut reads: watch::Receiver<bool>,
+) {
     let mut client = Client::new(store);
     let mut since = None;
     loop {
+        if wait_for_turn(&mut reads).await {
+            since = None;
+        }
         let Some(known) = since else {
             let result = feed::read_endpoints(&mut client).await;
             let news = result.map(|it| News::Changes { version: it.version, items: vec![it] });
@@ -64,7 +82,7 @@
             since = next.pause(ENDPOINTS_EVERY).await;
             continue;
         };
-        let result = feed::follow_endpoints(&mut client, known, WAIT).await;
+        let result = feed::follow_endpoints(&mut client, known, ENDPOINTS_WAIT).await;
         let next = follow(result, since, "endpoints", &events, |changes, version| {
             vec![Event::Endpoints { changes, version }]
         });
@@ -78,6 +96,7 @@
     own: SocketAddr,
     life: String,
     events: UnboundedSender<Event>,
+    mut reads: watch::Receiver<bool>,
 ) {
     let mut client = Client::new(store);
     let key = format!("{DAEMONS}/{own}");
@@ -88,6 +107,7 @@
         sleep(FAILED_PAUSE).await;
     }
     loop {
+        wait_for_turn(&mut reads).await;
         let pause = match rows::scan(&mut client, DAEMONS).await {
             Ok((rows, _)) => {
                 let _ = events.send(Event::Daemons(rows));
@@ -133,6 +153,16 @@
     }
 }
 
+/// Waits until this daemon reads; gives whether it did not before.
+async fn wait_for_turn(reads: &mut watch::Receiver<bool>) -> bool {
+    if *reads.borrow() {
+        return false;
+    }
+    // Without a sender the daemon is about to end.
+    let _ = reads.wait_for(|it| *it).await;
+    true
+}
+
 /// Tells what came; gives the version to go on from, or none to read anew.
 fn follow<T>(
     result: Result<News<T>, Error>,
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -39,7 +39,7 @@
         let sink: Sink = Arc::new(move |event| {
             let event = match event {
                 transport::Event::Frame { frame: Frame::Front(message), .. } => {
-                    Event::Peer(*message)
+                    Event::Peer(message)
                 }
                 transport::Event::Failed { stream, detail, .. } => {
                     Event::PeerLost { stream, detail }
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -96,6 +96,7 @@
     let (cloud_jobs, cloud_calls) = unbounded_channel();
     let (phase, phases) = watch::channel(Phase::default());
     let (ready, is_ready) = watch::channel(false);
+    let (reads, is_reader) = watch::channel(true);
     let limits = Rc::new(Cell::new(Limits::default()));
     let parts = Parts {
         settings: settings.clone(),
@@ -106,13 +107,14 @@
         limits: limits.clone(),
         phase,
         ready,
+        reads,
         seed: rng.random(),
     };
     let mut stakker = Stakker::new(Instant::now());
     let broker = actor!(&mut stakker, Broker::init(parts), ret_nop!());
-    spawn_local(feeds::config(settings.store, events.clone()));
-    spawn_local(feeds::endpoints(settings.store, events.clone()));
-    spawn_local(feeds::daemons(settings.store, settings.peers, life, events.clone()));
+    spawn_local(feeds::config(settings.store, events.clone(), is_reader.clone()));
+    spawn_local(feeds::endpoints(settings.store, events.clone(), is_reader.clone()));
+    spawn_local(feeds::daemons(settings.store, settings.peers, life, events.clone(), is_reader));
     spawn_local(lease::run(settings.store, lease_calls, events.clone()));
     if let Some(address) = settings.cloud {
         let daemon = settings.daemon.clone();
--- a/crates/membership/src/digest.rs
+++ b/crates/membership/src/digest.rs
@@ -12,8 +12,11 @@
 use duty::usage::Window;
 use route::config::Config;
 
-/// Silence after which a daemon no longer counts as live; several periods.
-pub const SILENT: Duration = Duration::from_millis(1_500);
+/// Silence after which a daemon no longer counts as live, where all are told
+/// each time; several periods.
+const SILENT: Duration = Duration::from_millis(1_500);
+/// Daemons told at a time.
+pub const FANOUT: usize = 7;
 /// Silence after which a daemon is forgotten.
 pub const FORGOTTEN: Duration = Duration::from_secs(30);
 
@@ -30,24 +33,43 @@
     pub now_ms: i64,
     /// Version of the configuration that it has; 0 for none.
     pub config_version: u64,
-    /// Version up to which it knows the endpoints; 0 for not at all.
+    /// Version of the last change of endpoints that it knows; 0 for none.
     pub roster_version: u64,
-    /// Whether it holds the lease on the duties.
-    pub leads: bool,
+    /// Age of the newest read of endpoints that it has or heard of, in
+    /// milliseconds.
+    pub read_ago_ms: Option<u64>,
+    /// Daemon that it knows to hold the lease on the duties.
+    pub holder: Option<Holder>,
     /// Whether it is about to end.
     pub stopping: bool,
     /// Open work that it has sent, by endpoint.
     pub loads: Vec<(String, Load)>,
     /// Units that it has admitted since its start, by workspace.
     pub admitted: Vec<(String, f64)>,
-    /// Its newest usage windows.
-    pub windows: Vec<Window>,
-    /// Newest window whose counts are final.
-    pub settled: u64,
+    /// What the holder of the lease needs.
+    pub account: Option<Account>,
     /// Crashes of endpoints that it saw, by fingerprint of the request.
     pub crashes: Vec<(u128, u32)>,
     /// Lives of endpoints that it knows to be leaving.
     pub leaving: Vec<(String, u64)>,
+}
+
+/// The holder of the lease on the duties, as last heard.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub struct Holder {
+    /// Where it is reached.
+    pub address: SocketAddr,
+    /// Time since it said so itself, in milliseconds.
+    pub ago_ms: u64,
+}
+
+/// What the holder of the lease needs of a daemon.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub struct Account {
+    /// Its newest usage windows.
+    pub windows: Vec<Window>,
+    /// Newest window whose counts are final.
+    pub settled: u64,
     /// Engine time that its requests have taken since its start, by service,
     /// in milliseconds.
     pub work_ms: Vec<(String, f64)>,
@@ -126,7 +148,16 @@
 
     /// Daemons heard lately.
     pub fn live(&self, now: Instant) -> impl Iterator<Item = (&String, &Peer)> {
-        self.by_life.iter().filter(move |(_, it)| it.heard_at.is_some_and(|at| now < at + SILENT))
+        let silent = self.silence();
+        self.by_life.iter().filter(move |(_, it)| it.heard_at.is_some_and(|at| now < at + silent))
+    }
+
+    /// Silence after which a daemon no longer counts as live: longer with more
+    /// daemons, as each tells a few at a time.
+    pub fn silence(&self) -> Duration {
+        let rounds = self.by_life.len().div_ceil(FANOUT).max(1);
+        // Targets are drawn at random; some are missed a few rounds in a row.
+        if rounds == 1 { SILENT } else { SILENT / 3 * (rounds as u32 + 3) }
     }
 
     /// Addresses to tell: those heard, and those that may still come up.
--- a/crates/peer/src/watch.rs
+++ b/crates/peer/src/watch.rs
@@ -11,12 +11,13 @@
 use tokio::time::sleep;
 use tokio::time::timeout;
 
-/// Time between two looks at a connection, and between two PING frames.
-const INTERVAL: Duration = Duration::from_secs(1);
+/// Time between two looks at a connection, and between two PING frames. With a
+/// connection to each of many daemons, frames of idle ones are most of the load.
+const INTERVAL: Duration = Duration::from_secs(3);
 /// Longest silence after a PING frame before a connection is left.
 const PING_TIMEOUT: Duration = Duration::from_secs(2);
 /// Looks in a row without an open stream after which a connection is idle.
-const IDLE_LOOKS: u32 = 15;
+const IDLE_LOOKS: u32 = 5;
 
 /// Streams that are open on a connection.
 #[derive(Clone, Debug, Default)]
--- a/crates/quota/src/workspace.rs
+++ b/crates/quota/src/workspace.rs
@@ -9,9 +9,9 @@
 use std::time::Duration;
 use std::time::Instant;
 
-/// Silence after which another daemon's use is estimated; several gossip
-/// periods.
-pub const SILENT: Duration = Duration::from_millis(1_500);
+/// Silence after which another daemon's use is estimated, unless set: several
+/// gossip periods.
+const SILENT: Duration = Duration::from_millis(1_500);
 /// Silence after which a daemon is taken to have ended; above the longest
 /// freeze or cut after which it may still admit requests of the same window.
 pub const ENDED: Duration = Duration::from_secs(12);
@@ -29,6 +29,7 @@
 #[derive(Clone, Debug)]
 pub struct Bucket {
     limit: Limit,
+    silent: Duration,
     /// Units left; below zero when daemons admitted too much before they
     /// heard of each other.
     level: f64,
@@ -51,7 +52,14 @@
 impl Bucket {
     /// A full bucket.
     pub fn new(limit: Limit, now: Instant) -> Bucket {
-        Bucket { limit, level: limit.burst, filled_at: now, admitted: 0.0, others: HashMap::new() }
+        Bucket {
+            limit,
+            level: limit.burst,
+            filled_at: now,
+            silent: SILENT,
+            admitted: 0.0,
+            others: HashMap::new(),
+        }
     }
 
     /// Changes the limit; what has been used stays used.
@@ -64,6 +72,11 @@
         self.level = self.level.min(limit.burst);
     }
 
+    /// Sets the silence after which another daemon's use is estimated.
+    pub fn set_silence(&mut self, silent: Duration) {
+        self.silent = silent;
+    }
+
     /// Takes units for a request, or tells when they will be there.
     pub fn take(&mut self, units: f64, now: Instant) -> Result<(), Duration> {
         self.fill(now);
@@ -110,7 +123,7 @@
         let count = self.others.len() + 1;
         let share = self.limit.rate / count as f64;
         for other in self.others.values_mut() {
-            let from = other.estimated_at.max(other.heard_at + SILENT);
+            let from = other.estimated_at.max(other.heard_at + self.silent);
             let until = now.min(other.heard_at + ENDED);
             if until > from {
                 let units = (until - from).as_secs_f64() * share;
