--- /dev/null
+++ b/crates/quota/tests/retry.rs
@@ -0,0 +1,45 @@
+//! Retries stay within the budget that daemons share.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use quota::retry::Budget;
+use quota::retry::Limit;
+
+const LIMIT: Limit = Limit { ratio: 0.2, extra: 54.0, window: Duration::from_secs(10) };
+
+#[test]
+fn daemons_together_stay_within_the_limit() {
+    let check = |daemons: usize, requests: usize| {
+        let now = Instant::now();
+        let mut retries = 0;
+        for _ in 0..daemons {
+            let mut budget = Budget::new(LIMIT);
+            (0..requests).for_each(|_| budget.count_request(now));
+            while budget.take_retry(daemons, now) {
+                retries += 1;
+            }
+        }
+
+        let limit = LIMIT.ratio * (daemons * requests) as f64 + LIMIT.extra;
+        assert!(f64::from(retries) <= limit, "{retries} of {limit}");
+        assert!(f64::from(retries) >= limit * 0.6 - daemons as f64, "{retries} of {limit}");
+    };
+
+    check(1, 0);
+    check(7, 0);
+    check(7, 100);
+    check(85, 20);
+}
+
+#[test]
+fn old_requests_and_retries_are_forgotten() {
+    let start = Instant::now();
+    let mut budget = Budget::new(LIMIT);
+    while budget.take_retry(1, start) {}
+
+    let later = start + LIMIT.window + Duration::from_millis(1);
+
+    assert!(!budget.take_retry(1, start + LIMIT.window));
+    assert!(budget.take_retry(1, later));
+}
--- /dev/null
+++ b/crates/quota/tests/workspace.rs
@@ -0,0 +1,100 @@
+//! A workspace's limit over daemons that hear of each other late.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use quota::workspace::Bucket;
+use quota::workspace::Limit;
+
+const LIMIT: Limit = Limit { rate: 1_000.0, burst: 1_000.0 };
+const STEP: Duration = Duration::from_millis(10);
+const GOSSIP: Duration = Duration::from_millis(200);
+const WINDOW_S: f64 = 8.0;
+
+/// A load on some daemons that share a limit.
+struct Load {
+    daemons: usize,
+    /// Units asked for in a second, over all daemons.
+    asked_per_s: f64,
+    /// Daemons that the others do not hear, and that hear nobody.
+    cut: usize,
+}
+
+#[test]
+fn what_is_admitted_stays_within_the_limit() {
+    let check = |load: Load, most: f64| {
+        let admitted = play(&load);
+
+        let limit = LIMIT.rate * WINDOW_S + LIMIT.burst;
+        assert!(admitted <= limit * most, "{admitted} of {limit}");
+    };
+
+    check(Load { daemons: 1, asked_per_s: 9_000.0, cut: 0 }, 1.0);
+    check(Load { daemons: 7, asked_per_s: 9_000.0, cut: 0 }, 1.1);
+    // A daemon that is cut off goes on as if the others admitted their share.
+    check(Load { daemons: 7, asked_per_s: 9_000.0, cut: 2 }, 1.45);
+}
+
+#[test]
+fn nothing_below_the_limit_is_refused() {
+    let load = Load { daemons: 7, asked_per_s: 900.0, cut: 0 };
+
+    let admitted = play(&load);
+
+    assert!(admitted >= 900.0 * WINDOW_S * 0.99, "{admitted}");
+}
+
+#[test]
+fn a_refusal_tells_when_the_units_are_there() {
+    let start = Instant::now();
+    let mut bucket = Bucket::new(LIMIT, start);
+    bucket.take(1_000.0, start).unwrap();
+
+    let wait = bucket.take(250.0, start).unwrap_err();
+
+    assert_eq!(wait, Duration::from_millis(250));
+    assert!(bucket.take(250.0, start + wait).is_ok());
+}
+
+#[test]
+fn a_request_above_the_burst_is_admitted_from_a_full_bucket() {
+    let start = Instant::now();
+    let mut bucket = Bucket::new(LIMIT, start);
+
+    assert!(bucket.take(1_500.0, start).is_ok());
+
+    assert!(bucket.take(1.0, start + Duration::from_millis(400)).is_err());
+    assert!(bucket.take(1.0, start + Duration::from_millis(502)).is_ok());
+}
+
+/// Units admitted in the window.
+fn play(load: &Load) -> f64 {
+    let start = Instant::now();
+    let mut buckets: Vec<Bucket> = (0..load.daemons).map(|_| Bucket::new(LIMIT, start)).collect();
+    let units = load.asked_per_s * STEP.as_secs_f64() / load.daemons as f64;
+    let mut told_at = start;
+    let mut now = start;
+    hear_all(&mut buckets, now, 0);
+    while now < start + Duration::from_secs_f64(WINDOW_S) {
+        now += STEP;
+        for bucket in &mut buckets {
+            let _ = bucket.take(units, now);
+        }
+        if now >= told_at + GOSSIP {
+            told_at = now;
+            hear_all(&mut buckets, now, load.cut);
+        }
+    }
+    buckets.iter().map(Bucket::admitted).sum()
+}
+
+fn hear_all(buckets: &mut [Bucket], now: Instant, cut: usize) {
+    let totals: Vec<f64> = buckets.iter().map(Bucket::admitted).collect();
+    for (at, bucket) in buckets.iter_mut().enumerate().skip(cut) {
+        for (other, total) in totals.iter().enumerate().skip(cut) {
+            if other != at {
+                bucket.hear(&other.to_string(), *total, now);
+            }
+        }
+    }
+}
--- a/xtask/src/tidy.rs
+++ b/xtask/src/tidy.rs
@@ -6,6 +6,10 @@
 
 /// Longest source file, in lines.
 const FILE_LINES: usize = 600;
+/// Folder of the adapter to the users' platform.
+const ADAPTER: &str = "platform/";
+/// Names of the platform's protocol, one a line.
+const ADAPTER_NAMES: &str = "platform/names.txt";
 /// Folders that hold no source of ours.
 const SKIPPED: [&str; 3] = ["target", ".git", "generated"];
 
@@ -14,12 +18,16 @@
     let mut files = Vec::new();
     collect(root, &mut files)?;
     files.sort();
+    let names = fs::read_to_string(root.join(ADAPTER_NAMES))
+        .map_err(|it| format!("{ADAPTER_NAMES}: {it}"))?;
+    let names: Vec<&str> = names.lines().filter(|it| !it.is_empty()).collect();
     let mut problems = Vec::new();
     for file in &files {
         let text = fs::read_to_string(file).map_err(|it| format!("{}: {it}", file.display()))?;
         let name = file.strip_prefix(root).unwrap_or(file).display().to_string();
         problems.extend(check_file(&name, &text));
         problems.extend(check_folder_module(file, &name));
+        problems.extend(check_adapter_names(&name, &text, &names));
     }
     if problems.is_empty() {
         println!("tidy: {} files", files.len());
@@ -46,6 +54,16 @@
     problems
 }
 
+/// Names of the platform's protocol outside its adapter.
+pub fn check_adapter_names(name: &str, text: &str, names: &[&str]) -> Vec<String> {
+    if name.starts_with(ADAPTER) {
+        return Vec::new();
+    }
+    let text = text.to_ascii_lowercase();
+    let found = names.iter().filter(|it| text.contains(**it));
+    found.map(|it| format!("{name}: decode {it} in {ADAPTER} and use a type of ours")).collect()
+}
+
 fn check_imports(name: &str, lines: &[&str]) -> Vec<String> {
     let mut problems = Vec::new();
     let mut group = 0;
