Make the stamp test fail for the fault that it is for

Change: the second daemon has seen newer heartbeats. Run against the faulty line it fails (left [50, 50], right [9, 9]); with the present one it passes.

--- a/crates/balance/tests/pool.rs
+++ b/crates/balance/tests/pool.rs
@@ -71,7 +71,9 @@
     let now = Instant::now();
     let mut reader = pool(&[endpoint("a", 1)]);
     reader.apply(vec![Change::Is(endpoint("b", 1))], 9, false, now);
-    let mut second = Pool::default();
+    // Read the store itself before, and saw newer heartbeats.
+    let mut second = pool(&[endpoint("a", 1)]);
+    second.apply(vec![Change::Is(endpoint("a", 1))], 50, false, now);
     let mut third = Pool::default();
 
     second.replace(reader.roster(), false, now);
