Plan orders once the endpoints are known

On-demand endpoints were kept as many as there were, not as were missing.

Ruled out: the load estimate; it was right within the first seconds, the fleet takes boot_s to follow.

Change: no plan before an endpoint is known; a new holder takes the endpoints that show within four seconds for its predecessor's judgement, for reclaimable ones only; on-demand endpoints are kept by what was missing lately.

--- a/crates/duty/src/order.rs
+++ b/crates/duty/src/order.rs
@@ -21,6 +21,9 @@
 const KEEP_ON_DEMAND: Duration = Duration::from_secs(6);
 /// Time for which fewer are not ordered after the load was higher.
 const KEEP_LOAD: Duration = Duration::from_secs(15);
+/// Time after the first plan in which further endpoints may show that were
+/// there before; some of their heartbeats.
+const ENTRIES_SETTLE: Duration = Duration::from_secs(4);
 /// Time between tries of an order that was refused.
 const TRY_AGAIN: Duration = Duration::from_millis(4_000);
 /// Time beyond the boot after which a missing endpoint is ordered again.
@@ -69,7 +72,11 @@
     placed: BTreeMap<(String, Kind), Placed>,
     /// Highest recent need, and when it was seen.
     need: Option<(f64, Instant)>,
-    on_demand_needed_at: Option<Instant>,
+    /// Need that the endpoints at the first plans stand for, and when the first
+    /// one was made.
+    inherited: Option<(f64, Instant)>,
+    /// Most endpoints on demand that were missing lately, and when.
+    missing: Option<(u32, Instant)>,
 }
 
 impl Planner {
@@ -81,8 +88,8 @@
         busy: f64,
         now: Instant,
     ) -> Vec<Order> {
-        let need = self.need(busy / UTILISATION, scale, present, now);
-        let reclaimable = reclaimable_a_zone(scale, need);
+        let need = self.need(busy / UTILISATION, scale, now);
+        let reclaimable = reclaimable_a_zone(scale, need.max(self.inherited(present, now)));
         let on_demand = self.on_demand(scale, present, need, reclaimable, now);
         let mut orders = Vec::new();
         for price in &scale.zones {
@@ -115,17 +122,9 @@
         placed.refused_until = Some(now + TRY_AGAIN);
     }
 
-    /// Endpoints needed: follows a rise at once, a fall late. A new holder
-    /// begins with what its predecessor had ordered.
-    fn need(
-        &mut self,
-        wanted: f64,
-        scale: &Scale,
-        present: &BTreeMap<String, Present>,
-        now: Instant,
-    ) -> u32 {
-        let there: u32 = present.values().map(|it| it.on_demand + it.reclaimable).sum();
-        let before = self.need.unwrap_or((f64::from(there) / RECLAIMABLE_SPARE, now));
+    /// Endpoints needed: follows a rise at once, a fall late.
+    fn need(&mut self, wanted: f64, scale: &Scale, now: Instant) -> u32 {
+        let before = self.need.unwrap_or((wanted, now));
         let is_kept = before.0 > wanted && now < before.1 + KEEP_LOAD;
         let (need, at) = if is_kept { before } else { (wanted, now) };
         self.need = Some((need, at));
@@ -133,6 +132,19 @@
         (need.ceil() as u32).max(least)
     }
 
+    /// Endpoints that a new holder takes for needed from what its predecessor
+    /// ordered, until it has seen the load for some time. Reclaimable ones are
+    /// cheap enough to keep so many.
+    fn inherited(&mut self, present: &BTreeMap<String, Present>, now: Instant) -> u32 {
+        let there: u32 = present.values().map(|it| it.on_demand + it.reclaimable).sum();
+        let stands_for = f64::from(there) / RECLAIMABLE_SPARE;
+        let (need, since) = self.inherited.get_or_insert((stands_for, now));
+        if now < *since + ENTRIES_SETTLE {
+            *need = need.max(stands_for);
+        }
+        if now < *since + KEEP_LOAD { need.ceil() as u32 } else { 0 }
+    }
+
     /// Endpoints on demand by zone, the cheapest zones first.
     fn on_demand(
         &mut self,
@@ -155,13 +167,7 @@
             let room = scale.max.saturating_sub(expected.max(here.reclaimable));
             rooms.push((price, room, here.on_demand));
         }
-        let missing = need.saturating_sub(coming);
-        if missing > 0 {
-            self.on_demand_needed_at = Some(now);
-        }
-        let is_kept = self.on_demand_needed_at.is_some_and(|it| now < it + KEEP_ON_DEMAND);
-        let there: u32 = present.values().map(|it| it.on_demand).sum();
-        let mut left = if is_kept { missing.max(there) } else { missing };
+        let mut left = self.kept_on_demand(need.saturating_sub(coming), now);
         rooms.sort_by(|a, b| a.0.price.total_cmp(&b.0.price));
         let mut wanted = BTreeMap::new();
         // What is there stays where it is, as far as it is needed.
@@ -186,6 +192,18 @@
         wanted
     }
 
+    /// Endpoints on demand to have: as many as are missing, or were lately.
+    fn kept_on_demand(&mut self, missing: u32, now: Instant) -> u32 {
+        let before = self.missing.filter(|(_, at)| now < *at + KEEP_ON_DEMAND);
+        match before {
+            Some((kept, _)) if kept > missing => kept,
+            _ => {
+                self.missing = Some((missing, now));
+                missing
+            }
+        }
+    }
+
     fn is_booting(&self, scale: &Scale, zone: &str, now: Instant) -> bool {
         let boot = Duration::from_millis(scale.boot_ms) + OVERDUE;
         self.placed
--- a/crates/front/src/broker/duties.rs
+++ b/crates/front/src/broker/duties.rs
@@ -210,6 +210,10 @@
             let Some(scale) = &service.scale else { continue };
             let busy = self.busy(&service.name, now);
             let present = self.present(&service.name, now);
+            // A new holder begins with what is there, so it has to know that.
+            if present.is_empty() && !self.planners.contains_key(&service.name) {
+                continue;
+            }
             let planner = self.planners.entry(service.name.clone()).or_default();
             for order in planner.plan(scale, &present, busy, now) {
                 self.duties.orders += 1;
