Count only changes as news for gossip

Cause: while one endpoint was leaving, each digest that named it counted as news for its receiver, so daemons told each other at every tick (20 a second).

Ruled out: lists pulled in circles (stamps were equal).

--- a/crates/front/src/broker/gossip.rs
+++ b/crates/front/src/broker/gossip.rs
@@ -18,6 +18,7 @@
 use super::Broker;
 use super::Stage;
 use crate::clock;
+use crate::metrics;
 
 /// Least time between pulls: an answer takes some milliseconds.
 const PULL_EVERY: Duration = Duration::from_millis(150);
@@ -40,6 +41,7 @@
     pub(super) fn gossip(&mut self, now: Instant) {
         self.gossiped_at = now;
         self.has_news = false;
+        metrics::count("gossip", "round");
         for life in self.peers.sweep(now) {
             self.pool.forget_daemon(&life);
         }
--- a/crates/front/src/broker/mod.rs
+++ b/crates/front/src/broker/mod.rs
@@ -306,8 +306,14 @@
         self.has_news = true;
     }
 
-    fn note_effects(&mut self, effects: Vec<(String, Effect)>, source: &'static str, now: Instant) {
-        let is_news = !effects.is_empty();
+    fn note_effects(
+        &mut self,
+        mut effects: Vec<(String, Effect)>,
+        source: &'static str,
+        now: Instant,
+    ) {
+        effects.retain(|(_, effect)| *effect != Effect::Unchanged);
+        self.has_news |= !effects.is_empty();
         for (id, effect) in effects {
             match effect {
                 Effect::Joined => self.confirm_crash(&id, now),
@@ -320,7 +326,6 @@
                 version = self.pool.version,
             });
         }
-        self.has_news |= is_news;
     }
 
     fn note_store(&mut self, feed: &'static str, failure: Option<Error>, now: Instant) {
