--- a/crates/front/src/broker/gossip.rs
+++ b/crates/front/src/broker/gossip.rs
@@ -16,6 +16,8 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::Broker;
+use super::GOSSIP_EVERY;
+use super::GOSSIP_EVERY_MANY;
 use super::Stage;
 use crate::clock;
 use crate::metrics;
@@ -76,6 +78,11 @@
         }
     }
 
+    /// Time between summaries.
+    pub(super) fn gossip_period(&self) -> Duration {
+        if self.peers.count() <= FANOUT { GOSSIP_EVERY } else { GOSSIP_EVERY_MANY }
+    }
+
     pub(super) fn learn_daemons(&mut self, rows: &[Row], now: Instant) {
         for row in rows {
             let address = row.key.split_once('/').and_then(|(_, it)| it.parse().ok());
--- a/crates/front/src/broker/mod.rs
+++ b/crates/front/src/broker/mod.rs
@@ -48,8 +48,12 @@
 
 /// Time between looks at what is due.
 const TICK: Duration = Duration::from_millis(50);
-/// Time between summaries to the other daemons.
-const GOSSIP_EVERY: Duration = Duration::from_millis(200);
+/// Time between summaries to the other daemons while all are told each time:
+/// load that is known late sends bursts to the same engine.
+const GOSSIP_EVERY: Duration = Duration::from_millis(100);
+/// The same with more daemons, for which the messages would grow with their
+/// number.
+const GOSSIP_EVERY_MANY: Duration = Duration::from_millis(250);
 /// Time between plans of the endpoints to order.
 const PLAN_EVERY: Duration = Duration::from_millis(500);
 /// Time for which entries may be missing after the store was out of reach.
@@ -233,7 +237,7 @@
         after!(TICK, [cx], tick());
         let now = cx.now();
         self.parts.ready.send_replace(self.is_ready());
-        if self.has_news || now >= self.gossiped_at + GOSSIP_EVERY {
+        if self.has_news || now >= self.gossiped_at + self.gossip_period() {
             self.gossip(now);
         }
         self.tend_duties(now);
--- a/crates/membership/src/digest.rs
+++ b/crates/membership/src/digest.rs
@@ -152,6 +152,11 @@
         self.by_life.iter().filter(move |(_, it)| it.heard_at.is_some_and(|at| now < at + silent))
     }
 
+    /// Daemons known.
+    pub fn count(&self) -> usize {
+        self.by_life.len()
+    }
+
     /// Silence after which a daemon no longer counts as live: longer with more
     /// daemons, as each tells a few at a time.
     pub fn silence(&self) -> Duration {
