Bring no endpoint back by a list that is older than its removal

Change: descriptions carry their version, removals are remembered; entries count as lapsed only after a time in which no daemon read the store.

Test: a_list_that_is_older_than_a_removal_brings_nothing_back, fails without the comparison.

--- a/crates/balance/src/endpoint.rs
+++ b/crates/balance/src/endpoint.rs
@@ -24,6 +24,8 @@
     pub reclaimable: bool,
     /// Time until it ends, where known, in milliseconds.
     pub leaves_ms: Option<u64>,
+    /// Version of the store that the description got.
+    pub version: u64,
     /// Start of the process, in milliseconds since 1970; tells one life of an
     /// identity from the next. 0 where it is not stated.
     pub born_ms: u64,
@@ -47,5 +49,7 @@
     Gone {
         /// Identity.
         id: String,
+        /// Version of the store at which it was gone.
+        version: u64,
     },
 }
--- a/crates/balance/src/pool.rs
+++ b/crates/balance/src/pool.rs
@@ -19,6 +19,9 @@
 pub const LAPSE_GRACE: Duration = Duration::from_millis(1_500);
 /// Time for which a part of a prompt is taken to be in an engine's cache.
 const CACHED_FOR: Duration = Duration::from_secs(30);
+/// Time for which removals are remembered; above that in which a daemon that
+/// was cut off learns what it missed.
+const GONE_KEPT: Duration = Duration::from_secs(60);
 /// Most cached parts remembered for an endpoint.
 const CACHED_PARTS: usize = 1_024;
 
@@ -89,10 +92,21 @@
     Unchanged,
 }
 
+/// The removal of a description.
+#[derive(Clone, Copy, Debug)]
+struct Gone {
+    /// Version of the store at which it was gone.
+    version: u64,
+    at: Instant,
+}
+
 /// All endpoints.
 #[derive(Clone, Debug, Default)]
 pub struct Pool {
     members: BTreeMap<String, Member>,
+    /// Descriptions that were removed lately; lists of daemons that have not
+    /// heard of it may still hold them.
+    gone: HashMap<String, Gone>,
     /// Work that other daemons have sent, by daemon and endpoint.
     others: HashMap<String, HashMap<String, Load>>,
     /// Version of the store up to which the list is complete.
@@ -121,8 +135,8 @@
                     let id = endpoint.id.clone();
                     effects.push((id, self.set(endpoint)));
                 }
-                Change::Gone { id } => {
-                    let effect = self.remove(&id, was_away, now);
+                Change::Gone { id, version } => {
+                    let effect = self.remove(&id, version, was_away, now);
                     effects.push((id, effect));
                 }
             }
@@ -149,7 +163,7 @@
         let gone: Vec<String> = self.members.keys().filter(|it| !listed(it)).cloned().collect();
         let mut effects = Vec::new();
         for id in gone {
-            let effect = self.remove(&id, was_away, now);
+            let effect = self.remove(&id, roster.version, was_away, now);
             effects.push((id, effect));
         }
         for endpoint in roster.endpoints {
@@ -226,10 +240,13 @@
         for member in self.members.values_mut() {
             if member.lapses_at.is_some_and(|it| now >= it) {
                 member.lapses_at = None;
-                lapsed.push((member.endpoint.id.clone(), Effect::Left));
+                let id = member.endpoint.id.clone();
+                self.gone.insert(id.clone(), Gone { version: member.endpoint.version, at: now });
+                lapsed.push((id, Effect::Left));
             }
         }
         self.members.retain(|_, it| it.listed || it.own.open > 0 || it.is_usable(now));
+        self.gone.retain(|_, it| now < it.at + GONE_KEPT);
         if !lapsed.is_empty() {
             self.stamp = self.version.max(self.stamp + 1);
         }
@@ -237,6 +254,11 @@
     }
 
     fn set(&mut self, endpoint: Endpoint) -> Effect {
+        // Invariant: a description that is older than its removal changes nothing.
+        if self.gone.get(&endpoint.id).is_some_and(|it| endpoint.version <= it.version) {
+            return Effect::Unchanged;
+        }
+        self.gone.remove(&endpoint.id);
         let Some(member) = self.members.get_mut(&endpoint.id) else {
             let effect = if endpoint.leaving { Effect::Left } else { Effect::Joined };
             self.members.insert(endpoint.id.clone(), Member::new(endpoint));
@@ -266,16 +288,23 @@
         }
     }
 
-    fn remove(&mut self, id: &str, was_away: bool, now: Instant) -> Effect {
+    fn remove(&mut self, id: &str, version: u64, was_away: bool, now: Instant) -> Effect {
         let Some(member) = self.members.get_mut(id) else { return Effect::Unchanged };
-        if !member.listed {
+        if member.endpoint.version > version {
             return Effect::Unchanged;
         }
-        member.listed = false;
-        if was_away && !member.leaving {
+        let was_used = member.listed || member.lapses_at.is_some();
+        if was_away && member.listed && !member.leaving {
+            member.listed = false;
             member.lapses_at = Some(now + LAPSE_GRACE);
             return Effect::Unchanged;
         }
-        if member.leaving { Effect::Unchanged } else { Effect::Left }
+        if was_away && member.lapses_at.is_some() {
+            return Effect::Unchanged;
+        }
+        member.listed = false;
+        member.lapses_at = None;
+        self.gone.insert(id.to_owned(), Gone { version, at: now });
+        if was_used && !member.leaving { Effect::Left } else { Effect::Unchanged }
     }
 }
--- a/crates/balance/tests/choose.rs
+++ b/crates/balance/tests/choose.rs
@@ -119,6 +119,7 @@
         leaving: false,
         reclaimable: false,
         leaves_ms: None,
+        version: 1,
         born_ms: 1,
     };
     let mut pool = Pool::default();
--- a/crates/balance/tests/pool.rs
+++ b/crates/balance/tests/pool.rs
@@ -40,7 +40,7 @@
         let now = Instant::now();
         let mut pool = pool(&[endpoint("a", 1)]);
 
-        pool.apply(vec![Change::Gone { id: "a".to_owned() }], 2, was_away, now);
+        pool.apply(vec![gone("a", 2)], 2, was_away, now);
 
         assert_eq!(is_usable(&pool, "a", now + after), expected, "{was_away} {after:?}");
     };
@@ -54,9 +54,9 @@
 fn a_lapsed_entry_that_is_not_written_again_is_told_as_gone() {
     let now = Instant::now();
     let mut pool = pool(&[endpoint("a", 1), endpoint("b", 1)]);
-    pool.apply(vec![Change::Gone { id: "a".to_owned() }], 2, true, now);
-    pool.apply(vec![Change::Gone { id: "b".to_owned() }], 2, true, now);
-    pool.apply(vec![Change::Is(endpoint("b", 1))], 3, true, now);
+    pool.apply(vec![gone("a", 2)], 2, true, now);
+    pool.apply(vec![gone("b", 2)], 2, true, now);
+    pool.apply(vec![Change::Is(at(endpoint("b", 1), 3))], 3, true, now);
 
     let effects = pool.sweep(now + LAPSE_GRACE);
 
@@ -106,6 +106,35 @@
     pool.member(id).is_some_and(|it| it.is_usable(now))
 }
 
+/// A daemon that came back from a cut took a removal for a lapse, and its list
+/// brought the endpoint back on all others.
+#[test]
+fn a_list_that_is_older_than_a_removal_brings_nothing_back() {
+    let now = Instant::now();
+    let mut returned = pool(&[endpoint("a", 1)]);
+    returned.apply(vec![gone("a", 5), Change::Is(at(endpoint("b", 1), 6))], 6, true, now);
+    let mut other = pool(&[endpoint("a", 1)]);
+    other.apply(vec![gone("a", 5)], 5, false, now);
+
+    other.replace(returned.roster(), false, now);
+    assert!(!is_usable(&other, "a", now));
+    assert!(is_usable(&other, "b", now));
+
+    returned.replace(other.roster(), false, now);
+    assert!(!is_usable(&returned, "a", now));
+
+    other.apply(vec![Change::Is(at(endpoint("a", 1), 9))], 9, false, now);
+    assert!(is_usable(&other, "a", now), "it was written again");
+}
+
+fn gone(id: &str, version: u64) -> Change {
+    Change::Gone { id: id.to_owned(), version }
+}
+
+fn at(endpoint: Endpoint, version: u64) -> Endpoint {
+    Endpoint { version, ..endpoint }
+}
+
 fn leaving(endpoint: Endpoint) -> Endpoint {
     Endpoint { leaving: true, ..endpoint }
 }
@@ -120,6 +149,7 @@
         leaving: false,
         reclaimable: false,
         leaves_ms: None,
+        version: 1,
         born_ms,
     }
 }
--- a/crates/front/src/broker/gossip.rs
+++ b/crates/front/src/broker/gossip.rs
@@ -34,6 +34,9 @@
 const READ_OLD: Duration = Duration::from_millis(700);
 /// The same where news takes several rounds of gossip.
 const READ_OLD_MANY: Duration = Duration::from_millis(1_400);
+/// Time without any read of the store after which entries may lapse unseen; the
+/// least time of three heartbeats.
+const LONGEST_GAP: Duration = Duration::from_secs(3);
 /// Further age for each rank, so that daemons step in one after the other.
 const READ_OLD_RANK: Duration = Duration::from_millis(40);
 
@@ -152,6 +155,11 @@
         {
             self.others_read_at = self.others_read_at.max(Some(read_at));
         }
+        if let Some(since) =
+            digest.steady_ms.and_then(|it| now.checked_sub(Duration::from_millis(it)))
+        {
+            self.steady_since = Some(self.steady_since.map_or(since, |it| it.min(since)));
+        }
         if let Some(holder) = digest.holder {
             self.hear_holder(holder.address, Duration::from_millis(holder.ago_ms), now);
         }
@@ -227,6 +235,7 @@
             config_version: self.table.config.version,
             roster_version: self.pool.stamp,
             read_ago_ms: self.read_ago(now).map(|it| it.as_millis() as u64),
+            steady_ms: self.steady_since.map(|it| (now - it).as_millis() as u64),
             holder: self.holder(now),
             stopping: self.stage != Stage::Running,
             loads: loaded.map(|it| (it.endpoint.id.clone(), it.own)).collect(),
@@ -284,6 +293,13 @@
         self.others_read_at.is_none_or(|it| now >= it + limit)
     }
 
+    /// Notes whether somebody reads the store.
+    pub(super) fn watch_reads(&mut self, now: Instant) {
+        let gap = self.peers.silence().min(LONGEST_GAP);
+        let is_read = self.read_ago(now).is_some_and(|it| it < gap);
+        self.steady_since = is_read.then(|| self.steady_since.unwrap_or(now));
+    }
+
     /// Age of the newest list of endpoints that this daemon has or heard of.
     fn read_ago(&self, now: Instant) -> Option<Duration> {
         let newest = self.read_at.max(self.others_read_at)?;
--- a/crates/front/src/broker/mod.rs
+++ b/crates/front/src/broker/mod.rs
@@ -136,7 +136,8 @@
     read_at: Option<Instant>,
     /// When others last read them, as heard.
     others_read_at: Option<Instant>,
-    store_failed_at: HashMap<&'static str, Instant>,
+    /// Since when somebody reads the store without a gap.
+    steady_since: Option<Instant>,
     /// Feeds whose last call failed.
     store_away: HashMap<&'static str, bool>,
 }
@@ -176,7 +177,7 @@
             work_seen: HashMap::new(),
             read_at: None,
             others_read_at: None,
-            store_failed_at: HashMap::new(),
+            steady_since: None,
             store_away: HashMap::new(),
             parts,
         })
@@ -194,17 +195,17 @@
             }
             Event::Roster(roster) => {
                 self.read_at = Some(now);
-                let was_away = self.was_away("endpoints", now);
+                let was_away = self.was_away(now);
                 let effects = self.pool.replace(roster, was_away, now);
                 self.note_effects(effects, "store", now);
             }
             Event::Endpoints { changes, version } => {
                 self.read_at = Some(now);
-                let was_away = self.was_away("endpoints", now);
+                let was_away = self.was_away(now);
                 let effects = self.pool.apply(changes, version, was_away, now);
                 self.note_effects(effects, "store", now);
             }
-            Event::Store { feed, failure } => self.note_store(feed, failure, now),
+            Event::Store { feed, failure } => self.note_store(feed, failure),
             Event::Daemons(rows) => self.learn_daemons(&rows, now),
             Event::Peer(message) => self.peer_message(*message, now),
             Event::PeerLost { stream, detail } => self.peer_lost(stream, &detail),
@@ -241,6 +242,7 @@
             self.gossip(now);
         }
         self.tend_duties(now);
+        self.watch_reads(now);
         let lapsed = self.pool.sweep(now);
         self.note_effects(lapsed, "lapse", now);
         self.parts.reads.send_if_modified(|it| {
@@ -332,11 +334,10 @@
         }
     }
 
-    fn note_store(&mut self, feed: &'static str, failure: Option<Error>, now: Instant) {
+    fn note_store(&mut self, feed: &'static str, failure: Option<Error>) {
         let is_away = failure.is_some();
         let was_away = self.store_away.insert(feed, is_away).unwrap_or(false);
         if let Some(error) = failure {
-            self.store_failed_at.insert(feed, now);
             metrics::count("store_failed", feed);
             if !was_away {
                 spdlog::warn!("store lost", kv: { feed = feed, cause = error.to_string() });
@@ -346,9 +347,9 @@
         }
     }
 
-    /// Whether the store was out of reach so lately that entries may have
-    /// lapsed meanwhile.
-    fn was_away(&self, feed: &'static str, now: Instant) -> bool {
-        self.store_failed_at.get(feed).is_some_and(|it| now < *it + STORE_SETTLES)
+    /// Whether the store was out of everybody's reach so lately that entries may
+    /// have lapsed meanwhile.
+    fn was_away(&self, now: Instant) -> bool {
+        self.steady_since.is_none_or(|it| now < it + STORE_SETTLES)
     }
 }
--- a/crates/membership/src/digest.rs
+++ b/crates/membership/src/digest.rs
@@ -38,6 +38,9 @@
     /// Age of the newest read of endpoints that it has or heard of, in
     /// milliseconds.
     pub read_ago_ms: Option<u64>,
+    /// Time for which somebody has read the store without a gap, in
+    /// milliseconds, as far as it knows.
+    pub steady_ms: Option<u64>,
     /// Daemon that it knows to hold the lease on the duties.
     pub holder: Option<Holder>,
     /// Whether it is about to end.
