Order endpoints for three quarters of their time, with more reclaimable ones to spare

Change: utilisation 0.6 -> 0.75, reclaimable spare 1.4 -> 1.6: about as many reclaimable endpoints, fewer on demand.

--- a/crates/duty/src/order.rs
+++ b/crates/duty/src/order.rs
@@ -13,10 +13,10 @@
 
 /// Part of an engine's time that load may take: above it, prompts wait behind
 /// each other longer than callers' objectives allow.
-const UTILISATION: f64 = 0.6;
+const UTILISATION: f64 = 0.75;
 /// Reclaimable endpoints ordered for each one needed: the loss of a zone
 /// leaves enough until replacements serve.
-const RECLAIMABLE_SPARE: f64 = 1.4;
+const RECLAIMABLE_SPARE: f64 = 1.6;
 /// Time for which endpoints on demand stay after they were last needed.
 const KEEP_ON_DEMAND: Duration = Duration::from_secs(6);
 /// Time for which fewer are not ordered after the load was higher.
