Reload settings at SIGHUP, bound the time of a body, drop unused parts

Cause: SIGHUP logged that settings were checked and read nothing; a caller could take for ever over a body; the choice carried a field nobody read.

Change: SIGHUP reads the file again, takes over bounds, seeds and duties, says when a restart is needed, and keeps the former settings when the file is wrong. A body that takes longer than the idle limit ends with 408.

--- a/crates/balance/src/choose.rs
+++ b/crates/balance/src/choose.rs
@@ -50,8 +50,6 @@
     pub load: Load,
     /// Tokens that are to be read ahead of the request's answer.
     pub unread_ahead: u32,
-    /// Whether the endpoint has a free place.
-    pub has_place: bool,
 }
 
 /// Chooses the endpoint with the earliest predicted answer.
@@ -77,15 +75,6 @@
     best.map(|(_, choice)| choice)
 }
 
-/// Places taken and places there are at a service's usable endpoints.
-pub fn places(pool: &Pool, service: &str, now: Instant) -> (u32, u32) {
-    let usable = pool.members().filter(|it| it.endpoint.service == service && it.is_usable(now));
-    usable.fold((0, 0), |(taken, all), it| {
-        let slots = it.endpoint.slots;
-        (taken + pool.load(&it.endpoint.id).open.min(slots), all + slots)
-    })
-}
-
 fn predict(
     pool: &Pool,
     need: &Need<'_>,
@@ -95,7 +84,6 @@
 ) -> Choice {
     let endpoint = &member.endpoint;
     let ahead = pool.load(&endpoint.id);
-    let has_place = ahead.open < endpoint.slots;
     let Some(engine) = need.engine else {
         let rounds = f64::from(ahead.open + 1) / f64::from(endpoint.slots.max(1));
         return Choice {
@@ -103,7 +91,6 @@
             predicted: Duration::from_secs_f64(PLAIN_MS * rounds.max(0.2) / 1e3),
             load: Load { open: 1, unread: 0, held: 0 },
             unread_ahead: 0,
-            has_place,
         };
     };
     let is_home = home == Some(rank(&endpoint.id, need.asked.parts.first().map_or(0, |it| it.id)));
@@ -116,7 +103,6 @@
         predicted,
         load: Load { open: 1, unread, held },
         unread_ahead: ahead.unread.saturating_add(unread),
-        has_place,
     }
 }
 
--- a/crates/front/src/broker/mod.rs
+++ b/crates/front/src/broker/mod.rs
@@ -22,6 +22,7 @@
 use duty::usage::Usage;
 use membership::digest::Peers;
 use platform::feed::Written;
+use platform::settings;
 use platform::settings::Settings;
 use quota::retry::Budget;
 use quota::workspace::Bucket;
@@ -217,7 +218,7 @@
                 self.ordered(&service, &order, result, now);
             }
             Event::Stop => self.stop(now),
-            Event::Reload => spdlog::info!("settings checked", kv: { changed = false }),
+            Event::Reload(settings) => self.reload(*settings),
         }
     }
 
@@ -234,6 +235,36 @@
         }
     }
 
+    /// Takes over what can change while the daemon runs.
+    fn reload(&mut self, settings: Result<Settings, settings::Error>) {
+        let settings = match settings {
+            Ok(settings) => settings,
+            Err(error) => {
+                let cause = error.to_string();
+                spdlog::error!("settings not reloaded; the former ones stay", kv: { cause = cause });
+                return;
+            }
+        };
+        let before = &mut self.parts.settings;
+        let is_changed = *before != settings;
+        let needs_restart = before.callers != settings.callers
+            || before.readiness != settings.readiness
+            || before.peers != settings.peers
+            || before.metrics != settings.metrics
+            || before.store != settings.store
+            || before.cloud != settings.cloud;
+        before.bounds = settings.bounds;
+        before.seeds = settings.seeds;
+        before.reports_usage = settings.reports_usage;
+        before.orders_endpoints = settings.orders_endpoints;
+        // Budgets take the new bounds with the next request.
+        self.budgets.clear();
+        spdlog::info!("settings reloaded", kv: {
+            changed = is_changed,
+            needs_restart = needs_restart,
+        });
+    }
+
     fn tick(&mut self, cx: CX![]) {
         after!(TICK, [cx], tick());
         let now = cx.now();
--- a/crates/front/src/event.rs
+++ b/crates/front/src/event.rs
@@ -8,6 +8,8 @@
 use peer::transport::StreamId;
 use platform::cloud::Taken;
 use platform::feed::Written;
+use platform::settings;
+use platform::settings::Settings;
 use relay::ask::Ask;
 use store::Error;
 use store::table::Commit;
@@ -78,6 +80,6 @@
     },
     /// SIGTERM or SIGINT came.
     Stop,
-    /// The settings may have changed.
-    Reload,
+    /// The settings were read again.
+    Reload(Box<Result<Settings, settings::Error>>),
 }
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -2,10 +2,12 @@
 
 use std::cell::Cell;
 use std::io;
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
 
+use platform::settings;
 use platform::settings::Settings;
 use rand::RngExt;
 use relay::server;
@@ -72,13 +74,14 @@
     },
 }
 
-/// Runs the daemon until it has drained.
-pub fn run(settings: Settings) -> Result<(), Error> {
+/// Runs the daemon until it has drained. The settings are read from `path`
+/// again at SIGHUP.
+pub fn run(settings: Settings, path: PathBuf) -> Result<(), Error> {
     let runtime = Builder::new_current_thread().enable_all().build().context(StartSnafu)?;
-    LocalSet::new().block_on(&runtime, serve(settings))
+    LocalSet::new().block_on(&runtime, serve(settings, path))
 }
 
-async fn serve(settings: Settings) -> Result<(), Error> {
+async fn serve(settings: Settings, path: PathBuf) -> Result<(), Error> {
     let listen = |address| server::listen(address).context(ListenSnafu { address });
     let callers = listen(settings.callers)?;
     let readiness = listen(settings.readiness)?;
@@ -122,7 +125,7 @@
     }
     spawn_local(probe::run(readiness, is_ready.clone()));
     spawn_local(probe::run(metrics, is_ready));
-    spawn_local(watch_signals(events.clone()));
+    spawn_local(watch_signals(path, events.clone()));
     spawn_local(sweep(serve_callers(callers, &events, limits, phases)));
     let (secrets, secret) = unbounded_channel();
     let fresh: String = (0..SECRET_BYTES).map(|_| format!("{:02x}", rng.random::<u8>())).collect();
@@ -189,7 +192,7 @@
     }
 }
 
-async fn watch_signals(events: UnboundedSender<Event>) {
+async fn watch_signals(path: PathBuf, events: UnboundedSender<Event>) {
     let kinds = [SignalKind::terminate(), SignalKind::interrupt(), SignalKind::hangup()];
     let [terminate, interrupt, hangup] = kinds.map(signal);
     let (Ok(mut terminate), Ok(mut interrupt), Ok(mut hangup)) = (terminate, interrupt, hangup)
@@ -201,7 +204,7 @@
         let event = tokio::select! {
             _ = terminate.recv() => Event::Stop,
             _ = interrupt.recv() => Event::Stop,
-            _ = hangup.recv() => Event::Reload,
+            _ = hangup.recv() => Event::Reload(Box::new(settings::read(path.clone()))),
         };
         let _ = events.send(event);
     }
--- a/crates/lentilhook/src/command/front.rs
+++ b/crates/lentilhook/src/command/front.rs
@@ -9,7 +9,7 @@
 /// Forwards callers' requests until SIGTERM, then drains.
 pub fn run(arguments: &Front) -> Result<(), Failure> {
     let path = arguments.settings.clone().unwrap_or_else(settings::path);
-    let settings = settings::read(path).map_err(Failure::usage)?;
+    let settings = settings::read(path.clone()).map_err(Failure::usage)?;
     log::init_bounded().map_err(Failure::failed)?;
-    front::run::run(settings).map_err(Failure::failed)
+    front::run::run(settings, path).map_err(Failure::failed)
 }
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -15,6 +15,7 @@
 use route::request::Asked;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
+use tokio::time::timeout_at;
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::ask::Arrival;
@@ -49,7 +50,11 @@
     if body.size_hint().lower() > limits.body_bytes as u64 {
         return own(StatusCode::PAYLOAD_TOO_LARGE, &asked.id);
     }
-    let body: Bytes = match Limited::new(body, limits.body_bytes).collect().await {
+    let body = Limited::new(body, limits.body_bytes).collect();
+    let Ok(body) = timeout_at(arrived + limits.idle(), body).await else {
+        return own(StatusCode::REQUEST_TIMEOUT, &asked.id);
+    };
+    let body: Bytes = match body {
         Ok(body) => body.to_bytes(),
         Err(error) if error.is::<http_body_util::LengthLimitError>() => {
             return own(StatusCode::PAYLOAD_TOO_LARGE, &asked.id);
