Decide without copying tables or adding up daemons

Change: the table is shared; the sum of what others have sent is kept with the digests. admit() is split.

Test: the_load_of_an_endpoint_is_that_of_all_daemons.

--- a/crates/balance/src/pool.rs
+++ b/crates/balance/src/pool.rs
@@ -109,6 +109,8 @@
     gone: HashMap<String, Gone>,
     /// Work that other daemons have sent, by daemon and endpoint.
     others: HashMap<String, HashMap<String, Load>>,
+    /// Their sum by endpoint, so that a decision does not add up all daemons.
+    others_sum: HashMap<String, Load>,
     /// Version of the store up to which the list is complete.
     pub version: u64,
     /// Version of the last change that matters for requests. Daemons compare
@@ -196,19 +198,29 @@
 
     /// Sets what another daemon has sent.
     pub fn hear_loads(&mut self, daemon: &str, loads: HashMap<String, Load>) {
+        self.forget_daemon(daemon);
+        for (id, load) in &loads {
+            let sum = self.others_sum.entry(id.clone()).or_default();
+            *sum = sum.plus(*load);
+        }
         self.others.insert(daemon.to_owned(), loads);
     }
 
     /// Forgets a daemon that has ended.
     pub fn forget_daemon(&mut self, daemon: &str) {
-        self.others.remove(daemon);
+        for (id, load) in self.others.remove(daemon).into_iter().flatten() {
+            let Some(sum) = self.others_sum.get_mut(&id) else { continue };
+            *sum = sum.minus(load);
+            if *sum == Load::default() {
+                self.others_sum.remove(&id);
+            }
+        }
     }
 
     /// Work at an endpoint, of all daemons.
     pub fn load(&self, id: &str) -> Load {
         let own = self.members.get(id).map_or(Load::default(), |it| it.own);
-        let loads = self.others.values().filter_map(|it| it.get(id));
-        loads.fold(own, |sum, it| sum.plus(*it))
+        own.plus(self.others_sum.get(id).copied().unwrap_or_default())
     }
 
     /// An endpoint.
--- a/crates/balance/tests/pool.rs
+++ b/crates/balance/tests/pool.rs
@@ -1,10 +1,12 @@
 //! What a daemon makes of endpoints' descriptions.
 
+use std::collections::HashMap;
 use std::time::Duration;
 use std::time::Instant;
 
 use balance::endpoint::Change;
 use balance::endpoint::Endpoint;
+use balance::load::Load;
 use balance::pool::Effect;
 use balance::pool::LAPSE_GRACE;
 use balance::pool::Pool;
@@ -127,6 +129,26 @@
     assert!(is_usable(&other, "a", now), "it was written again");
 }
 
+#[test]
+fn the_load_of_an_endpoint_is_that_of_all_daemons() {
+    let mut pool = pool(&[endpoint("a", 1)]);
+    let load = |open| Load { open, unread: 10 * open, held: 100 * open };
+    let loads = |open| HashMap::from([("a".to_owned(), load(open))]);
+    let check = |pool: &Pool, open: u32| assert_eq!(pool.load("a"), load(open));
+    pool.member_mut("a").unwrap().own = load(1);
+
+    pool.hear_loads("x", loads(2));
+    pool.hear_loads("y", loads(4));
+    check(&pool, 7);
+
+    pool.hear_loads("x", loads(1));
+    check(&pool, 6);
+
+    pool.hear_loads("x", HashMap::new());
+    pool.forget_daemon("y");
+    check(&pool, 1);
+}
+
 fn gone(id: &str, version: u64) -> Change {
     Change::Gone { id: id.to_owned(), version }
 }
--- a/crates/front/src/broker/mod.rs
+++ b/crates/front/src/broker/mod.rs
@@ -102,7 +102,7 @@
     parts: Parts,
     rng: SmallRng,
     stage: Stage,
-    table: Table,
+    table: Rc<Table>,
     pool: Pool,
     suspects: Suspects,
     /// Requests whose endpoint broke off, until it shows whether it crashed.
@@ -152,7 +152,7 @@
         Some(Broker {
             rng: SmallRng::seed_from_u64(parts.seed),
             stage: Stage::Running,
-            table: Table::default(),
+            table: Rc::default(),
             pool: Pool::default(),
             suspects: Suspects::default(),
             broken: VecDeque::new(),
@@ -339,7 +339,7 @@
                 }
             }
         }
-        self.table = Table::new(Arc::new(config));
+        self.table = Rc::new(Table::new(Arc::new(config)));
         self.has_news = true;
     }
 
--- a/crates/front/src/broker/requests.rs
+++ b/crates/front/src/broker/requests.rs
@@ -1,5 +1,6 @@
 //! Requests: admitted, placed, sent again, over.
 
+use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -19,6 +20,7 @@
 use route::config::Kind;
 use route::request::Asked;
 use route::table::Denied;
+use route::table::Match;
 
 use super::Broker;
 use crate::metrics;
@@ -60,6 +62,31 @@
     may_have_run: bool,
 }
 
+impl Open {
+    /// A request that is not placed yet.
+    fn new(found: &Match<'_>, asked: Asked, print: u128, units: f64, now: Instant) -> Open {
+        Open {
+            route: found.route.name.clone(),
+            service: found.service.to_owned(),
+            asked,
+            print,
+            workspace: found.workspace.map(|it| it.name.clone()),
+            units,
+            is_idempotent: found.route.is_idempotent(),
+            attempts_left: found.route.attempts,
+            tried: Vec::new(),
+            endpoint: String::new(),
+            load: Load::default(),
+            unread_ahead: 0,
+            predicted: Duration::ZERO,
+            arrived: now,
+            sent: now,
+            has_begun: false,
+            may_have_run: false,
+        }
+    }
+}
+
 /// A request whose endpoint broke off.
 #[derive(Debug)]
 pub struct Broken {
@@ -136,7 +163,7 @@
         if self.table.config.version == 0 {
             return Err(refused(&id, Cause::NoConfiguration, 503, Some(NO_ENDPOINT_WAIT)));
         }
-        let table = self.table.clone();
+        let table = Rc::clone(&self.table);
         let found = match table.find(&host, &path, asked.key.as_deref(), &id) {
             Ok(found) => found,
             Err(Denied::NoRoute) => return Err(refused(&id, Cause::NoRoute, 404, None)),
@@ -145,69 +172,48 @@
         if self.suspects.is_refused(print, now) {
             return Err(refused(&id, Cause::Suspect, 503, Some(SUSPECT_WAIT)));
         }
-        let route = found.route;
-        let quota = found.workspace.and_then(|it| it.quota);
-        let units = quota.map_or(0.0, |it| it.unit.count(asked.tokens()));
-        if let Some(workspace) = found.workspace
-            && let Some(bucket) = self.buckets.get_mut(&workspace.name)
-            && let Err(wait) = bucket.take(units, now)
-        {
-            return Err(refused(&id, Cause::Quota, 429, Some(wait)));
-        }
-        let workspace = found.workspace.map(|it| it.name.clone());
-        let Some(choice) = self.choose(found.service, &asked, &[], now) else {
-            self.give_back(workspace.as_deref(), units);
-            return Err(refused(&id, Cause::NoEndpoint, 503, Some(NO_ENDPOINT_WAIT)));
-        };
-        let Some(target) = self.target(&choice.id) else {
-            self.give_back(workspace.as_deref(), units);
+        let units = self.take_quota(&found, &asked, now)?;
+        let choice = self.choose(found.service, &asked, &[], now);
+        let target = choice.as_ref().and_then(|it| self.target(&it.id));
+        let (Some(choice), Some(target)) = (choice, target) else {
+            self.give_back(found.workspace.map(|it| it.name.as_str()), units);
             return Err(refused(&id, Cause::NoEndpoint, 503, Some(NO_ENDPOINT_WAIT)));
         };
         self.budget(found.service).count_request(now);
         self.next_ticket += 1;
         let ticket = self.next_ticket;
-        let plan = Plan {
-            ticket,
-            timeout: Duration::from_millis(route.timeout_ms),
-            is_idempotent: route.is_idempotent(),
-            is_stream: route.kind == Kind::Stream,
-            workspace: workspace.clone(),
-            rank: found.workspace.and_then(|it| it.priority).or(Some(route.priority)),
-            hides_key: !table.config.workspaces.is_empty(),
-        };
+        let plan = plan(ticket, &found, !table.config.workspaces.is_empty());
         spdlog::info!("placed", kv: {
             request = id,
-            route = route.name.as_str(),
+            route = found.route.name.as_str(),
             endpoint = choice.id.as_str(),
             predicted_ms = choice.predicted.as_millis() as u64,
             unread = choice.unread_ahead,
             config = table.config.version,
             endpoints = self.pool.version,
         });
-        let open = Open {
-            route: route.name.clone(),
-            service: found.service.to_owned(),
-            asked,
-            print,
-            workspace,
-            units,
-            is_idempotent: route.is_idempotent(),
-            attempts_left: route.attempts,
-            tried: Vec::new(),
-            endpoint: String::new(),
-            load: Load::default(),
-            unread_ahead: 0,
-            predicted: Duration::ZERO,
-            arrived: now,
-            sent: now,
-            has_begun: false,
-            may_have_run: false,
-        };
-        self.requests.insert(ticket, open);
+        self.requests.insert(ticket, Open::new(&found, asked, print, units, now));
         self.place(ticket, choice, now);
         Ok((plan, target))
     }
 
+    /// Takes a request's units from its workspace's quota.
+    fn take_quota(
+        &mut self,
+        found: &Match<'_>,
+        asked: &Asked,
+        now: Instant,
+    ) -> Result<f64, Refusal> {
+        let Some(workspace) = found.workspace else { return Ok(0.0) };
+        let Some(quota) = workspace.quota else { return Ok(0.0) };
+        let Some(bucket) = self.buckets.get_mut(&workspace.name) else { return Ok(0.0) };
+        let units = quota.unit.count(asked.tokens());
+        match bucket.take(units, now) {
+            Ok(()) => Ok(units),
+            Err(wait) => Err(refused(&asked.id, Cause::Quota, 429, Some(wait))),
+        }
+    }
+
     fn next(&mut self, ticket: u64, ended: Ended, now: Instant) -> Result<Target, Refusal> {
         self.leave_endpoint(ticket, ended, now);
         let Some(open) = self.requests.get_mut(&ticket) else {
@@ -385,6 +391,19 @@
     }
 }
 
+fn plan(ticket: u64, found: &Match<'_>, hides_key: bool) -> Plan {
+    let route = found.route;
+    Plan {
+        ticket,
+        timeout: Duration::from_millis(route.timeout_ms),
+        is_idempotent: route.is_idempotent(),
+        is_stream: route.kind == Kind::Stream,
+        workspace: found.workspace.map(|it| it.name.clone()),
+        rank: found.workspace.and_then(|it| it.priority).or(Some(route.priority)),
+        hides_key,
+    }
+}
+
 fn refused(id: &str, cause: Cause, status: u16, retry_after: Option<Duration>) -> Refusal {
     metrics::count("refused", cause.name());
     spdlog::info!("refused", kv: {
