Keep workspaces within their quota under a cut

Ruled out: lag between connected daemons.

Change: others go on at their pace between summaries; silent ones use their even share of rate and burst until heard.

Test: what_is_admitted_stays_within_the_limit, red at 1.57 before, bound now the operators' 1.19 instead of 1.45; nothing_below_the_limit_is_refused passes.

--- a/crates/quota/src/workspace.rs
+++ b/crates/quota/src/workspace.rs
@@ -1,17 +1,19 @@
 //! One workspace's token bucket, shared by all daemons.
 //!
-//! Each daemon counts what it admitted and hears the others' totals late.
-//! A daemon that is not heard any more is taken to admit its even share of
-//! the rate, so that daemons which are cut off from each other stay within
-//! the limit together.
+//! Each daemon counts what it admitted and hears the others' totals late. In
+//! between it takes them to go on at their pace. One that is not heard any more
+//! is taken to use its even share of rate and burst, so that daemons which are
+//! cut off from each other stay within the limit together.
 
 use std::collections::HashMap;
 use std::time::Duration;
 use std::time::Instant;
 
-/// Silence after which another daemon's use is estimated, unless set: several
-/// gossip periods.
+/// Silence after which another daemon is taken to use its even share, unless
+/// set: several gossip periods.
 const SILENT: Duration = Duration::from_millis(1_500);
+/// Time over which another daemon's pace is averaged; some of its requests.
+const PACE_OVER: Duration = Duration::from_secs(2);
 /// Silence after which a daemon is taken to have ended; above the longest
 /// freeze or cut after which it may still admit requests of the same window.
 pub const ENDED: Duration = Duration::from_secs(12);
@@ -44,9 +46,13 @@
     /// Units that it has admitted since its start, as last heard.
     admitted: f64,
     heard_at: Instant,
+    /// Units that it admits in a second; its even share until it is known.
+    pace: Option<f64>,
     /// Units taken from the level for it since it was heard.
     estimated: f64,
     estimated_at: Instant,
+    /// Whether its share of the burst was taken since it was heard.
+    has_burst: bool,
 }
 
 impl Bucket {
@@ -106,31 +112,51 @@
     /// Hears the total of another daemon's incarnation.
     pub fn hear(&mut self, daemon: &str, admitted: f64, now: Instant) {
         self.fill(now);
-        let Some(other) = self.others.get_mut(daemon) else {
-            let other = Other { admitted, heard_at: now, estimated: 0.0, estimated_at: now };
-            self.others.insert(daemon.to_owned(), other);
-            return;
-        };
-        self.level += other.estimated - (admitted - other.admitted);
+        let mut pace = None;
+        if let Some(other) = self.others.get(daemon) {
+            let seen = admitted - other.admitted;
+            self.level += other.estimated - seen;
+            let passed = now.saturating_duration_since(other.heard_at).as_secs_f64();
+            let weight = (passed / PACE_OVER.as_secs_f64()).min(1.0);
+            let before = other.pace.unwrap_or(0.0);
+            pace = if passed > 0.0 {
+                Some(before + (seen / passed - before) * weight)
+            } else {
+                other.pace
+            };
+        }
         self.level = self.level.min(self.limit.burst);
-        *other = Other { admitted, heard_at: now, estimated: 0.0, estimated_at: now };
+        let other = Other {
+            admitted,
+            heard_at: now,
+            pace,
+            estimated: 0.0,
+            estimated_at: now,
+            has_burst: false,
+        };
+        self.others.insert(daemon.to_owned(), other);
     }
 
     fn fill(&mut self, now: Instant) {
         let passed = now.saturating_duration_since(self.filled_at).as_secs_f64();
         self.filled_at = now;
         self.level += passed * self.limit.rate;
-        let count = self.others.len() + 1;
-        let share = self.limit.rate / count as f64;
+        let count = (self.others.len() + 1) as f64;
+        let share = self.limit.rate / count;
         for other in self.others.values_mut() {
-            let from = other.estimated_at.max(other.heard_at + self.silent);
             let until = now.min(other.heard_at + ENDED);
-            if until > from {
-                let units = (until - from).as_secs_f64() * share;
-                other.estimated += units;
-                self.level -= units;
-                other.estimated_at = until;
+            let is_silent = now >= other.heard_at + self.silent;
+            let pace = other.pace.unwrap_or(share).min(self.limit.rate);
+            let pace = if is_silent { pace.max(share) } else { pace };
+            let passed = until.saturating_duration_since(other.estimated_at).as_secs_f64();
+            let mut units = passed * pace;
+            if is_silent && !other.has_burst {
+                other.has_burst = true;
+                units += self.limit.burst / count;
             }
+            other.estimated += units;
+            other.estimated_at = other.estimated_at.max(until);
+            self.level -= units;
         }
         self.others.retain(|_, it| now < it.heard_at + ENDED);
         self.level = self.level.min(self.limit.burst);
--- a/crates/quota/tests/workspace.rs
+++ b/crates/quota/tests/workspace.rs
@@ -31,8 +31,9 @@
 
     check(Load { daemons: 1, asked_per_s: 9_000.0, cut: 0 }, 1.0);
     check(Load { daemons: 7, asked_per_s: 9_000.0, cut: 0 }, 1.1);
-    // A daemon that is cut off goes on as if the others admitted their share.
-    check(Load { daemons: 7, asked_per_s: 9_000.0, cut: 2 }, 1.45);
+    // A daemon that is cut off goes on as if the others admitted their share. The
+    // operators allow a tenth more and a slack, here nine hundredths.
+    check(Load { daemons: 7, asked_per_s: 9_000.0, cut: 2 }, 1.19);
 }
 
 #[test]
