Keep a found fleet until its load is known

Cause: on the grown deployments the holder of the lease planned 1.1 s after its start, when 9 of 144 endpoints had shown. It ordered two or three a zone, which sent all others away, and met the first callers with 12 engines; then it ordered 280.

Ruled out: a fall of the learnt speed (each daemon sees too few answers of an engine for that); retries counted as load (667 of 23,783 arrivals).

Change: no plan before the list stood still for a heartbeat; what was found counts as needed, by zone, until the load was seen for 6 s (60 s without any load); on-demand endpoints that serve stay until reclaimable ones are there.

--- a/crates/duty/src/order.rs
+++ b/crates/duty/src/order.rs
@@ -21,12 +21,18 @@
 const KEEP_ON_DEMAND: Duration = Duration::from_secs(6);
 /// Time for which fewer are not ordered after the load was higher.
 const KEEP_LOAD: Duration = Duration::from_secs(15);
-/// Time after the first plan in which further endpoints may show that were
-/// there before; some of their heartbeats.
+/// Time after the first plan in which further endpoints may show that were there
+/// before; some of their heartbeats.
 const ENTRIES_SETTLE: Duration = Duration::from_secs(4);
-/// Time in which a new holder of the lease learns the load: twice the time over
-/// which it is averaged.
+/// Time without a new endpoint after which a starting daemon takes the list for
+/// complete: a heartbeat. A plan on fewer would send the rest away.
+pub const LIST_SETTLES: Duration = Duration::from_millis(1_300);
+/// Time after the first load in which a new holder of the lease learns it:
+/// twice the time over which it is averaged.
 const LOAD_SETTLES: Duration = Duration::from_secs(6);
+/// Time for which endpoints without any load are kept: longer than callers take
+/// to come back after a restart of all daemons.
+const IDLE_KEPT: Duration = Duration::from_secs(60);
 /// Time between tries of an order that was refused.
 const TRY_AGAIN: Duration = Duration::from_millis(4_000);
 /// Time beyond the boot after which a missing endpoint is ordered again.
@@ -69,17 +75,28 @@
     refused_until: Option<Instant>,
 }
 
+/// What a new holder of the lease found.
+#[derive(Clone, Copy, Debug)]
+struct Inherited {
+    /// Endpoints of each zone.
+    a_zone: u32,
+    /// Whether a predecessor ordered them; else the service was installed so.
+    is_ordered: bool,
+    /// When it was first seen.
+    since: Instant,
+}
+
 /// Orders of one service, by one holder of the lease.
 #[derive(Clone, Debug, Default)]
 pub struct Planner {
     placed: BTreeMap<(String, Kind), Placed>,
     /// Highest recent need, and when it was seen.
     need: Option<(f64, Instant)>,
-    /// Need that the endpoints at the first plans stand for, and when the first
-    /// one was made.
-    inherited: Option<(f64, Instant)>,
-    /// When the first plan was made, and whether a predecessor had ordered.
-    first_plan: Option<(Instant, bool)>,
+    /// What was there at the first plans.
+    inherited: Option<Inherited>,
+    /// When the first plan was made, and when the first load was seen.
+    first_plan: Option<Instant>,
+    first_load: Option<Instant>,
     /// Most endpoints on demand that were missing lately, and when.
     missing: Option<(u32, Instant)>,
 }
@@ -93,8 +110,12 @@
         busy: f64,
         now: Instant,
     ) -> Vec<Order> {
+        if busy > 0.0 {
+            self.first_load.get_or_insert(now);
+        }
         let need = self.need(busy / UTILISATION, scale, now);
-        let reclaimable = reclaimable_a_zone(scale, need.max(self.inherited(present, now)));
+        let inherited = self.inherited(scale, present, now);
+        let reclaimable = reclaimable_a_zone(scale, need, inherited);
         let on_demand = self.on_demand(scale, present, need, reclaimable, now);
         let mut orders = Vec::new();
         for price in &scale.zones {
@@ -137,17 +158,40 @@
         (need.ceil() as u32).max(least)
     }
 
-    /// Endpoints that a new holder takes for needed from what its predecessor
-    /// ordered, until it has seen the load for some time. Reclaimable ones are
-    /// cheap enough to keep so many.
-    fn inherited(&mut self, present: &BTreeMap<String, Present>, now: Instant) -> u32 {
-        let there: u32 = present.values().map(|it| it.on_demand + it.reclaimable).sum();
-        let stands_for = f64::from(there) / RECLAIMABLE_SPARE;
-        let (need, since) = self.inherited.get_or_insert((stands_for, now));
-        if now < *since + ENTRIES_SETTLE {
-            *need = need.max(stands_for);
+    /// Endpoints a zone that a new holder takes for needed from what it found,
+    /// until it has seen the load for some time. Reclaimable ones are cheap
+    /// enough to keep so many.
+    fn inherited(
+        &mut self,
+        scale: &Scale,
+        present: &BTreeMap<String, Present>,
+        now: Instant,
+    ) -> u32 {
+        // A predecessor orders as many for each zone; a wave leaves some empty.
+        let most = present.values().map(|it| it.reclaimable).max().unwrap_or(0);
+        let on_demand: u32 = present.values().map(|it| it.on_demand).sum();
+        let found = match most {
+            0 => on_demand.div_ceil(scale.zones.len().max(1) as u32),
+            _ => most,
+        };
+        let first = Inherited { a_zone: found, is_ordered: most > 0, since: now };
+        let it = self.inherited.get_or_insert(first);
+        if now < it.since + ENTRIES_SETTLE {
+            it.a_zone = it.a_zone.max(found);
+        }
+        let it = *it;
+        let is_kept = now < it.since + KEEP_LOAD || self.is_learning(now);
+        if is_kept { it.a_zone } else { 0 }
+    }
+
+    /// Whether the load that the fleet is to carry is not known yet: nothing of
+    /// the fleet is given up meanwhile.
+    fn is_learning(&mut self, now: Instant) -> bool {
+        let since = *self.first_plan.get_or_insert(now);
+        match self.first_load {
+            Some(it) => now < it + LOAD_SETTLES,
+            None => now < since + IDLE_KEPT,
         }
-        if now < *since + KEEP_LOAD { need.ceil() as u32 } else { 0 }
     }
 
     /// Endpoints on demand by zone, the cheapest zones first.
@@ -173,8 +217,8 @@
             rooms.push((price, room, here.on_demand));
         }
         let mut left = self.kept_on_demand(need.saturating_sub(coming), now);
-        if self.is_settling(present, now) {
-            left = left.max(present.values().map(|it| it.on_demand).sum());
+        if self.is_learning(now) {
+            left = left.max(self.unreplaced(scale, present));
         }
         rooms.sort_by(|a, b| a.0.price.total_cmp(&b.0.price));
         let mut wanted = BTreeMap::new();
@@ -212,12 +256,18 @@
         }
     }
 
-    /// Whether the load is not known yet on a fleet that a predecessor shaped:
-    /// one with reclaimable endpoints. Nothing of it is given up meanwhile.
-    fn is_settling(&mut self, present: &BTreeMap<String, Present>, now: Instant) -> bool {
-        let is_shaped = present.values().any(|it| it.reclaimable > 0);
-        let since = *self.first_plan.get_or_insert((now, is_shaped));
-        since.1 && now < since.0 + LOAD_SETTLES
+    /// Endpoints on demand that stay while the load is learnt: all that a
+    /// predecessor ordered, as they bridge a wave; of others those that serve
+    /// and that no reclaimable ones replace yet.
+    fn unreplaced(&self, scale: &Scale, present: &BTreeMap<String, Present>) -> u32 {
+        let on_demand = present.values().map(|it| it.on_demand).sum();
+        let Some(inherited) = self.inherited.filter(|it| !it.is_ordered) else { return on_demand };
+        if self.first_load.is_none() {
+            return 0;
+        }
+        let reclaimable: u32 = present.values().map(|it| it.reclaimable).sum();
+        let found = inherited.a_zone * scale.zones.len() as u32;
+        found.saturating_sub(reclaimable).min(on_demand)
     }
 
     fn is_booting(&self, scale: &Scale, zone: &str, now: Instant) -> bool {
@@ -251,11 +301,11 @@
 }
 
 /// Reclaimable endpoints to order in each zone.
-fn reclaimable_a_zone(scale: &Scale, need: u32) -> u32 {
+fn reclaimable_a_zone(scale: &Scale, need: u32, inherited: u32) -> u32 {
     if scale.reclaimable_price.is_none() {
         return 0;
     }
     let zones = scale.zones.len().max(1) as f64;
     let wanted = (f64::from(need) * RECLAIMABLE_SPARE / zones).ceil() as u32;
-    wanted.clamp(scale.min, scale.max.max(scale.min))
+    wanted.max(inherited).clamp(scale.min, scale.max.max(scale.min))
 }
--- a/crates/front/src/broker/duties.rs
+++ b/crates/front/src/broker/duties.rs
@@ -6,6 +6,7 @@
 
 use duty::lease::Grant;
 use duty::lease::Written;
+use duty::order::LIST_SETTLES;
 use duty::order::Order;
 use duty::order::Present;
 use duty::usage::Counts;
@@ -202,7 +203,8 @@
     }
 
     fn tend_orders(&mut self, grant: Grant, now: Instant) {
-        if self.duties.orders > 0 {
+        self.is_list_complete |= self.list_grew_at.is_some_and(|it| now >= it + LIST_SETTLES);
+        if self.duties.orders > 0 || !self.is_list_complete {
             return;
         }
         let config = self.table.config.clone();
@@ -210,10 +212,6 @@
             let Some(scale) = &service.scale else { continue };
             let busy = self.busy(&service.name, now);
             let present = self.present(&service.name, now);
-            // A new holder begins with what is there, so it has to know that.
-            if present.is_empty() && !self.planners.contains_key(&service.name) {
-                continue;
-            }
             let planner = self.planners.entry(service.name.clone()).or_default();
             for order in planner.plan(scale, &present, busy, now) {
                 self.duties.orders += 1;
--- a/crates/front/src/broker/mod.rs
+++ b/crates/front/src/broker/mod.rs
@@ -133,6 +133,10 @@
     /// Engine time of this daemon's requests since its start, by service.
     work_ms: HashMap<String, f64>,
     work_seen: HashMap<String, duties::Rate>,
+    /// When the last new endpoint showed, until the list of a starting daemon
+    /// counts as complete.
+    list_grew_at: Option<Instant>,
+    is_list_complete: bool,
     /// When this daemon last read the endpoints.
     read_at: Option<Instant>,
     /// When others last read them, as heard.
@@ -176,6 +180,8 @@
             work_heard: HashMap::new(),
             work_ms: HashMap::new(),
             work_seen: HashMap::new(),
+            list_grew_at: None,
+            is_list_complete: false,
             read_at: None,
             others_read_at: None,
             steady_since: None,
@@ -351,6 +357,9 @@
     ) {
         effects.retain(|(_, effect)| *effect != Effect::Unchanged);
         self.has_news |= !effects.is_empty();
+        if effects.iter().any(|(_, effect)| *effect == Effect::Joined) {
+            self.list_grew_at = Some(now);
+        }
         for (id, effect) in effects {
             match effect {
                 Effect::Joined => self.confirm_crash(&id, now),
