Send on-demand endpoints away only when others serve in their place

On-demand endpoints were sent away in the plan after reclaimable ones had been ordered, 4 s before those could serve. Where the limits of a zone left no room, the order for reclaimable ones was taken and started nothing; it was given again 5.5 s later. An average of the load that began at zero hid it: fewer on-demand endpoints were ordered in the first place.

Change: the load is averaged since it began (duty::demand); serving on-demand endpoints stay until as many reclaimable ones serve; what the limits leave of an order is known; at the limits one zone at a time is swapped, and only while the others carry the load. The new test fails on the former planner with 9 s of too few engines.

--- a/crates/duty/src/lib.rs
+++ b/crates/duty/src/lib.rs
@@ -5,6 +5,7 @@
 //! the VM's boot, suspended time included.
 
 pub mod clock;
+pub mod demand;
 pub mod lease;
 pub mod order;
 pub mod usage;
--- a/crates/duty/src/order.rs
+++ b/crates/duty/src/order.rs
@@ -11,6 +11,8 @@
 
 use route::config::Scale;
 
+use crate::demand::AVERAGED_OVER;
+
 /// Part of an engine's time that load may take: above it, prompts wait behind
 /// each other longer than callers' objectives allow.
 const UTILISATION: f64 = 0.75;
@@ -29,7 +31,7 @@
 pub const LIST_SETTLES: Duration = Duration::from_millis(1_300);
 /// Time after the first load in which a new holder of the lease learns it:
 /// twice the time over which it is averaged.
-const LOAD_SETTLES: Duration = Duration::from_secs(6);
+const LOAD_SETTLES: Duration = AVERAGED_OVER.saturating_mul(2);
 /// Time for which endpoints without any load are kept: longer than callers take
 /// to come back after a restart of all daemons.
 const IDLE_KEPT: Duration = Duration::from_secs(60);
@@ -71,6 +73,9 @@
 #[derive(Clone, Debug)]
 struct Placed {
     count: u32,
+    /// Endpoints of the order for which the limits left room: the cloud takes
+    /// the order and starts no more.
+    granted: u32,
     at: Instant,
     refused_until: Option<Instant>,
 }
@@ -90,6 +95,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Planner {
     placed: BTreeMap<(String, Kind), Placed>,
+    /// Reclaimable endpoints for which each zone had room at the last plan.
+    rooms: BTreeMap<String, u32>,
     /// Highest recent need, and when it was seen.
     need: Option<(f64, Instant)>,
     /// What was there at the first plans.
@@ -116,7 +123,11 @@
         let need = self.need(busy / UTILISATION, scale, now);
         let inherited = self.inherited(scale, present, now);
         let reclaimable = reclaimable_a_zone(scale, need, inherited);
-        let on_demand = self.on_demand(scale, present, need, reclaimable, now);
+        self.rooms = rooms(scale, present);
+        let mut on_demand = self.on_demand(scale, present, need, reclaimable, now);
+        if let Some(zone) = self.zone_to_swap(scale, present, reclaimable, busy, now) {
+            on_demand.insert(zone, 0);
+        }
         let mut orders = Vec::new();
         for price in &scale.zones {
             let here = present.get(&price.zone).copied().unwrap_or_default();
@@ -136,15 +147,20 @@
 
     /// Notes that an order was taken.
     pub fn taken(&mut self, order: &Order, now: Instant) {
-        let placed = Placed { count: order.count, at: now, refused_until: None };
+        let room = match order.kind {
+            Kind::OnDemand => order.count,
+            Kind::Reclaimable => self.rooms.get(&order.zone).copied().unwrap_or(order.count),
+        };
+        let granted = order.count.min(room);
+        let placed = Placed { count: order.count, granted, at: now, refused_until: None };
         self.placed.insert((order.zone.clone(), order.kind), placed);
     }
 
     /// Notes that an order was refused because nothing is to be had.
     pub fn refused(&mut self, order: &Order, now: Instant) {
         let key = (order.zone.clone(), order.kind);
-        let placed =
-            self.placed.entry(key).or_insert(Placed { count: 0, at: now, refused_until: None });
+        let nothing = Placed { count: 0, granted: 0, at: now, refused_until: None };
+        let placed = self.placed.entry(key).or_insert(nothing);
         placed.refused_until = Some(now + TRY_AGAIN);
     }
 
@@ -207,16 +223,19 @@
         let mut rooms = Vec::new();
         for price in &scale.zones {
             let here = present.get(&price.zone).copied().unwrap_or_default();
-            let is_booting = self.is_booting(scale, &price.zone, now);
-            let expected =
-                if is_booting { reclaimable.max(here.reclaimable) } else { here.reclaimable };
+            let booting = self.booting(scale, &price.zone, now);
+            let ordered = self.about_to_boot(&price.zone, reclaimable);
+            let expected = booting.max(ordered).max(here.reclaimable);
             coming += expected;
             // The limits hold for both kinds together; what is not to be had
             // leaves its room to the other kind.
-            let room = scale.max.saturating_sub(expected.max(here.reclaimable));
-            rooms.push((price, room, here.on_demand));
+            rooms.push((price, scale.max.saturating_sub(expected), here.on_demand));
         }
-        let mut left = self.kept_on_demand(need.saturating_sub(coming), now);
+        let serving: u32 = present.values().map(|it| it.on_demand).sum();
+        let others: u32 = present.values().map(|it| it.reclaimable).sum();
+        // None is sent away before others serve in its place.
+        let unreplaced = need.saturating_sub(others).min(serving);
+        let mut left = self.kept_on_demand(need.saturating_sub(coming), now).max(unreplaced);
         if self.is_learning(now) {
             left = left.max(self.unreplaced(scale, present));
         }
@@ -270,11 +289,51 @@
         found.saturating_sub(reclaimable).min(on_demand)
     }
 
-    fn is_booting(&self, scale: &Scale, zone: &str, now: Instant) -> bool {
+    /// Zone whose on-demand endpoints make room for reclaimable ones now: where
+    /// the limits leave none, an order for those starts nothing. One zone at a
+    /// time, and only while the others carry the load.
+    fn zone_to_swap(
+        &self,
+        scale: &Scale,
+        present: &BTreeMap<String, Present>,
+        reclaimable: u32,
+        busy: f64,
+        now: Instant,
+    ) -> Option<String> {
+        let all: u32 = present.values().map(|it| it.on_demand + it.reclaimable).sum();
+        let lacks_room = |zone: &&String| {
+            let placed = self.placed.get(&((*zone).clone(), Kind::Reclaimable));
+            placed.is_some_and(|it| it.refused_until.is_none() && it.granted < reclaimable)
+        };
+        let is_spare = |zone: &&String| {
+            let here = present.get(*zone).copied().unwrap_or_default();
+            here.on_demand > 0 && f64::from(all - here.on_demand) >= busy
+        };
+        let is_quiet = scale.zones.iter().all(|it| {
+            let here = present.get(&it.zone).copied().unwrap_or_default();
+            self.booting(scale, &it.zone, now) <= here.reclaimable
+        });
+        let mut zones: Vec<_> = scale.zones.iter().collect();
+        zones.sort_by(|a, b| b.price.total_cmp(&a.price));
+        let zone = zones.into_iter().map(|it| &it.zone).filter(lacks_room).find(is_spare)?;
+        is_quiet.then(|| zone.clone())
+    }
+
+    /// Reclaimable endpoints of a zone that serve soon.
+    fn booting(&self, scale: &Scale, zone: &str, now: Instant) -> u32 {
         let boot = Duration::from_millis(scale.boot_ms) + OVERDUE;
-        self.placed
-            .get(&(zone.to_owned(), Kind::Reclaimable))
-            .is_some_and(|it| it.refused_until.is_none() && now < it.at + boot)
+        let placed = self.placed.get(&(zone.to_owned(), Kind::Reclaimable));
+        let is_booting = |it: &&Placed| it.refused_until.is_none() && now < it.at + boot;
+        placed.filter(is_booting).map_or(0, |it| it.granted)
+    }
+
+    /// Reclaimable endpoints that the present plan orders for a zone, as far as
+    /// nothing says that they are not to be had.
+    fn about_to_boot(&self, zone: &str, count: u32) -> u32 {
+        let granted = count.min(self.rooms.get(zone).copied().unwrap_or(0));
+        let placed = self.placed.get(&(zone.to_owned(), Kind::Reclaimable));
+        let is_new = placed.is_none_or(|it| it.refused_until.is_none() && granted > it.granted);
+        if is_new { granted } else { 0 }
     }
 
     fn is_to_be_placed(
@@ -295,11 +354,27 @@
         if placed.refused_until.is_some() || placed.count != count {
             return true;
         }
+        let room = match kind {
+            Kind::OnDemand => placed.granted,
+            Kind::Reclaimable => self.rooms.get(zone).copied().unwrap_or(placed.granted),
+        };
+        if count.min(room) > placed.granted {
+            return true;
+        }
         let boot = Duration::from_millis(scale.boot_ms) + OVERDUE;
         serving != count && now >= placed.at + boot
     }
 }
 
+/// Reclaimable endpoints for which the limits leave room beside those on demand.
+fn rooms(scale: &Scale, present: &BTreeMap<String, Present>) -> BTreeMap<String, u32> {
+    let room = |zone: &str| {
+        let here = present.get(zone).copied().unwrap_or_default();
+        scale.max.saturating_sub(here.on_demand)
+    };
+    scale.zones.iter().map(|it| (it.zone.clone(), room(&it.zone))).collect()
+}
+
 /// Reclaimable endpoints to order in each zone.
 fn reclaimable_a_zone(scale: &Scale, need: u32, inherited: u32) -> u32 {
     if scale.reclaimable_price.is_none() {
--- a/crates/duty/tests/order.rs
+++ b/crates/duty/tests/order.rs
@@ -117,6 +117,24 @@
     assert_eq!((cloud.present["a"].reclaimable, cloud.present["c"].reclaimable), (0, left));
 }
 
+/// On-demand endpoints went as soon as reclaimable ones were ordered in their
+/// place; the limits left these no room, and none came.
+#[test]
+fn on_demand_endpoints_at_the_limits_go_zone_by_zone() {
+    let waves = ["a", "b", "c", "d"].map(|zone| Wave { zone, at_s: 20.0, dry_s: 16.0 });
+    let mut cloud = Cloud::new();
+    let mut planner = Planner::default();
+    cloud.run(&mut planner, 34.0, 17.0, &waves);
+    let bridged = cloud.on_demand();
+    cloud.short_s = 0.0;
+
+    cloud.run(&mut planner, 40.0, 17.0, &waves);
+
+    assert_eq!(bridged, 23);
+    assert_eq!(cloud.short_s, 0.0);
+    assert_eq!((cloud.on_demand(), cloud.reclaimable()), (0, 24));
+}
+
 /// A large fleet that waited for its first callers shrank to a few endpoints.
 #[test]
 fn a_fleet_that_waits_for_its_first_callers_stays() {
@@ -194,7 +212,16 @@
         };
         *there = (*there).min(count);
         self.booting.retain(|(_, of, it)| of != zone || *it != kind);
-        let missing = count - *there;
+        // The limit holds for both kinds together; an order above it is taken
+        // and starts no more.
+        let others = self.booting.iter().filter(|(_, of, _)| of == zone).count() as u32;
+        let here = self.present[zone];
+        let room = scale().max.saturating_sub(here.on_demand + here.reclaimable + others);
+        let there = match kind {
+            Kind::OnDemand => here.on_demand,
+            Kind::Reclaimable => here.reclaimable,
+        };
+        let missing = (count - there).min(room);
         let booted = (0..missing).map(|_| (self.now + BOOT, zone.to_owned(), kind));
         self.booting.extend(booted);
     }
--- a/crates/front/src/broker/duties.rs
+++ b/crates/front/src/broker/duties.rs
@@ -25,8 +25,6 @@
 
 /// Part of the lease that must be left to begin a call.
 const AHEAD: Duration = Duration::from_millis(400);
-/// Time over which load is averaged for orders.
-const RATE_OVER: Duration = Duration::from_secs(3);
 
 /// Calls without an answer yet.
 #[derive(Debug, Default)]
@@ -39,15 +37,6 @@
     orders: usize,
 }
 
-/// How fast a total grows.
-#[derive(Clone, Copy, Debug)]
-pub struct Rate {
-    total: f64,
-    at: Instant,
-    /// Growth in a second, averaged.
-    per_s: f64,
-}
-
 impl Broker {
     pub(super) fn tend_duties(&mut self, now: Instant) {
         let boot = clock::since_boot();
@@ -183,7 +172,7 @@
         if leads {
             // What a former holder ordered is not known.
             self.planners.clear();
-            self.work_seen.clear();
+            self.demand.clear();
             self.work_heard.clear();
         }
         let fence = grant.map_or(0, |it| it.fence);
@@ -229,20 +218,8 @@
             let heard = self.work_heard.get(life).and_then(|it| it.get(service));
             totals.extend(heard.map(|it| (life.clone(), *it)));
         }
-        let mut per_s = 0.0;
-        for (life, total) in totals {
-            let key = format!("{life} {service}");
-            let rate = self.work_seen.entry(key).or_insert(Rate { total, at: now, per_s: 0.0 });
-            let passed = now.saturating_duration_since(rate.at).as_secs_f64();
-            if passed > 0.0 {
-                let seen = (total - rate.total).max(0.0) / passed;
-                let weight = (passed / RATE_OVER.as_secs_f64()).min(1.0);
-                rate.per_s += (seen - rate.per_s) * weight;
-                (rate.total, rate.at) = (total, now);
-            }
-            per_s += rate.per_s;
-        }
-        per_s / 1e3
+        let demand = self.demand.entry(service.to_owned()).or_default();
+        demand.update(&totals, now) / 1e3
     }
 
     fn present(&self, service: &str, now: Instant) -> BTreeMap<String, Present> {
--- a/crates/front/src/broker/mod.rs
+++ b/crates/front/src/broker/mod.rs
@@ -17,6 +17,7 @@
 use balance::pool::Pool;
 use balance::suspects::Suspects;
 use duty::clock::Clock;
+use duty::demand::Demand;
 use duty::lease::Lease;
 use duty::order::Planner;
 use duty::usage::Usage;
@@ -132,7 +133,8 @@
     work_heard: HashMap<String, HashMap<String, f64>>,
     /// Engine time of this daemon's requests since its start, by service.
     work_ms: HashMap<String, f64>,
-    work_seen: HashMap<String, duties::Rate>,
+    /// Load as the holder of the lease knows it, by service.
+    demand: HashMap<String, Demand>,
     /// When the last new endpoint showed, until the list of a starting daemon
     /// counts as complete.
     list_grew_at: Option<Instant>,
@@ -179,7 +181,7 @@
             holder_heard: None,
             work_heard: HashMap::new(),
             work_ms: HashMap::new(),
-            work_seen: HashMap::new(),
+            demand: HashMap::new(),
             list_grew_at: None,
             is_list_complete: false,
             read_at: None,
