Explain a request from the daemons' logs, and count dropped lines

Cause: whoever asked why a request failed had to find and order its lines by hand; lines dropped under load were not counted; `check` did not know the platform's settings, and a time of `inf` there ended the daemon with a panic.

--- /dev/null
+++ b/crates/explain/tests/story.rs
@@ -0,0 +1,86 @@
+//! Stories of requests from log lines.
+
+use arbtest::arbtest;
+use explain::record::Record;
+use explain::story::Story;
+
+#[test]
+fn a_broken_request_is_told_with_its_endpoint() {
+    let lines = [
+        line(1_000, "configuration in force", r#""version":4,"source":"store""#),
+        line(5_000, "placed", r#""request":"r1","endpoint":"e1","predicted_ms":15"#),
+        line(5_001, "placed", r#""request":"r2","endpoint":"e2""#),
+        line(5_008, "over", r#""request":"r1","endpoint":"e1","ended":"broken","status":502"#),
+        line(5_900, "endpoint", r#""endpoint":"e1","effect":"Left","source":"store""#),
+        line(5_950, "endpoint", r#""endpoint":"e2","effect":"Left","source":"store""#),
+    ];
+
+    let told = story("r1", &lines).unwrap().to_string();
+
+    let expected = [
+        "request r1, milliseconds since its first line",
+        "      +0 a placed endpoint=e1 predicted_ms=15",
+        "      +8 a over ended=broken endpoint=e1 status=502",
+        "meanwhile on the same daemons",
+        "    -4000 a configuration in force source=store version=4",
+        "    +900 a endpoint effect=Left endpoint=e1 source=store",
+        "cause on a: e1 broke off after the request was sent; it may have run, and is sent again \
+         only where that is safe",
+    ];
+    assert_eq!(told.lines().map(str::trim).collect::<Vec<_>>(), expected.map(str::trim));
+}
+
+#[test]
+fn the_cause_comes_from_the_last_line() {
+    let check = |event: &str, fields: &str, expected: &str| {
+        let lines = [line(1, event, &format!(r#""request":"r","endpoint":"e",{fields}"#))];
+
+        let told = story("r", &lines).unwrap().to_string();
+
+        let cause = told.lines().last().unwrap();
+        assert!(cause.contains(expected), "{cause}");
+    };
+
+    check("refused", r#""cause":"quota""#, "over its quota");
+    check("refused", r#""cause":"no_endpoint""#, "no endpoint of the service was usable");
+    check("refused", r#""cause":"newer""#, "does not know");
+    check("over", r#""ended":"timed_out""#, "time passed while e had it");
+    check("over", r#""ended":"served""#, "served by e");
+    check("began", r#""waited_ms":3"#, "no end in these logs");
+}
+
+#[test]
+fn a_collectors_prefix_names_the_daemon() {
+    let line = format!("  9.1250 front-2 {}", line(7, "began", r#""request":"r""#));
+
+    let record = Record::decode(&line, "file.log").unwrap();
+
+    assert_eq!((record.daemon.as_str(), record.at_ms), ("front-2", 7));
+}
+
+#[test]
+fn no_story_without_a_line_of_the_request() {
+    assert_eq!(story("r", &[line(1, "started", r#""life":"a#1""#)]), None);
+}
+
+#[test]
+fn any_line_is_decoded_or_passed_over() {
+    arbtest(|u| {
+        let text: String = u.arbitrary()?;
+
+        let _ = Record::decode(&text, "file");
+        let _ = Record::decode(&format!("{{{text}"), "file");
+        Ok(())
+    });
+}
+
+fn story(request: &str, lines: &[String]) -> Option<Story> {
+    let records: Vec<Record> = lines.iter().filter_map(|it| Record::decode(it, "a")).collect();
+    Story::gather(request, &records)
+}
+
+fn line(at_ms: i64, event: &str, fields: &str) -> String {
+    format!(
+        r#"{{"level":"info","timestamp":{at_ms},"payload":"{event}","kv":{{{fields}}},"tid":1}}"#
+    )
+}
--- a/crates/front/src/broker/mod.rs
+++ b/crates/front/src/broker/mod.rs
@@ -48,6 +48,8 @@
 use crate::metrics;
 use crate::peers::Streams;
 
+/// Time between lines that tell of dropped ones.
+const TELL_DROPPED_EVERY: Duration = Duration::from_secs(1);
 /// Time between looks at what is due.
 const TICK: Duration = Duration::from_millis(50);
 /// Time between summaries to the other daemons while all are told each time:
@@ -145,6 +147,8 @@
     others_read_at: Option<Instant>,
     /// Since when somebody reads the store without a gap.
     steady_since: Option<Instant>,
+    /// Dropped log lines that were told, and when.
+    dropped_told: (u64, Instant),
     /// Feeds whose last call failed.
     store_away: HashMap<&'static str, bool>,
 }
@@ -187,6 +191,7 @@
             read_at: None,
             others_read_at: None,
             steady_since: None,
+            dropped_told: (0, now),
             store_away: HashMap::new(),
             parts,
         })
@@ -282,6 +287,7 @@
         }
         self.tend_duties(now);
         self.watch_reads(now);
+        self.note_dropped_lines(now);
         let lapsed = self.pool.sweep(now);
         self.note_effects(lapsed, "lapse", now);
         self.parts.reads.send_if_modified(|it| {
@@ -291,6 +297,21 @@
         self.end_if_due(cx, now);
     }
 
+    /// Tells the reader of the logs, once it reads again, what it has missed.
+    fn note_dropped_lines(&mut self, now: Instant) {
+        let dropped = metrics::lines_dropped();
+        if dropped == self.dropped_told.0 || now < self.dropped_told.1 + TELL_DROPPED_EVERY {
+            return;
+        }
+        spdlog::warn!("log lines dropped", kv: { count = dropped - self.dropped_told.0 });
+        // The line itself may have been dropped; it is told again then.
+        if metrics::lines_dropped() == dropped {
+            self.dropped_told = (dropped, now);
+        } else {
+            self.dropped_told.1 = now;
+        }
+    }
+
     fn is_ready(&self) -> bool {
         self.stage == Stage::Running && self.table.config.version > 0 && self.pool.version > 0
     }
--- a/crates/front/src/broker/requests.rs
+++ b/crates/front/src/broker/requests.rs
@@ -214,9 +214,9 @@
                 spdlog::info!("over quota", kv: {
                     request = asked.id.as_str(),
                     workspace = workspace.name.as_str(),
-                    units = units,
-                    left = bucket.level(),
-                    rate = quota.rate,
+                    units = units.round() as i64,
+                    left = bucket.level().round() as i64,
+                    rate = quota.rate.round() as i64,
                     config = self.table.config.version,
                 });
                 Err(refused(&asked.id, Cause::Quota, 429, Some(wait)))
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -3,12 +3,12 @@
 
 pub mod broker;
 pub mod event;
+pub mod metrics;
 pub mod run;
 
 mod clock;
 mod cloud;
 mod feeds;
 mod lease;
-mod metrics;
 mod peers;
 mod probe;
--- a/crates/front/src/metrics.rs
+++ b/crates/front/src/metrics.rs
@@ -1,6 +1,8 @@
 //! Counters and histograms in the form of Prometheus.
 
 use std::sync::OnceLock;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use prometheus::HistogramOpts;
@@ -16,6 +18,8 @@
 
 static METRICS: OnceLock<Option<Metrics>> = OnceLock::new();
 
+static LINES_DROPPED: AtomicU64 = AtomicU64::new(0);
+
 struct Metrics {
     registry: Registry,
     counters: IntCounterVec,
@@ -51,6 +55,17 @@
     }
 }
 
+/// Counts a log line that was dropped as nobody read those before it.
+pub fn line_dropped() {
+    LINES_DROPPED.fetch_add(1, Ordering::Relaxed);
+    count("log_line", "dropped");
+}
+
+/// Log lines dropped since the start.
+pub fn lines_dropped() -> u64 {
+    LINES_DROPPED.load(Ordering::Relaxed)
+}
+
 /// Notes a time.
 pub fn time(what: &str, route: &str, time: Duration) {
     if let Some(metrics) = metrics() {
--- a/crates/lentilhook/src/command/check.rs
+++ b/crates/lentilhook/src/command/check.rs
@@ -10,7 +10,7 @@
 
 /// check settings and state charts without starting anything
 ///
-/// Prints every problem as FILE:LINE: FIELD: REMEDY.
+/// Prints problems with line and remedy.
 #[derive(FromArgs)]
 #[argh(
     subcommand,
@@ -20,17 +20,25 @@
 pub struct Check {
     /// settings file, JSON with comments
     #[argh(option)]
-    settings: PathBuf,
+    settings: Option<PathBuf>,
+    /// settings file of the platform, as for `lentilhook front`
+    #[argh(option)]
+    front: Option<PathBuf>,
 }
 
 /// Checks and prints what was checked.
 pub fn run(arguments: &Check) -> Result<(), Failure> {
-    let settings = Settings::read(&arguments.settings).map_err(Failure::usage)?;
-    daemon::check_charts().map_err(Failure::usage)?;
-    println!(
-        "{}: settings of {} and state charts are right",
-        arguments.settings.display(),
-        settings.daemon
-    );
+    if arguments.settings.is_none() && arguments.front.is_none() {
+        return Err(Failure::usage("nothing to check; give --settings FILE or --front FILE"));
+    }
+    if let Some(path) = &arguments.settings {
+        let settings = Settings::read(path).map_err(Failure::usage)?;
+        daemon::check_charts().map_err(Failure::usage)?;
+        println!("{}: settings of {} and state charts are right", path.display(), settings.daemon);
+    }
+    if let Some(path) = &arguments.front {
+        let settings = platform::settings::read(path.clone()).map_err(Failure::usage)?;
+        println!("{}: settings of {} are right", path.display(), settings.daemon);
+    }
     Ok(())
 }
--- a/crates/lentilhook/src/command/mod.rs
+++ b/crates/lentilhook/src/command/mod.rs
@@ -2,6 +2,7 @@
 
 mod admin;
 mod check;
+mod explain;
 mod failure;
 mod front;
 mod replay;
@@ -35,6 +36,7 @@
     Serve(Serve),
     Front(Front),
     Check(check::Check),
+    Explain(explain::Explain),
     Admin(admin::Admin),
     Replay(replay::Replay),
     Version(Version),
@@ -80,6 +82,7 @@
         Command::Serve(it) => serve::run(&it),
         Command::Front(it) => front::run(&it),
         Command::Check(it) => check::run(&it),
+        Command::Explain(it) => explain::run(&it),
         Command::Admin(it) => admin::run(&it),
         Command::Replay(it) => replay::run(&it),
         Command::Version(_) => {
--- a/crates/lentilhook/src/log.rs
+++ b/crates/lentilhook/src/log.rs
@@ -34,8 +34,9 @@
 }
 
 /// Sends JSON lines to standard output from a thread of its own. Lines beyond
-/// what the reader takes are dropped rather than waited for.
-pub fn init_bounded() -> Result<(), spdlog::Error> {
+/// what the reader takes are dropped rather than waited for; each is told to
+/// `on_drop`.
+pub fn init_bounded(on_drop: fn()) -> Result<(), spdlog::Error> {
     let stdout = StdStreamSink::builder()
         .std_stream(StdStream::Stdout)
         .formatter(JsonFormatter::new())
@@ -46,12 +47,21 @@
         .thread_pool(thread)
         .overflow_policy(OverflowPolicy::DropIncoming)
         .build_arc()?;
-    let logger = Logger::builder().sink(sink).build()?;
+    let tell = move |error| note(&error, on_drop);
+    let logger = Logger::builder().sink(sink).error_handler(tell).build()?;
     spdlog::set_default_logger(Arc::new(logger));
     set_level(LogLevel::Info);
     Ok(())
 }
 
+fn note(error: &spdlog::Error, on_drop: fn()) {
+    match error {
+        spdlog::Error::SendToChannel(..) => on_drop(),
+        // Nothing else is left to tell it: standard output may be the cause.
+        error => eprintln!("log line not written: {error}"),
+    }
+}
+
 /// Changes the least severe level that is written from now on.
 pub fn set_level(level: LogLevel) {
     let level = match level {
--- a/crates/lentilhook/tests/command_line/main.rs
+++ b/crates/lentilhook/tests/command_line/main.rs
@@ -113,6 +113,55 @@
     }
 }
 
+#[test]
+fn settings_of_the_platform_are_checked() {
+    let folder = TempDir::new().unwrap();
+    let right = "node=n\nzone=z\nlisten.front=127.0.0.1:1\nlisten.ready=127.0.0.1:2\n\
+                 port_range=3,5\nprovider.addr=127.0.0.1:6\n";
+    let check = |added: &str, code: i32, told: &str| {
+        let path = folder.path().join("settings");
+        fs::write(&path, format!("{right}{added}")).unwrap();
+
+        let output = run(&["check", "--front", &path.display().to_string()]);
+
+        let text = format!("{}{}", String::from_utf8_lossy(&output.stdout), stderr(&output));
+        assert_eq!(output.status.code(), Some(code), "{text}");
+        assert!(text.contains(told), "{told:?} is not in\n{text}");
+    };
+
+    check("", 0, "settings of n are right");
+    check("bounds.grace_s=soon\n", 2, "line 7: bounds.grace_s=soon is no number of seconds");
+    check("bounds.grace_s=inf\n", 2, "line 7: bounds.grace_s=inf is no number of seconds");
+    check("bounds.grace_s=-1\n", 2, "line 7: bounds.grace_s=-1 is no number of seconds");
+    check("cloud.addr=here\n", 2, "line 7: cloud.addr=here is no address");
+}
+
+#[test]
+fn a_request_is_explained_over_daemons() {
+    let folder = TempDir::new().unwrap();
+    let line = |at: u32, event: &str, fields: &str| {
+        format!(r#"{{"timestamp":{at},"payload":"{event}","kv":{{"request":"r1",{fields}}}}}"#)
+    };
+    let write = |name: &str, lines: &[String]| {
+        let path = folder.path().join(name);
+        fs::write(&path, lines.join("\n")).unwrap();
+        path.display().to_string()
+    };
+    let first = write("front-1.log", &[line(5, "refused", r#""cause":"no_endpoint""#)]);
+    let second =
+        write("front-2.log", &["not JSON".to_owned(), line(9, "placed", r#""endpoint":"e""#)]);
+
+    let told = run(&["explain", "r1", &second, &first]);
+    let unknown = run(&["explain", "r2", &first]);
+
+    let text = String::from_utf8_lossy(&told.stdout).into_owned();
+    let refused = text.find("front-1 refused").unwrap();
+    assert!(refused < text.find("front-2 placed").unwrap(), "{text}");
+    assert!(text.contains("cause on front-1: no endpoint"), "{text}");
+    assert_eq!(unknown.status.code(), Some(2));
+    assert!(stderr(&unknown).contains("none of 1 log lines names request r2"));
+}
+
 fn settings(callers: &str, operators: &str, secret: &str, limits: &str) -> String {
     format!(
         "{{ daemon: 'd', zone: 'z', listen: {{ callers: '{callers}', operators: '{operators}', \
