Forget the work of daemons that are not heard any more

Cause: what a killed daemon had told of its open requests counted for 30 s, as long as the daemon itself was remembered; its endpoints were avoided.

Change: such work counts for a second. The test fails with 30 s.

--- a/crates/balance/src/pool.rs
+++ b/crates/balance/src/pool.rs
@@ -22,6 +22,9 @@
 /// Time for which removals are remembered; above that in which a daemon that
 /// was cut off learns what it missed.
 const GONE_KEPT: Duration = Duration::from_secs(60);
+/// Time for which the work of a daemon counts that is not heard any more: most
+/// requests are over by then, and those of a daemon that was killed at once.
+const LOADS_KEPT: Duration = Duration::from_secs(1);
 /// Most cached parts remembered for an endpoint.
 const CACHED_PARTS: usize = 1_024;
 
@@ -100,6 +103,13 @@
     at: Instant,
 }
 
+/// Work that another daemon has told of.
+#[derive(Clone, Debug)]
+struct Told {
+    loads: HashMap<String, Load>,
+    at: Instant,
+}
+
 /// All endpoints.
 #[derive(Clone, Debug, Default)]
 pub struct Pool {
@@ -108,7 +118,7 @@
     /// heard of it may still hold them.
     gone: HashMap<String, Gone>,
     /// Work that other daemons have sent, by daemon and endpoint.
-    others: HashMap<String, HashMap<String, Load>>,
+    others: HashMap<String, Told>,
     /// Their sum by endpoint, so that a decision does not add up all daemons.
     others_sum: HashMap<String, Load>,
     /// Version of the store up to which the list is complete.
@@ -197,18 +207,19 @@
     }
 
     /// Sets what another daemon has sent.
-    pub fn hear_loads(&mut self, daemon: &str, loads: HashMap<String, Load>) {
+    pub fn hear_loads(&mut self, daemon: &str, loads: HashMap<String, Load>, now: Instant) {
         self.forget_daemon(daemon);
         for (id, load) in &loads {
             let sum = self.others_sum.entry(id.clone()).or_default();
             *sum = sum.plus(*load);
         }
-        self.others.insert(daemon.to_owned(), loads);
+        self.others.insert(daemon.to_owned(), Told { loads, at: now });
     }
 
     /// Forgets a daemon that has ended.
     pub fn forget_daemon(&mut self, daemon: &str) {
-        for (id, load) in self.others.remove(daemon).into_iter().flatten() {
+        let Some(told) = self.others.remove(daemon) else { return };
+        for (id, load) in told.loads {
             let Some(sum) = self.others_sum.get_mut(&id) else { continue };
             *sum = sum.minus(load);
             if *sum == Load::default() {
@@ -245,9 +256,16 @@
         }
     }
 
-    /// Forgets endpoints that have left and to which nothing is open; gives
-    /// those whose entries did not come back in time.
+    /// Forgets endpoints that have left and to which nothing is open, and work
+    /// of silent daemons; gives endpoints whose entries did not come back in
+    /// time.
     pub fn sweep(&mut self, now: Instant) -> Vec<(String, Effect)> {
+        let is_old = |it: &Told| now >= it.at + LOADS_KEPT;
+        let silent: Vec<String> =
+            self.others.iter().filter(|(_, it)| is_old(it)).map(|(name, _)| name.clone()).collect();
+        for daemon in &silent {
+            self.forget_daemon(daemon);
+        }
         let mut lapsed = Vec::new();
         for member in self.members.values_mut() {
             if member.lapses_at.is_some_and(|it| now >= it) {
--- a/crates/balance/tests/pool.rs
+++ b/crates/balance/tests/pool.rs
@@ -131,24 +131,41 @@
 
 #[test]
 fn the_load_of_an_endpoint_is_that_of_all_daemons() {
+    let now = Instant::now();
     let mut pool = pool(&[endpoint("a", 1)]);
     let load = |open| Load { open, unread: 10 * open, held: 100 * open };
     let loads = |open| HashMap::from([("a".to_owned(), load(open))]);
     let check = |pool: &Pool, open: u32| assert_eq!(pool.load("a"), load(open));
     pool.member_mut("a").unwrap().own = load(1);
 
-    pool.hear_loads("x", loads(2));
-    pool.hear_loads("y", loads(4));
+    pool.hear_loads("x", loads(2), now);
+    pool.hear_loads("y", loads(4), now);
     check(&pool, 7);
 
-    pool.hear_loads("x", loads(1));
+    pool.hear_loads("x", loads(1), now);
     check(&pool, 6);
 
-    pool.hear_loads("x", HashMap::new());
+    pool.hear_loads("x", HashMap::new(), now);
     pool.forget_daemon("y");
     check(&pool, 1);
 }
 
+/// Work of daemons that were killed kept requests away from its endpoints for
+/// half a minute.
+#[test]
+fn the_work_of_a_silent_daemon_is_forgotten() {
+    let now = Instant::now();
+    let mut pool = pool(&[endpoint("a", 1)]);
+    let load = Load { open: 3, unread: 9_000, held: 9_000 };
+    pool.hear_loads("x", HashMap::from([("a".to_owned(), load)]), now);
+
+    pool.sweep(now + Duration::from_millis(500));
+    assert_eq!(pool.load("a"), load);
+
+    pool.sweep(now + Duration::from_millis(1_500));
+    assert_eq!(pool.load("a"), Load::default());
+}
+
 fn gone(id: &str, version: u64) -> Change {
     Change::Gone { id: id.to_owned(), version }
 }
--- a/crates/front/src/broker/gossip.rs
+++ b/crates/front/src/broker/gossip.rs
@@ -163,7 +163,7 @@
         if let Some(holder) = digest.holder {
             self.hear_holder(holder.address, Duration::from_millis(holder.ago_ms), now);
         }
-        self.pool.hear_loads(&life, digest.loads.into_iter().collect());
+        self.pool.hear_loads(&life, digest.loads.into_iter().collect(), now);
         for (workspace, admitted) in &digest.admitted {
             if let Some(bucket) = self.buckets.get_mut(workspace) {
                 bucket.hear(&life, *admitted, now);
