Let a new holder hear the others before it reports a late window

The holder was cut off from the store at 17.5 s; the next one took the lease at 23.75 s and reported the open window 0.06 s later with its own counts, 11 of 4,155: the window was late, so it waited for nobody.

Ruled out: counts lost by daemons (the next windows are right).

Change: a new holder waits 2.5 s for what the others tell, and to 9 s after the window's end at most. The test fails without it.

--- a/crates/duty/src/usage.rs
+++ b/crates/duty/src/usage.rs
@@ -14,6 +14,11 @@
 /// Time after a window's end at which its report no longer waits for daemons
 /// that have not told their counts; the report is due 10 s after the end.
 const WAIT_MS: i64 = 5_500;
+/// Time in which the daemons learn of a new holder and tell it their counts:
+/// some rounds of gossip on the largest deployments.
+const LEARN_MS: i64 = 2_500;
+/// Time after a window's end at which a new holder reports what it has heard.
+const LATEST_MS: i64 = 9_000;
 /// Time after a window's end at which a report is given up.
 const GIVE_UP_MS: i64 = 30_000;
 
@@ -37,6 +42,8 @@
     others: HashMap<String, Heard>,
     /// First window after the newest that was reported.
     next: Option<u64>,
+    /// When this daemon became the one that reports.
+    since_ms: i64,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -53,9 +60,15 @@
             own: BTreeMap::new(),
             others: HashMap::new(),
             next: None,
+            since_ms: i64::MIN,
         }
     }
 
+    /// Notes that this daemon reports from now on.
+    pub fn begin(&mut self, now_ms: i64) {
+        self.since_ms = now_ms;
+    }
+
     /// The window of a time.
     pub fn window(&self, now_ms: i64) -> u64 {
         (now_ms / self.length_ms).max(0) as u64
@@ -108,7 +121,9 @@
         if window > newest {
             return None;
         }
-        let is_late = now_ms > (window as i64 + 1) * self.length_ms + WAIT_MS;
+        let end_ms = (window as i64 + 1) * self.length_ms;
+        let has_learnt = now_ms > self.since_ms.saturating_add(LEARN_MS);
+        let is_late = now_ms > end_ms + WAIT_MS && has_learnt || now_ms > end_ms + LATEST_MS;
         let told = |life: &String| self.others.get(life).is_some_and(|it| it.settled >= window);
         if !is_late && !live.iter().all(told) {
             return None;
--- a/crates/duty/tests/usage.rs
+++ b/crates/duty/tests/usage.rs
@@ -36,6 +36,21 @@
     assert_eq!(window, 2);
 }
 
+/// A new holder reported what it had counted itself, as the window was late
+/// when it took the lease; the others told it theirs a second later.
+#[test]
+fn a_new_holder_hears_the_others_before_it_reports_a_late_window() {
+    let mut leader = usage();
+    leader.count("acme", 10_100);
+    let live = vec!["other".to_owned()];
+    leader.begin(21_000);
+
+    assert_eq!(leader.due(&live, 21_100), None);
+    assert!(leader.due(&live, 23_600).is_some(), "others had the time to tell");
+    leader.begin(23_900);
+    assert!(leader.due(&live, 24_100).is_some(), "the report is due soon");
+}
+
 #[test]
 fn a_reported_window_is_not_due_again() {
     let mut leader = usage();
--- a/crates/front/src/broker/duties.rs
+++ b/crates/front/src/broker/duties.rs
@@ -170,6 +170,7 @@
         self.leads = leads;
         metrics::state("leads", i64::from(leads));
         if leads {
+            self.usage.begin(self.clock.now_ms(clock::since_boot()));
             // What a former holder ordered is not known.
             self.planners.clear();
             self.demand.clear();
