Give each session a home of its own, and tell usage to all at a stop

Homes: the endpoint that is home to a prompt followed from its first part, which may be that of every prompt of a route. It follows from the last shared part now, the session. The test of sessions with one first part fails on the former code (one home for 40).

A daemon that is stopping tells its counts to all that it talks to.

--- a/crates/balance/src/choose.rs
+++ b/crates/balance/src/choose.rs
@@ -79,7 +79,7 @@
     pool: &Pool,
     need: &Need<'_>,
     member: &Member,
-    home: Option<u64>,
+    home: Option<&str>,
     now: Instant,
 ) -> Choice {
     let endpoint = &member.endpoint;
@@ -93,7 +93,7 @@
             unread_ahead: 0,
         };
     };
-    let is_home = home == Some(rank(&endpoint.id, need.asked.parts.first().map_or(0, |it| it.id)));
+    let is_home = home.is_some_and(|it| it == endpoint.id);
     let unread = unread_tokens(need.asked, member, is_home, now);
     let size = need.asked.size;
     let held = size.map_or(0, |it| it.prompt.saturating_add(it.output));
@@ -122,10 +122,14 @@
     total.saturating_sub(cached)
 }
 
-/// Rank of the endpoint that is home to the first part of a prompt.
-fn home(usable: &[&Member], asked: &Asked) -> Option<u64> {
-    let part = asked.parts.first()?.id;
-    usable.iter().map(|it| rank(&it.endpoint.id, part)).max()
+/// Endpoint that is home to the last shared part of a prompt, and so to all
+/// before it. A first part may be that of every prompt of a route, more than one
+/// endpoint can serve.
+fn home<'a>(usable: &[&'a Member], asked: &Asked) -> Option<&'a str> {
+    let last_shared = asked.parts.len().checked_sub(2)?;
+    let part = asked.parts.get(last_shared)?.id;
+    let home = usable.iter().max_by_key(|it| rank(&it.endpoint.id, part))?;
+    Some(&home.endpoint.id)
 }
 
 /// Rendezvous hash of an endpoint for a part.
--- a/crates/balance/src/pool.rs
+++ b/crates/balance/src/pool.rs
@@ -22,9 +22,6 @@
 /// Time for which removals are remembered; above that in which a daemon that
 /// was cut off learns what it missed.
 const GONE_KEPT: Duration = Duration::from_secs(60);
-/// Time for which the work of a daemon counts that is not heard any more: most
-/// requests are over by then, and those of a daemon that was killed at once.
-const LOADS_KEPT: Duration = Duration::from_secs(1);
 /// Most cached parts remembered for an endpoint.
 const CACHED_PARTS: usize = 1_024;
 
@@ -257,10 +254,10 @@
     }
 
     /// Forgets endpoints that have left and to which nothing is open, and work
-    /// of silent daemons; gives endpoints whose entries did not come back in
-    /// time.
-    pub fn sweep(&mut self, now: Instant) -> Vec<(String, Effect)> {
-        let is_old = |it: &Told| now >= it.at + LOADS_KEPT;
+    /// of daemons that were not heard for `silence`; gives endpoints whose
+    /// entries did not come back in time.
+    pub fn sweep(&mut self, silence: Duration, now: Instant) -> Vec<(String, Effect)> {
+        let is_old = |it: &Told| now >= it.at + silence;
         let silent: Vec<String> =
             self.others.iter().filter(|(_, it)| is_old(it)).map(|(name, _)| name.clone()).collect();
         for daemon in &silent {
--- a/crates/balance/tests/choose.rs
+++ b/crates/balance/tests/choose.rs
@@ -40,6 +40,24 @@
     assert!(used.len() >= 6, "{used:?}");
 }
 
+/// The first part was that of every prompt of a route, and one endpoint was
+/// home to all of them.
+#[test]
+fn sessions_that_share_their_first_part_have_homes_of_their_own() {
+    let pool = pool(8);
+    let mut rng = SmallRng::seed_from_u64(3);
+    let homes: BTreeSet<String> = (0..40)
+        .filter_map(|session| {
+            let mut asked = dossier(session, 1);
+            asked.parts.insert(0, Part { id: 9_999, tokens: 800 });
+            choose(&pool, &need(&asked, &[]), Instant::now(), &mut rng)
+        })
+        .map(|it| it.id)
+        .collect();
+
+    assert!(homes.len() >= 6, "{homes:?}");
+}
+
 #[test]
 fn prompts_go_elsewhere_when_those_ahead_cost_more_than_reading_again() {
     let mut pool = pool(4);
--- a/crates/balance/tests/pool.rs
+++ b/crates/balance/tests/pool.rs
@@ -11,6 +11,8 @@
 use balance::pool::LAPSE_GRACE;
 use balance::pool::Pool;
 
+const SILENCE: Duration = Duration::from_secs(1);
+
 #[test]
 fn an_endpoint_that_is_leaving_stays_so_for_its_life() {
     let now = Instant::now();
@@ -60,7 +62,7 @@
     pool.apply(vec![gone("b", 2)], 2, true, now);
     pool.apply(vec![Change::Is(at(endpoint("b", 1), 3))], 3, true, now);
 
-    let effects = pool.sweep(now + LAPSE_GRACE);
+    let effects = pool.sweep(SILENCE, now + LAPSE_GRACE);
 
     assert_eq!(effects, [("a".to_owned(), Effect::Left)]);
     assert!(is_usable(&pool, "b", now + LAPSE_GRACE));
@@ -159,10 +161,10 @@
     let load = Load { open: 3, unread: 9_000, held: 9_000 };
     pool.hear_loads("x", HashMap::from([("a".to_owned(), load)]), now);
 
-    pool.sweep(now + Duration::from_millis(500));
+    pool.sweep(SILENCE, now + Duration::from_millis(500));
     assert_eq!(pool.load("a"), load);
 
-    pool.sweep(now + Duration::from_millis(1_500));
+    pool.sweep(SILENCE, now + Duration::from_millis(1_500));
     assert_eq!(pool.load("a"), Load::default());
 }
 
--- a/crates/front/src/broker/gossip.rs
+++ b/crates/front/src/broker/gossip.rs
@@ -70,11 +70,12 @@
         let mut digest = self.digest(now);
         let account = self.account();
         if let Some(holder) = holder.filter(|it| *it != own) {
-            let told = Digest { account: Some(account), ..digest.clone() };
+            let told = Digest { account: Some(account.clone()), ..digest.clone() };
             let message = Message::Digest { digest: told, others: others.clone() };
             self.parts.streams.send(holder, &message);
         }
-        digest.account = None;
+        // Who takes the lease after the holder can't ask a daemon that has ended.
+        digest.account = (self.stage != Stage::Running).then_some(account);
         let message = Message::Digest { digest, others };
         for address in addresses {
             self.parts.streams.send(address, &message);
--- a/crates/front/src/broker/mod.rs
+++ b/crates/front/src/broker/mod.rs
@@ -288,7 +288,7 @@
         self.tend_duties(now);
         self.watch_reads(now);
         self.note_dropped_lines(now);
-        let lapsed = self.pool.sweep(now);
+        let lapsed = self.pool.sweep(self.peers.silence(), now);
         self.note_effects(lapsed, "lapse", now);
         self.parts.reads.send_if_modified(|it| {
             let reads = self.is_reader(now);
