Count runs that fail, and tell accounts to all on small deployments

Change: a run counts when its answer begins, fails or breaks off; where all daemons are told each time, the account is told to all twice a second.

Conclusion: what is left are windows in which all daemons are killed or lose power before they have told anybody; a row in the store would keep them, at about the price of the report.

--- a/crates/front/src/broker/gossip.rs
+++ b/crates/front/src/broker/gossip.rs
@@ -27,6 +27,9 @@
 /// Time for which a holder of the lease that is not heard any more is told
 /// things.
 const HOLDER_KEPT: Duration = Duration::from_secs(3);
+/// Time between tellings of the account to all, where all are told each time: a
+/// daemon that is killed takes no more counts along.
+const ACCOUNT_EVERY: Duration = Duration::from_millis(500);
 /// Daemons that read the store for all.
 const READERS: usize = 2;
 /// Age of what others read after which the next daemon in rank reads too, where
@@ -75,7 +78,13 @@
             self.parts.streams.send(holder, &message);
         }
         // Who takes the lease after the holder can't ask a daemon that has ended.
-        digest.account = (self.stage != Stage::Running).then_some(account);
+        let is_all_told =
+            self.peers.count() <= FANOUT && now >= self.account_told_at + ACCOUNT_EVERY;
+        let tells_account = is_all_told || self.stage != Stage::Running;
+        if tells_account {
+            self.account_told_at = now;
+        }
+        digest.account = tells_account.then_some(account);
         let message = Message::Digest { digest, others };
         for address in addresses {
             self.parts.streams.send(address, &message);
--- a/crates/front/src/broker/mod.rs
+++ b/crates/front/src/broker/mod.rs
@@ -117,6 +117,8 @@
     peers: Peers,
     sequence: u64,
     gossiped_at: Instant,
+    /// When the account was last told to all.
+    account_told_at: Instant,
     /// Whether something changed that others are to hear with the next tick.
     has_news: bool,
     /// When each peer was last asked for what it knows better.
@@ -173,6 +175,7 @@
             peers: Peers::default(),
             sequence: 0,
             gossiped_at: now,
+            account_told_at: now,
             has_news: false,
             pulled_at: None,
             clock: Clock::new(clock::wall_ms(), boot),
--- a/crates/front/src/broker/requests.rs
+++ b/crates/front/src/broker/requests.rs
@@ -272,9 +272,8 @@
             return;
         }
         open.has_begun = true;
-        if let Some(workspace) = &open.workspace {
-            self.usage.count(workspace, self.clock.now_ms(crate::clock::since_boot()));
-        }
+        self.count_run(ticket);
+        let Some(open) = self.requests.get_mut(&ticket) else { return };
         let waited = now.saturating_duration_since(open.sent);
         metrics::time("first_byte", &open.route, now.saturating_duration_since(open.arrived));
         let read = Load { open: 0, unread: open.load.unread, held: 0 };
@@ -293,6 +292,14 @@
         });
     }
 
+    /// Counts a run for the report of usage.
+    fn count_run(&mut self, ticket: u64) {
+        let workspace = self.requests.get(&ticket).and_then(|it| it.workspace.as_ref());
+        if let Some(workspace) = workspace {
+            self.usage.count(workspace, self.clock.now_ms(crate::clock::since_boot()));
+        }
+    }
+
     fn over(&mut self, ticket: u64, ended: Ended, status: u16, now: Instant) {
         self.leave_endpoint(ticket, ended, now);
         let Some(open) = self.requests.remove(&ticket) else { return };
@@ -347,6 +354,12 @@
         if let Some(member) = self.pool.member_mut(&endpoint) {
             member.own = member.own.minus(load);
         }
+        // An endpoint's error of its own is a run like any other, and what broke off
+        // was most likely being run.
+        if matches!(ended, Ended::Failed | Ended::Broken) && !open.has_begun {
+            self.count_run(ticket);
+        }
+        let Some(open) = self.requests.get(&ticket) else { return };
         let outcome = match ended {
             Ended::Served => Some(Outcome::Good),
             Ended::Failed | Ended::Broken => Some(Outcome::Bad),
