--- a/crates/harness/tests/operating/documented.rs
+++ b/crates/harness/tests/operating/documented.rs
@@ -25,7 +25,7 @@
     let folder = cluster.folder.path();
     fs::write(folder.join("operator.token"), OPERATOR_TOKEN).unwrap();
     fs::write(folder.join("office.token"), WORKSPACE_TOKEN).unwrap();
-    let page = fs::read_to_string(root().join("docs/OPERATING.md")).unwrap();
+    let page = fs::read_to_string(root().join("docs/OPERATIONS.md")).unwrap();
     let commands: Vec<&str> =
         page.lines().filter_map(|it| it.strip_prefix("lentilhook admin ")).collect();
 
--- a/crates/harness/tests/operating/main.rs
+++ b/crates/harness/tests/operating/main.rs
@@ -66,13 +66,13 @@
         let names = text.lines().filter_map(|it| it.strip_prefix("# HELP "));
         told.extend(names.filter_map(|it| it.split(' ').next()).map(str::to_owned));
     }
-    let page = fs::read_to_string(root().join("docs/OPERATING.md")).unwrap();
+    let page = fs::read_to_string(root().join("docs/OPERATIONS.md")).unwrap();
     let rows = page.lines().filter_map(|it| it.strip_prefix("| `lentilhook_"));
     let table: BTreeSet<String> =
         rows.filter_map(|it| it.split('`').next()).map(|it| format!("lentilhook_{it}")).collect();
 
     let unlisted: Vec<_> = told.difference(&table).collect();
-    assert!(unlisted.is_empty(), "not in docs/OPERATING.md: {unlisted:?}");
+    assert!(unlisted.is_empty(), "not in docs/OPERATIONS.md: {unlisted:?}");
     let faults = ["refusals", "retries", "recomputed_tokens", "attempt_failures", "call_failures"];
     let quiet = |it: &&&String| !faults.iter().any(|fault| it.contains(fault));
     let stale: Vec<_> = table.difference(&told).filter(|it| quiet(&it)).collect();
