--- a/crates/ledger/tests/interleavings/main.rs
+++ b/crates/ledger/tests/interleavings/main.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use arbtest::arbtest;
-use world::Tally;
 use world::World;
+use world::checks::Tally;
 
 /// Seeds tried on every run; `LEDGER_SEEDS` sets another number.
 const SEEDS: u64 = 200;
--- /dev/null
+++ b/crates/ledger/tests/interleavings/world/mod.rs
@@ -0,0 +1,255 @@
+//! Daemons, their table and an endpoint that ignores fencing numbers.
+
+mod calls;
+pub mod checks;
+mod platform;
+
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use arbtest::arbitrary::Result;
+use arbtest::arbitrary::Unstructured;
+use ledger::lifecycle::Chart;
+use ledger::message::Action;
+use ledger::message::Input;
+use ledger::message::Moment;
+use ledger::message::Ticket;
+use ledger::message::Verdict;
+use ledger::record::Answer;
+use ledger::record::Body;
+use ledger::record::Claim;
+use ledger::record::Holder;
+use ledger::record::Identity;
+use ledger::record::ShardId;
+use ledger::record::Step;
+use ledger::shard::Shard;
+use store::memory::Memory;
+
+/// Keys in use at a time.
+const KEYS: usize = 4;
+/// Calls after which other keys come into use.
+const KEY_CALLS: usize = 24;
+/// Batch rows that are replaced by a snapshot.
+const COMPACT_ROWS: u64 = 5;
+/// Time after which the dispatcher turns a call away.
+const RECORD_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Daemons that hold the same shard by turns, and what became of calls.
+pub struct World {
+    start: Instant,
+    now: Instant,
+    memory: Memory,
+    daemons: Vec<Daemon>,
+    flights: Vec<Flight>,
+    calls: Vec<Call>,
+    executed: HashMap<Identity, Vec<Ticket>>,
+    snapshots_loaded: usize,
+    seed: u64,
+}
+
+struct Daemon {
+    holder: Holder,
+    shard: Shard,
+    paused: bool,
+    released: bool,
+    inbox: Vec<Input>,
+}
+
+/// A platform call on its way there or back.
+struct Flight {
+    daemon: usize,
+    incarnation: u64,
+    action: Action,
+    answer: Option<Input>,
+}
+
+struct Call {
+    ticket: Ticket,
+    identity: Identity,
+    daemon: usize,
+    incarnation: u64,
+    asked: Instant,
+    stage: Stage,
+    told: Option<Verdict>,
+    left: bool,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stage {
+    Waiting,
+    TurnedAway,
+    Granted,
+    Sent,
+    Ended { not_run: bool },
+}
+
+impl World {
+    /// So many daemons and an empty table.
+    pub fn new(daemons: usize, seed: u64) -> World {
+        let daemons = (0..daemons).map(|number| Daemon::new(number, 1)).collect();
+        let start = Instant::now();
+        World {
+            start,
+            now: start,
+            memory: Memory::default(),
+            daemons,
+            flights: Vec::new(),
+            calls: Vec::new(),
+            executed: HashMap::new(),
+            snapshots_loaded: 0,
+            seed,
+        }
+    }
+
+    /// Does one thing that may happen.
+    pub fn step(&mut self, u: &mut Unstructured<'_>) -> Result<()> {
+        let daemon = u.choose_index(self.daemons.len())?;
+        match u.int_in_range(0..=99u8)? {
+            0..=14 => self.advance(*u.choose(&[1, 20, 300, 2_000, 7_000])?),
+            15..=29 => {
+                let key = u.choose_index(KEYS)? + self.calls.len() / KEY_CALLS;
+                self.ask(daemon, key_identity(key));
+            }
+            30..=44 => self.platform_step(u)?,
+            45..=69 => self.answer_step(u)?,
+            70..=79 => self.input(daemon, Input::Tick),
+            80..=91 => self.call_step(u)?,
+            92..=93 => self.daemons[daemon].paused = true,
+            94..=96 => self.resume(daemon),
+            97 => self.restart(daemon),
+            98 => {
+                self.daemons[daemon].released = true;
+                self.input(daemon, Input::Release);
+            }
+            _ => self.turn_away(),
+        }
+        Ok(())
+    }
+
+    /// Ends all faults.
+    pub fn heal(&mut self) {
+        for daemon in 0..self.daemons.len() {
+            self.resume(daemon);
+            if self.daemons[daemon].released {
+                self.restart(daemon);
+            }
+        }
+        self.settle();
+    }
+
+    fn ask(&mut self, daemon: usize, identity: Identity) -> Ticket {
+        let ticket = Ticket(self.calls.len() as u64);
+        self.calls.push(Call {
+            ticket,
+            identity: identity.clone(),
+            daemon,
+            incarnation: self.daemons[daemon].holder.incarnation,
+            asked: self.now,
+            stage: Stage::Waiting,
+            told: None,
+            left: false,
+        });
+        self.input(daemon, Input::Begin(ticket, Claim { identity, request: 1 }));
+        ticket
+    }
+
+    fn input(&mut self, daemon: usize, input: Input) {
+        let is_snapshot = matches!(input, Input::SnapshotRead(Ok(Some(_))));
+        self.snapshots_loaded += usize::from(is_snapshot);
+        let it = &mut self.daemons[daemon];
+        if it.paused {
+            it.inbox.push(input);
+            return;
+        }
+        let incarnation = it.holder.incarnation;
+        let now =
+            Moment { instant: self.now, wall_s: self.now.duration_since(self.start).as_secs() };
+        for action in it.shard.handle(now, input) {
+            match action {
+                Action::Tell(ticket, verdict) => self.told(ticket, verdict),
+                Action::Wake(_) => {}
+                Action::Report(error) => panic!("{error}, seed {:#x}", self.seed),
+                action => {
+                    self.flights.push(Flight { daemon, incarnation, action, answer: None });
+                }
+            }
+        }
+    }
+
+    fn told(&mut self, ticket: Ticket, verdict: Verdict) {
+        let seed = self.seed;
+        let call = &self.calls[ticket.0 as usize];
+        assert!(call.told.is_none(), "{ticket:?} told again: {verdict:?}, seed {seed:#x}");
+        if let Verdict::Granted { .. } = verdict {
+            let open = self.calls.iter().filter(|it| it.identity == call.identity && it.left);
+            let open: Vec<Ticket> = open.map(|it| it.ticket).collect();
+            assert!(open.is_empty(), "{ticket:?} granted beside {open:?}, seed {seed:#x}");
+        }
+        if let Verdict::Done(_) = verdict {
+            let ran = self.executed.contains_key(&call.identity);
+            assert!(ran, "{ticket:?} told of an answer that nobody gave, seed {seed:#x}");
+        }
+        let granted = matches!(verdict, Verdict::Granted { .. });
+        let (daemon, identity) = (call.daemon, call.identity.clone());
+        let call = &mut self.calls[ticket.0 as usize];
+        call.told = Some(verdict);
+        match (call.stage, granted) {
+            (Stage::Waiting, true) => {
+                call.stage = Stage::Granted;
+                call.left = true;
+            }
+            (Stage::Waiting, false) => call.stage = Stage::Ended { not_run: false },
+            (Stage::TurnedAway, true) => {
+                call.stage = Stage::Ended { not_run: true };
+                self.input(daemon, Input::End(identity, Step::NotRun));
+            }
+            _ => {}
+        }
+    }
+
+    fn advance(&mut self, milliseconds: u64) {
+        self.now += Duration::from_millis(milliseconds);
+    }
+
+    fn resume(&mut self, daemon: usize) {
+        self.daemons[daemon].paused = false;
+        for input in std::mem::take(&mut self.daemons[daemon].inbox) {
+            self.input(daemon, input);
+        }
+    }
+
+    /// The process dies. What it had sent may still arrive.
+    fn restart(&mut self, daemon: usize) {
+        let incarnation = self.daemons[daemon].holder.incarnation + 1;
+        self.daemons[daemon] = Daemon::new(daemon, incarnation);
+    }
+}
+
+impl Daemon {
+    fn new(number: usize, incarnation: u64) -> Daemon {
+        let holder = Holder {
+            daemon: format!("entry-{number}"),
+            incarnation,
+            address: format!("127.0.0.{number}:1"),
+        };
+        let seed = (number as u64) << 40 | incarnation << 20;
+        let shard =
+            Shard::new(ShardId(0), holder.clone(), seed, chart()).compacting_after(COMPACT_ROWS);
+        Daemon { holder, shard, paused: false, released: false, inbox: Vec::new() }
+    }
+}
+
+fn chart() -> Rc<Chart> {
+    let text = include_str!("../../../../lentilhook/charts/lease.json");
+    Rc::new(Chart::parse("charts/lease.json", text).unwrap())
+}
+
+fn key_identity(key: usize) -> Identity {
+    Identity::of(&format!("key {key}"))
+}
+
+fn answer(ticket: Ticket) -> Answer {
+    Answer { status: 200, media_type: String::new(), body: Body::Text(format!("{ticket:?}")) }
+}
