Take a starting daemon's list for complete by the deployment's heartbeat

The time was a constant that fits heartbeats of 1.2 s. With slower ones the first plan would again send endpoints away whose entries had not shown. The settings state the heartbeat; decoded with the other times, tested there.

--- a/crates/duty/src/order.rs
+++ b/crates/duty/src/order.rs
@@ -26,9 +26,10 @@
 /// Time after the first plan in which further endpoints may show that were there
 /// before; some of their heartbeats.
 const ENTRIES_SETTLE: Duration = Duration::from_secs(4);
-/// Time without a new endpoint after which a starting daemon takes the list for
-/// complete: a heartbeat. A plan on fewer would send the rest away.
-pub const LIST_SETTLES: Duration = Duration::from_millis(1_300);
+/// Heartbeats without a new endpoint after which a starting daemon takes the list
+/// for complete, with a tenth for their way. A plan on fewer endpoints would send
+/// the rest away.
+pub const LIST_SETTLES_BEATS: f64 = 1.1;
 /// Time after the first load in which a new holder of the lease learns it:
 /// twice the time over which it is averaged.
 const LOAD_SETTLES: Duration = AVERAGED_OVER.saturating_mul(2);
--- a/crates/front/src/broker/duties.rs
+++ b/crates/front/src/broker/duties.rs
@@ -6,7 +6,7 @@
 
 use duty::lease::Grant;
 use duty::lease::Written;
-use duty::order::LIST_SETTLES;
+use duty::order::LIST_SETTLES_BEATS;
 use duty::order::Order;
 use duty::order::Present;
 use duty::usage::Counts;
@@ -193,7 +193,8 @@
     }
 
     fn tend_orders(&mut self, grant: Grant, now: Instant) {
-        self.is_list_complete |= self.list_grew_at.is_some_and(|it| now >= it + LIST_SETTLES);
+        let settles = self.parts.settings.heartbeat.mul_f64(LIST_SETTLES_BEATS);
+        self.is_list_complete |= self.list_grew_at.is_some_and(|it| now >= it + settles);
         if self.duties.orders > 0 || !self.is_list_complete {
             return;
         }
