Keep a found fleet on demand too where nothing is reclaimable

Cause, found by reading: what was found counted as needed for reclaimable orders only. A service without reclaimable endpoints shrank to its least before its first callers came. The test fails on the former code with orders for 0, 0 and 1 endpoint in zones that had three.

--- a/crates/duty/src/order.rs
+++ b/crates/duty/src/order.rs
@@ -121,8 +121,12 @@
         if busy > 0.0 {
             self.first_load.get_or_insert(now);
         }
-        let need = self.need(busy / UTILISATION, scale, now);
         let inherited = self.inherited(scale, present, now);
+        let mut need = self.need(busy / UTILISATION, scale, now);
+        if scale.reclaimable_price.is_none() {
+            // Nothing cheaper takes the place of what was found.
+            need = need.max(inherited * scale.zones.len() as u32);
+        }
         let reclaimable = reclaimable_a_zone(scale, need, inherited);
         self.rooms = rooms(scale, present);
         let mut on_demand = self.on_demand(scale, present, need, reclaimable, now);
--- a/crates/duty/tests/order.rs
+++ b/crates/duty/tests/order.rs
@@ -5,6 +5,7 @@
 use std::time::Instant;
 
 use duty::order::Kind;
+use duty::order::Order;
 use duty::order::Planner;
 use duty::order::Present;
 use route::config::Scale;
@@ -148,6 +149,24 @@
     assert_eq!(cloud.on_demand(), 0, "reclaimable ones took their place");
 }
 
+/// Where nothing is reclaimable, a fleet shrank to the least before its first
+/// callers came.
+#[test]
+fn a_fleet_on_demand_only_stays_until_its_load_is_known() {
+    let only_on_demand = Scale { reclaimable_price: None, ..scale() };
+    let present: BTreeMap<String, Present> = Cloud::new().present;
+    let start = Instant::now();
+    let mut planner = Planner::default();
+    let least = |orders: &[Order]| orders.iter().map(|it| it.count).min().unwrap_or(3);
+
+    let idle = planner.plan(&only_on_demand, &present, 0.0, start);
+    let soon = planner.plan(&only_on_demand, &present, 2.0, start + Duration::from_secs(20));
+    let later = planner.plan(&only_on_demand, &present, 2.0, start + Duration::from_secs(60));
+
+    assert_eq!((least(&idle), least(&soon)), (3, 3), "{idle:?} {soon:?}");
+    assert!(least(&later) < 3, "{later:?}");
+}
+
 #[test]
 fn endpoints_on_demand_stay_until_reclaimable_ones_serve_in_their_place() {
     let mut cloud = Cloud::new();
