Log which request and fingerprint a suspected crash belongs to

What callers saw: a request that crashes endpoints was sent on and on. The logs named a fingerprint at a recorded crash but no request, and a refusal without a fingerprint; a broken attempt that was never confirmed left no line.

Lines that become known after the end of a request no longer hide its cause in `explain` (the test failed before).

--- a/crates/balance/src/suspects.rs
+++ b/crates/balance/src/suspects.rs
@@ -56,9 +56,14 @@
 
     /// Whether the request must be rejected.
     pub fn is_rejected(&self, fingerprint: u128, now: Instant) -> bool {
-        self.by_fingerprint.get(&fingerprint).is_some_and(|it| {
-            now - it.last < RETENTION && it.by_daemon.values().sum::<u32>() >= CRASH_LIMIT
-        })
+        self.count(fingerprint, now) >= CRASH_LIMIT
+    }
+
+    /// Returns the number of recent crashes that all daemons observed.
+    pub fn count(&self, fingerprint: u128, now: Instant) -> u32 {
+        let crashes = self.by_fingerprint.get(&fingerprint);
+        let recent = crashes.filter(|it| now - it.last < RETENTION);
+        recent.map_or(0, |it| it.by_daemon.values().sum())
     }
 
     /// Returns the recent crash counts that `daemon` observed, by fingerprint.
--- a/crates/explain/src/cause.rs
+++ b/crates/explain/src/cause.rs
@@ -1,7 +1,12 @@
-//! Derives the cause of a request's outcome from its last log line.
+//! Derives the cause of a request's outcome from the log line of its last decision.
 
 use crate::record::Record;
 
+/// Whether a line records a decision on a request, rather than what became known later.
+pub fn is_decision(record: &Record) -> bool {
+    matches!(record.event.as_str(), "refused" | "over" | "placed" | "placed again" | "began")
+}
+
 /// Describes the cause of a request's outcome, with hints on what to check next.
 pub fn describe(last: &Record) -> String {
     match last.event.as_str() {
--- a/crates/explain/src/timeline.rs
+++ b/crates/explain/src/timeline.rs
@@ -48,9 +48,7 @@
 /// Whether a line is about something that the request depended on.
 fn is_relevant(record: &Record, endpoints: &BTreeSet<&str>) -> bool {
     match record.event.as_str() {
-        "endpoint" | "endpoint crashed under request" => {
-            record.text("endpoint").is_some_and(|it| endpoints.contains(it))
-        }
+        "endpoint" => record.text("endpoint").is_some_and(|it| endpoints.contains(it)),
         "configuration in force"
         | "store lost"
         | "store regained"
@@ -72,7 +70,9 @@
         }
         let daemons: BTreeSet<&str> = self.own.iter().map(|it| it.daemon.as_str()).collect();
         for daemon in daemons {
-            if let Some(last) = self.own.iter().rfind(|it| it.daemon == daemon) {
+            let mut own = self.own.iter().filter(|it| it.daemon == daemon);
+            let last = own.clone().rfind(|it| cause::is_decision(it)).or(own.next_back());
+            if let Some(last) = last {
                 writeln!(f, "cause on {daemon}: {}", cause::describe(last))?;
             }
         }
--- a/crates/explain/tests/timeline.rs
+++ b/crates/explain/tests/timeline.rs
@@ -49,6 +49,19 @@
     check("began", r#""waited_ms":3"#, "these logs do not contain the end of the request");
 }
 
+#[test]
+fn a_crash_that_becomes_known_later_does_not_hide_the_cause() {
+    let lines = [
+        line(1, "over", r#""request":"r","endpoint":"e","ended":"broken""#),
+        line(900, "endpoint crashed under request", r#""request":"r","endpoint":"e""#),
+    ];
+
+    let text = timeline("r", &lines).unwrap().to_string();
+
+    assert!(text.contains("+899 a endpoint crashed under request"), "{text}");
+    assert!(text.contains("cause on a: the connection to e broke"), "{text}");
+}
+
 #[test]
 fn a_log_collector_prefix_names_the_daemon() {
     let line = format!("  9.1250 front-2 {}", line(7, "began", r#""request":"r""#));
--- a/crates/front/src/broker/gossip.rs
+++ b/crates/front/src/broker/gossip.rs
@@ -19,6 +19,7 @@
 use super::GOSSIP_INTERVAL;
 use super::LARGE_FLEET_GOSSIP_INTERVAL;
 use super::Stage;
+use super::requests::hex;
 use crate::clock;
 use crate::metrics;
 
@@ -188,7 +189,17 @@
             self.remote_work_ms.insert(id.clone(), report.work_ms.into_iter().collect());
         }
         for (fingerprint, count) in digest.crashes {
+            let before = self.suspects.count(fingerprint, now);
             self.suspects.merge_remote(&id, fingerprint, count, now);
+            let crashes = self.suspects.count(fingerprint, now);
+            if crashes > before {
+                metrics::count("crash", "heard");
+                spdlog::info!("crashes heard", kv: {
+                    fingerprint = hex(fingerprint),
+                    daemon = id.as_str(),
+                    crashes = crashes,
+                });
+            }
         }
         let effects = digest
             .leaving
--- a/crates/front/src/broker/mod.rs
+++ b/crates/front/src/broker/mod.rs
@@ -292,6 +292,7 @@
         if self.has_urgent_changes || now >= self.gossiped_at + self.gossip_interval() {
             self.gossip(now);
         }
+        self.discard_old_interruptions(now);
         self.run_leader_tasks(now);
         self.track_reads(now);
         self.report_dropped_lines(now);
--- a/crates/front/src/broker/requests.rs
+++ b/crates/front/src/broker/requests.rs
@@ -100,6 +100,7 @@
 /// An attempt that broke off.
 #[derive(Debug)]
 pub struct Interruption {
+    request: String,
     endpoint: String,
     fingerprint: u128,
     broken_at: Instant,
@@ -158,17 +159,35 @@
 
     /// Records a crash for each recent attempt that broke off at the endpoint.
     pub(super) fn confirm_crash(&mut self, endpoint: &str, now: Instant) {
-        self.broken_attempts.retain(|it| now < it.broken_at + CRASH_DETECTION_TIME);
+        self.discard_old_interruptions(now);
         let instance_id = &self.context.instance_id;
         for attempt in self.broken_attempts.iter().filter(|it| it.endpoint == endpoint) {
             self.suspects.record_crash(instance_id, attempt.fingerprint, now);
-            let fingerprint = format!("{:032x}", attempt.fingerprint);
-            spdlog::warn!("endpoint crashed under request",
-                kv: { endpoint = endpoint, fingerprint = fingerprint.as_str() });
+            metrics::count("crash", "recorded");
+            spdlog::warn!("endpoint crashed under request", kv: {
+                request = attempt.request.as_str(),
+                endpoint = endpoint,
+                fingerprint = hex(attempt.fingerprint),
+                crashes = self.suspects.count(attempt.fingerprint, now),
+            });
         }
         self.broken_attempts.retain(|it| it.endpoint != endpoint);
     }
 
+    /// Discards broken attempts whose endpoint did not crash as far as this daemon knows.
+    pub(super) fn discard_old_interruptions(&mut self, now: Instant) {
+        let is_old = |it: &Interruption| now >= it.broken_at + CRASH_DETECTION_TIME;
+        for attempt in self.broken_attempts.iter().filter(|it| is_old(it)) {
+            metrics::count("crash", "not_confirmed");
+            spdlog::info!("crash not confirmed", kv: {
+                request = attempt.request.as_str(),
+                endpoint = attempt.endpoint.as_str(),
+                fingerprint = hex(attempt.fingerprint),
+            });
+        }
+        self.broken_attempts.retain(|it| !is_old(it));
+    }
+
     fn admit(&mut self, arrival: Arrival, now: Instant) -> Result<(Plan, Target), Refusal> {
         let Arrival { host, path, attributes, fingerprint } = arrival;
         let id = attributes.id.clone();
@@ -182,6 +201,11 @@
             Err(Rejection::UnknownKey) => return Err(refuse(&id, Cause::UnknownKey, 401, None)),
         };
         if self.suspects.is_rejected(fingerprint, now) {
+            spdlog::info!("request crashes endpoints", kv: {
+                request = id,
+                fingerprint = hex(fingerprint),
+                crashes = self.suspects.count(fingerprint, now),
+            });
             return Err(refuse(&id, Cause::Suspect, 503, Some(SUSPECT_DELAY)));
         }
         let units = self.charge_quota(&found, &attributes, now)?;
@@ -392,7 +416,15 @@
         };
         if outcome == Outcome::Broken {
             let fingerprint = pending.fingerprint;
+            metrics::count("crash", "suspected");
+            spdlog::info!("attempt broke", kv: {
+                request = pending.attributes.id.as_str(),
+                endpoint = endpoint.as_str(),
+                fingerprint = hex(fingerprint),
+                crashes = self.suspects.count(fingerprint, now),
+            });
             self.broken_attempts.push_back(Interruption {
+                request: pending.attributes.id.clone(),
                 endpoint: endpoint.clone(),
                 fingerprint,
                 broken_at: now,
@@ -464,3 +496,8 @@
     });
     Refusal { status, retry_after }
 }
+
+/// Formats a fingerprint for logs.
+pub(super) fn hex(fingerprint: u128) -> String {
+    format!("{fingerprint:032x}")
+}
