Count interrupted attempts by endpoint instance from the start

What callers saw: a request under which three endpoints had ended was sent on.

Cause: a crash counted only once the daemon whose attempt broke saw the same endpoint id join again, or failed to connect to it, within 6 s. Confirmation by the entry alone would come after 3 to 4 s, later than the next crashes.

Each interrupted attempt now counts from the start, once per endpoint instance, as evidence that only moves one way: interrupted, responded since, replaced, request served. Daemons merge it in any order. A first interruption goes to the seven daemons that count the request (all in small fleets), further ones to all. A response of the instance or a success of the request withdraws it, so that requests that a crash interrupted are not rejected; the limit is three instances instead of two attempts. Silent endpoints count once they leave without notice. A rejection ends after 120 s and doubles with each further crash.

--- a/crates/balance/src/endpoint.rs
+++ b/crates/balance/src/endpoint.rs
@@ -4,6 +4,7 @@
 
 use bincode::Decode;
 use bincode::Encode;
+use xxhash_rust::xxh3::xxh3_64;
 
 /// The description that an endpoint publishes of itself.
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
@@ -31,6 +32,18 @@
     pub started_at_ms: u64,
 }
 
+/// Identifies an instance of an endpoint: the time from a start to the next.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Encode, Decode)]
+pub struct Instance(pub u64);
+
+impl Endpoint {
+    /// Returns the identity of this instance of the endpoint.
+    pub fn instance(&self) -> Instance {
+        let identity = format!("{} {} {}", self.id, self.started_at_ms, self.address);
+        Instance(xxh3_64(identity.as_bytes()))
+    }
+}
+
 /// The list of endpoints as one daemon knows it.
 #[derive(Clone, Debug, Default, PartialEq, Encode, Decode)]
 pub struct Roster {
--- a/crates/front/src/broker/gossip.rs
+++ b/crates/front/src/broker/gossip.rs
@@ -1,9 +1,11 @@
 //! Gossip with the other daemons.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
 
+use balance::suspects;
 use membership::digest::Digest;
 use membership::digest::FANOUT;
 use membership::digest::Holder;
@@ -42,6 +44,8 @@
 /// Maximum gap between store reads by any daemon. After a longer gap, entries may
 /// have expired unnoticed. Equals the minimum duration of three heartbeats.
 const MAX_READ_GAP: Duration = Duration::from_secs(3);
+/// Maximum number of requests that crash endpoints in a digest.
+const MAX_SUSPECTS_PER_DIGEST: usize = 64;
 /// Additional age per rank, so that daemons become readers one after the other.
 const READ_AGE_PER_RANK: Duration = Duration::from_millis(40);
 
@@ -52,6 +56,7 @@
         self.gossiped_at = now;
         self.has_urgent_changes = false;
         metrics::count("gossip", "round");
+        self.suspects.remove_expired(now);
         for id in self.peers.remove_expired(now) {
             self.pool.remove_remote_loads(&id);
         }
@@ -92,6 +97,37 @@
         for address in addresses {
             self.context.streams.send(address, &message);
         }
+        self.report_interruptions(now);
+    }
+
+    /// Reports requests that were interrupted here for the first time to the daemons that
+    /// count the interruptions of each.
+    fn report_interruptions(&mut self, now: Instant) {
+        if self.peers.live(now).next().is_none() {
+            return;
+        }
+        let mut by_address: HashMap<SocketAddr, Vec<suspects::Report>> = HashMap::new();
+        for report in self.suspects.take_unreported(now) {
+            for address in self.peers.counting_addresses(report.fingerprint, now) {
+                by_address.entry(address).or_default().push(report.clone());
+            }
+        }
+        for (address, reports) in by_address {
+            self.context.streams.send(address, &Message::Interruptions(reports));
+        }
+    }
+
+    fn merge_suspects(&mut self, reports: &[suspects::Report], now: Instant) {
+        for report in reports {
+            if !self.suspects.merge_remote(report, now) {
+                continue;
+            }
+            metrics::count("crash", "heard");
+            spdlog::info!("crashes heard", kv: {
+                fingerprint = hex(report.fingerprint),
+                crashes = self.suspects.count(report.fingerprint),
+            });
+        }
     }
 
     /// Returns the interval between gossip rounds.
@@ -131,6 +167,7 @@
                     self.context.streams.send(to, &push);
                 }
             }
+            Message::Interruptions(reports) => self.merge_suspects(&reports, now),
             Message::Push { config, roster } => {
                 if let Some(config) = config {
                     self.set_config(config, "peer", now);
@@ -188,19 +225,7 @@
             self.usage.merge_remote(&id, &report.windows, report.settled);
             self.remote_work_ms.insert(id.clone(), report.work_ms.into_iter().collect());
         }
-        for (fingerprint, count) in digest.crashes {
-            let before = self.suspects.count(fingerprint, now);
-            self.suspects.merge_remote(&id, fingerprint, count, now);
-            let crashes = self.suspects.count(fingerprint, now);
-            if crashes > before {
-                metrics::count("crash", "heard");
-                spdlog::info!("crashes heard", kv: {
-                    fingerprint = hex(fingerprint),
-                    daemon = id.as_str(),
-                    crashes = crashes,
-                });
-            }
-        }
+        self.merge_suspects(&digest.suspects, now);
         let effects = digest
             .leaving
             .into_iter()
@@ -265,7 +290,7 @@
             loads: loaded.map(|it| (it.endpoint.id.clone(), it.own_load)).collect(),
             admitted: self.buckets.iter().map(|(name, it)| (name.clone(), it.admitted())).collect(),
             usage_report: None,
-            crashes: self.suspects.observed_by(&self.context.instance_id, now),
+            suspects: self.suspects.take_spreading(MAX_SUSPECTS_PER_DIGEST, now),
             leaving: leaving
                 .map(|it| (it.endpoint.id.clone(), it.endpoint.started_at_ms))
                 .collect(),
--- a/crates/front/src/broker/mod.rs
+++ b/crates/front/src/broker/mod.rs
@@ -108,8 +108,9 @@
     table: Rc<Table>,
     pool: Pool,
     suspects: Suspects,
-    /// Attempts that broke off, until it is known whether the endpoint crashed.
-    broken_attempts: VecDeque<requests::Interruption>,
+    /// Attempts without a complete response, until it is known whether the endpoint
+    /// crashed.
+    interruptions: VecDeque<requests::Interruption>,
     buckets: HashMap<String, Bucket>,
     budgets: HashMap<String, Budget>,
     requests: HashMap<u64, Pending>,
@@ -167,7 +168,7 @@
             table: Rc::default(),
             pool: Pool::default(),
             suspects: Suspects::default(),
-            broken_attempts: VecDeque::new(),
+            interruptions: VecDeque::new(),
             buckets: HashMap::new(),
             budgets: HashMap::new(),
             requests: HashMap::new(),
@@ -289,10 +290,10 @@
         after!(TICK, [cx], tick());
         let now = cx.now();
         self.context.ready.send_replace(self.is_ready());
-        if self.has_urgent_changes || now >= self.gossiped_at + self.gossip_interval() {
+        let is_urgent = self.has_urgent_changes || self.suspects.has_urgent_changes();
+        if is_urgent || now >= self.gossiped_at + self.gossip_interval() {
             self.gossip(now);
         }
-        self.discard_old_interruptions(now);
         self.run_leader_tasks(now);
         self.track_reads(now);
         self.report_dropped_lines(now);
@@ -393,8 +394,9 @@
         }
         for (id, effect) in effects {
             match effect {
-                Effect::Joined => self.confirm_crash(&id, now),
-                Effect::Left | Effect::Unchanged => {}
+                Effect::Joined => self.handle_joined(&id, now),
+                Effect::Left => self.handle_left(&id, now),
+                Effect::Unchanged => {}
             }
             spdlog::info!("endpoint", kv: {
                 endpoint = id,
--- a/crates/front/src/broker/requests.rs
+++ b/crates/front/src/broker/requests.rs
@@ -1,5 +1,6 @@
 //! Lifecycle of requests: admission, placement, retries and completion.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
@@ -7,8 +8,10 @@
 use balance::choose;
 use balance::choose::Choice;
 use balance::choose::Query;
+use balance::endpoint::Instance;
 use balance::health;
 use balance::load::Load;
+use balance::suspects::Evidence;
 use quota::retry;
 use quota::retry::Budget;
 use relay::admission::Arrival;
@@ -32,8 +35,10 @@
 const DECLINED_DELAY: Duration = Duration::from_millis(300);
 /// Retry delay for a request that crashes endpoints.
 const SUSPECT_DELAY: Duration = Duration::from_secs(30);
-/// Maximum time from a broken attempt until a crash of the endpoint becomes known.
-const CRASH_DETECTION_TIME: Duration = Duration::from_secs(6);
+/// Maximum time from an interrupted attempt until the end of the endpoint becomes known.
+const CRASH_DETECTION_TIME: Duration = Duration::from_secs(10);
+/// Maximum number of interrupted attempts that wait for signs of a crash.
+const MAX_INTERRUPTIONS: usize = 4_096;
 /// Share of an engine's step time that one output token of a request takes, with
 /// batches of sixteen.
 const STEP_SHARE: f64 = 1.0 / 16.0;
@@ -52,8 +57,10 @@
     attempts_left: u32,
     /// Ids of the endpoints that the request was sent to.
     tried: Vec<String>,
-    /// Id of the current endpoint.
+    /// Id, address and instance of the current endpoint.
     endpoint: String,
+    address: SocketAddr,
+    instance: Instance,
     load: Load,
     /// Prompt tokens that the endpoint computes before the request's first token: those
     /// already queued and those of this request.
@@ -86,6 +93,8 @@
             attempts_left: found.route.attempts,
             tried: Vec::new(),
             endpoint: String::new(),
+            address: SocketAddr::from(([0, 0, 0, 0], 0)),
+            instance: Instance(0),
             load: Load::default(),
             prefill_tokens: 0,
             predicted: Duration::ZERO,
@@ -97,13 +106,15 @@
     }
 }
 
-/// An attempt that broke off.
+/// An attempt that ended without a complete response.
 #[derive(Debug)]
 pub struct Interruption {
     request: String,
-    endpoint: String,
     fingerprint: u128,
-    broken_at: Instant,
+    endpoint: String,
+    address: SocketAddr,
+    instance: Instance,
+    at: Instant,
 }
 
 /// Cause of a refusal, for logs and metrics.
@@ -157,35 +168,120 @@
         }
     }
 
-    /// Records a crash for each recent attempt that broke off at the endpoint.
-    pub(super) fn confirm_crash(&mut self, endpoint: &str, now: Instant) {
-        self.discard_old_interruptions(now);
-        let instance_id = &self.context.instance_id;
-        for attempt in self.broken_attempts.iter().filter(|it| it.endpoint == endpoint) {
-            self.suspects.record_crash(instance_id, attempt.fingerprint, now);
+    /// Records crashes of instances that an endpoint has replaced: former instances of
+    /// its own, and other endpoints at its address.
+    pub(super) fn handle_joined(&mut self, id: &str, now: Instant) {
+        let Some(member) = self.pool.member(id) else { return };
+        let (instance, address) = (member.endpoint.instance(), member.endpoint.address);
+        let is_replaced = |it: &Interruption| {
+            it.instance != instance && (it.endpoint == id || it.address == address)
+        };
+        self.record_crashes(is_replaced, Evidence::Replaced, now);
+    }
+
+    /// Handles the end of an endpoint's use. Without an announcement, the endpoint may have
+    /// crashed under the requests that it left unanswered.
+    pub(super) fn handle_left(&mut self, id: &str, now: Instant) {
+        if self.pool.member(id).is_some_and(|it| it.leaving) {
+            self.interruptions.retain(|it| it.endpoint != id);
+        } else {
+            self.record_crashes(|it| it.endpoint == id, Evidence::Interrupted, now);
+        }
+    }
+
+    fn record_crashes(
+        &mut self,
+        is_crash: impl Fn(&Interruption) -> bool,
+        evidence: Evidence,
+        now: Instant,
+    ) {
+        self.interruptions.retain(|it| now < it.at + CRASH_DETECTION_TIME);
+        for it in self.interruptions.iter().filter(|it| is_crash(it)) {
+            if !self.suspects.record(it.fingerprint, it.instance, evidence, now) {
+                continue;
+            }
             metrics::count("crash", "recorded");
             spdlog::warn!("endpoint crashed under request", kv: {
-                request = attempt.request.as_str(),
-                endpoint = endpoint,
-                fingerprint = hex(attempt.fingerprint),
-                crashes = self.suspects.count(attempt.fingerprint, now),
+                request = it.request.as_str(),
+                endpoint = it.endpoint.as_str(),
+                fingerprint = hex(it.fingerprint),
+                evidence:? = evidence,
+                crashes = self.suspects.count(it.fingerprint),
             });
         }
-        self.broken_attempts.retain(|it| it.endpoint != endpoint);
+        if evidence == Evidence::Replaced {
+            self.interruptions.retain(|it| !is_crash(it));
+        }
     }
 
-    /// Discards broken attempts whose endpoint did not crash as far as this daemon knows.
-    pub(super) fn discard_old_interruptions(&mut self, now: Instant) {
-        let is_old = |it: &Interruption| now >= it.broken_at + CRASH_DETECTION_TIME;
-        for attempt in self.broken_attempts.iter().filter(|it| is_old(it)) {
-            metrics::count("crash", "not_confirmed");
-            spdlog::info!("crash not confirmed", kv: {
-                request = attempt.request.as_str(),
-                endpoint = attempt.endpoint.as_str(),
-                fingerprint = hex(attempt.fingerprint),
-            });
+    /// Records what the end of an attempt says about its request and its endpoint.
+    fn record_evidence(&mut self, ticket: u64, outcome: Outcome, now: Instant) {
+        let Some(pending) = self.requests.get(&ticket) else { return };
+        let (fingerprint, instance) = (pending.fingerprint, pending.instance);
+        let id = pending.attributes.id.as_str();
+        match outcome {
+            Outcome::Served | Outcome::Failed | Outcome::Declined => {
+                let is_cleared =
+                    outcome == Outcome::Served && self.suspects.record_service(fingerprint);
+                if is_cleared {
+                    metrics::count("crash", "cleared");
+                    spdlog::info!("suspected request served",
+                        kv: { request = id, fingerprint = hex(fingerprint) });
+                }
+                let (endpoint, sent_at) = (pending.endpoint.clone(), pending.sent_at);
+                self.record_response(&endpoint, instance, sent_at);
+            }
+            Outcome::Broken | Outcome::TimedOut | Outcome::Abandoned => {
+                self.record_interruption(ticket, outcome, now);
+            }
+            Outcome::Unreachable => {
+                let endpoint = pending.endpoint.clone();
+                self.record_crashes(|it| it.endpoint == endpoint, Evidence::Interrupted, now);
+            }
+            Outcome::Misdirected => {}
+        }
+    }
+
+    fn record_interruption(&mut self, ticket: u64, outcome: Outcome, now: Instant) {
+        let Some(pending) = self.requests.get(&ticket) else { return };
+        // An endpoint that announced its end also breaks off requests that it can't finish.
+        let is_leaving = self.pool.member(&pending.endpoint).is_some_and(|it| it.leaving);
+        // A caller or a timeout may end an attempt whose endpoint is slow or has crashed.
+        let is_unanswered = outcome == Outcome::Broken || !pending.has_started;
+        if is_leaving || !is_unanswered {
+            return;
+        }
+        if self.interruptions.len() >= MAX_INTERRUPTIONS {
+            self.interruptions.pop_front();
+        }
+        self.interruptions.push_back(Interruption {
+            request: pending.attributes.id.clone(),
+            fingerprint: pending.fingerprint,
+            endpoint: pending.endpoint.clone(),
+            address: pending.address,
+            instance: pending.instance,
+            at: now,
+        });
+        if outcome != Outcome::Broken {
+            return;
+        }
+        self.suspects.record(pending.fingerprint, pending.instance, Evidence::Interrupted, now);
+        metrics::count("crash", "suspected");
+        spdlog::info!("attempt broke", kv: {
+            request = pending.attributes.id.as_str(),
+            endpoint = pending.endpoint.as_str(),
+            fingerprint = hex(pending.fingerprint),
+            crashes = self.suspects.count(pending.fingerprint),
+        });
+    }
+
+    /// Records that an endpoint responded to a request sent at `sent_at`.
+    fn record_response(&mut self, endpoint: &str, instance: Instance, sent_at: Instant) {
+        for fingerprint in self.suspects.record_response(instance, sent_at) {
+            metrics::count("crash", "refuted");
+            spdlog::info!("endpoint responded after broken attempt",
+                kv: { endpoint = endpoint, fingerprint = hex(fingerprint) });
         }
-        self.broken_attempts.retain(|it| !is_old(it));
     }
 
     fn admit(&mut self, arrival: Arrival, now: Instant) -> Result<(Plan, Target), Refusal> {
@@ -204,7 +300,7 @@
             spdlog::info!("request crashes endpoints", kv: {
                 request = id,
                 fingerprint = hex(fingerprint),
-                crashes = self.suspects.count(fingerprint, now),
+                crashes = self.suspects.count(fingerprint),
             });
             return Err(refuse(&id, Cause::Suspect, 503, Some(SUSPECT_DELAY)));
         }
@@ -313,6 +409,9 @@
             return;
         }
         pending.has_started = true;
+        let (endpoint, instance, sent_at) =
+            (pending.endpoint.clone(), pending.instance, pending.sent_at);
+        self.record_response(&endpoint, instance, sent_at);
         self.count_run(ticket);
         let Some(pending) = self.requests.get_mut(&ticket) else { return };
         let waited = now.saturating_duration_since(pending.sent_at);
@@ -380,6 +479,8 @@
         *self.work_ms.entry(pending.service.clone()).or_default() += work_ms;
         pending.tried.push(choice.id.clone());
         pending.endpoint = choice.id;
+        pending.address = member.endpoint.address;
+        pending.instance = member.endpoint.instance();
         pending.load = choice.load;
         pending.prefill_tokens = choice.total_prefill_tokens;
         pending.predicted = choice.predicted;
@@ -414,28 +515,10 @@
             Outcome::TimedOut => (!pending.has_started).then_some(health::Outcome::Failure),
             Outcome::Abandoned => None,
         };
-        if outcome == Outcome::Broken {
-            let fingerprint = pending.fingerprint;
-            metrics::count("crash", "suspected");
-            spdlog::info!("attempt broke", kv: {
-                request = pending.attributes.id.as_str(),
-                endpoint = endpoint.as_str(),
-                fingerprint = hex(fingerprint),
-                crashes = self.suspects.count(fingerprint, now),
-            });
-            self.broken_attempts.push_back(Interruption {
-                request: pending.attributes.id.clone(),
-                endpoint: endpoint.clone(),
-                fingerprint,
-                broken_at: now,
-            });
-        }
         if let Some(outcome) = health_outcome {
             self.pool.record_outcome(&endpoint, outcome, now);
         }
-        if outcome == Outcome::Unreachable {
-            self.confirm_crash(&endpoint, now);
-        }
+        self.record_evidence(ticket, outcome, now);
     }
 
     fn choose(
--- a/crates/membership/src/digest.rs
+++ b/crates/membership/src/digest.rs
@@ -7,10 +7,12 @@
 
 use balance::endpoint::Roster;
 use balance::load::Load;
+use balance::suspects;
 use bincode::Decode;
 use bincode::Encode;
 use duty::usage::Window;
 use route::config::Config;
+use xxhash_rust::xxh3::xxh3_64;
 
 /// Liveness timeout while each round of gossip reaches all daemons: several gossip
 /// periods.
@@ -51,8 +53,8 @@
     pub admitted: Vec<(String, f64)>,
     /// Usage report for the lease holder.
     pub usage_report: Option<Report>,
-    /// Endpoint crashes that it observed, by fingerprint of the request.
-    pub crashes: Vec<(u128, u32)>,
+    /// Changes of requests that may crash endpoints.
+    pub suspects: Vec<suspects::Report>,
     /// Endpoint instances that it knows to be leaving.
     pub leaving: Vec<(String, u64)>,
 }
@@ -97,6 +99,8 @@
         /// Version of the sender's endpoint list.
         roster_version: u64,
     },
+    /// Interruptions of requests whose interruptions the receiver counts.
+    Interruptions(Vec<suspects::Report>),
     /// Response to a pull.
     Push {
         /// Configuration, if newer.
@@ -188,6 +192,17 @@
         addresses
     }
 
+    /// Returns the addresses of the live daemons that count the interruptions of a
+    /// request: all of them in a small fleet.
+    pub fn counting_addresses(&self, fingerprint: u128, now: Instant) -> Vec<SocketAddr> {
+        let rank =
+            |instance_id: &str| xxh3_64(format!("{fingerprint:032x} {instance_id}").as_bytes());
+        let mut ranked: Vec<(u64, SocketAddr)> =
+            self.live(now).map(|(id, it)| (rank(id), it.address)).collect();
+        ranked.sort_unstable();
+        ranked.into_iter().take(FANOUT).map(|(_, address)| address).collect()
+    }
+
     /// Removes daemons that have not sent a digest for a long time. Returns their
     /// instances.
     pub fn remove_expired(&mut self, now: Instant) -> Vec<String> {
