Reject a request that crashes endpoints at its retries too

What callers saw: one request with ten attempts crashed ten endpoints. The check was made at admission only, so retries and resumed streams of a request that had reached the limit went on.

--- a/crates/front/src/broker/requests.rs
+++ b/crates/front/src/broker/requests.rs
@@ -296,12 +296,7 @@
             Err(Rejection::NoRoute) => return Err(refuse(&id, Cause::NoRoute, 404, None)),
             Err(Rejection::UnknownKey) => return Err(refuse(&id, Cause::UnknownKey, 401, None)),
         };
-        if self.suspects.is_rejected(fingerprint, now) {
-            spdlog::info!("request crashes endpoints", kv: {
-                request = id,
-                fingerprint = hex(fingerprint),
-                crashes = self.suspects.count(fingerprint),
-            });
+        if self.is_suspect(&id, fingerprint, now) {
             return Err(refuse(&id, Cause::Suspect, 503, Some(SUSPECT_DELAY)));
         }
         let units = self.charge_quota(&found, &attributes, now)?;
@@ -329,6 +324,19 @@
         Ok((plan, target))
     }
 
+    /// Whether the request must not reach a further endpoint, since it crashed some before.
+    fn is_suspect(&self, id: &str, fingerprint: u128, now: Instant) -> bool {
+        if !self.suspects.is_rejected(fingerprint, now) {
+            return false;
+        }
+        spdlog::info!("request crashes endpoints", kv: {
+            request = id,
+            fingerprint = hex(fingerprint),
+            crashes = self.suspects.count(fingerprint),
+        });
+        true
+    }
+
     /// Charges a request to its workspace's quota and returns the units charged.
     fn charge_quota(
         &mut self,
@@ -365,18 +373,22 @@
         if outcome != Outcome::Unreachable {
             pending.attempts_left = pending.attempts_left.saturating_sub(1);
         }
-        let may_have_run = pending.may_have_run;
+        let (may_have_run, attempts_left) = (pending.may_have_run, pending.attempts_left);
         let id = pending.attributes.id.clone();
         let status = if may_have_run { 502 } else { 503 };
         let delay_if_not_run = |delay: Duration| (!may_have_run).then_some(delay);
         if may_have_run && !pending.is_idempotent {
             return Err(refuse(&id, Cause::Attempts, 502, None));
         }
-        if pending.attempts_left == 0 {
-            return Err(refuse(&id, Cause::Attempts, status, delay_if_not_run(DECLINED_DELAY)));
-        }
         let (service, attributes, tried) =
             (pending.service.clone(), pending.attributes.clone(), pending.tried.clone());
+        let fingerprint = pending.fingerprint;
+        if self.is_suspect(&id, fingerprint, now) {
+            return Err(refuse(&id, Cause::Suspect, status, delay_if_not_run(SUSPECT_DELAY)));
+        }
+        if attempts_left == 0 {
+            return Err(refuse(&id, Cause::Attempts, status, delay_if_not_run(DECLINED_DELAY)));
+        }
         let daemons = self.peers.live(now).count() + 1;
         // An attempt that never reached its endpoint doesn't count as a retry.
         if outcome != Outcome::Unreachable && !self.budget(&service).take_retry(daemons, now) {
