--- a/crates/front/src/broker/gossip.rs
+++ b/crates/front/src/broker/gossip.rs
@@ -21,7 +21,7 @@
 use super::GOSSIP_INTERVAL;
 use super::LARGE_FLEET_GOSSIP_INTERVAL;
 use super::Stage;
-use super::requests::hex;
+use super::crashes::hex;
 use crate::clock;
 use crate::metrics;
 
--- a/crates/front/src/broker/mod.rs
+++ b/crates/front/src/broker/mod.rs
@@ -1,5 +1,6 @@
 //! The broker actor, which owns the daemon's state and makes all decisions.
 
+mod crashes;
 mod gossip;
 mod leader;
 mod requests;
@@ -110,7 +111,7 @@
     suspects: Suspects,
     /// Attempts without a complete response, until it is known whether the endpoint
     /// crashed.
-    interruptions: VecDeque<requests::Interruption>,
+    interruptions: VecDeque<crashes::Interruption>,
     buckets: HashMap<String, Bucket>,
     budgets: HashMap<String, Budget>,
     requests: HashMap<u64, Pending>,
