Tell a daemon that starts of requests that crashed endpoints

What callers saw: after a daemon was killed, removed or replaced, a request that had been rejected crashed further endpoints through daemons started later.

Cause: daemons gossip changes only, and what an ended daemon had observed was sent by nobody else.

--- a/crates/balance/src/suspects.rs
+++ b/crates/balance/src/suspects.rs
@@ -216,6 +216,22 @@
         fingerprints.into_iter().filter_map(|it| self.report(it, now)).collect()
     }
 
+    /// Gossips the requests that all daemons should know again, since a daemon was
+    /// heard that may not know them. At most `limit`, those with the most crashes
+    /// first.
+    pub fn spread_again(&mut self, limit: usize) {
+        let is_known_to_all = |it: &(&u128, &Suspect)| it.1.count() >= SPREAD_THRESHOLD;
+        let mut known: Vec<(usize, u128)> = self
+            .by_fingerprint
+            .iter()
+            .filter(is_known_to_all)
+            .map(|(fingerprint, it)| (it.count(), *fingerprint))
+            .collect();
+        known.sort_unstable_by(|a, b| b.cmp(a));
+        known.truncate(limit);
+        known.into_iter().for_each(|(_, it)| self.enqueue(it));
+    }
+
     /// Whether a change waits to be gossiped that brings a request close to the limit.
     pub fn has_urgent_changes(&self) -> bool {
         self.spreading.iter().any(|(_, rounds)| *rounds == SPREAD_ROUNDS)
--- a/crates/balance/tests/suspects.rs
+++ b/crates/balance/tests/suspects.rs
@@ -115,6 +115,24 @@
     assert!(suspects.take_unreported(now).is_empty());
 }
 
+#[test]
+fn requests_with_the_most_crashes_are_told_to_new_daemons_first() {
+    let now = Instant::now();
+    let mut suspects = interrupted(now, CRASH_LIMIT);
+    for other in [1, 2] {
+        suspects.record(other, Instance(1), Evidence::Interrupted, now);
+        suspects.record(other, Instance(2), Evidence::Interrupted, now);
+    }
+    suspects.record(3, Instance(1), Evidence::Interrupted, now);
+    while !suspects.take_spreading(MANY, now).is_empty() {}
+
+    suspects.spread_again(2);
+
+    let told: Vec<u128> =
+        suspects.take_spreading(MANY, now).iter().map(|it| it.fingerprint).collect();
+    assert_eq!(told, [REQUEST, 2]);
+}
+
 #[test]
 fn daemons_that_exchange_reports_in_any_order_agree() {
     for seed in 0..SEEDS {
--- a/crates/front/src/broker/gossip.rs
+++ b/crates/front/src/broker/gossip.rs
@@ -201,6 +201,7 @@
         if !was_live {
             let address = digest.address.to_string();
             spdlog::info!("daemon heard", kv: { daemon = id.as_str(), address = address });
+            self.suspects.spread_again(MAX_SUSPECTS_PER_DIGEST);
         }
         if let Some(read_at) =
             digest.read_age_ms.and_then(|it| now.checked_sub(Duration::from_millis(it)))
