Know the caller of a request that crashes endpoints by its workspace

What callers saw: after a key of a workspace was replaced, a request that had been rejected crashed further endpoints.

Cause: the fingerprint contained the API key. It now contains the workspace that the key belongs to; the broker adds it, since only the configuration knows it. A request without a key and one with a key share a public route's fingerprint.

--- a/crates/front/src/broker/crashes.rs
+++ b/crates/front/src/broker/crashes.rs
@@ -7,6 +7,8 @@
 use balance::endpoint::Instance;
 use balance::suspects::Evidence;
 use relay::admission::Outcome;
+use route::config::Workspace;
+use xxhash_rust::xxh3::xxh3_128;
 
 use super::Broker;
 use crate::metrics;
@@ -158,6 +160,13 @@
     }
 }
 
+/// Returns the fingerprint of a request's content and caller. A caller is known by its
+/// workspace, as its API key may be replaced.
+pub(super) fn fingerprint(content: u128, workspace: Option<&Workspace>) -> u128 {
+    let name = workspace.map_or("", |it| it.name.as_str());
+    xxh3_128(format!("{content:032x} {name}").as_bytes())
+}
+
 /// Formats a fingerprint for logs.
 pub(super) fn hex(fingerprint: u128) -> String {
     format!("{fingerprint:032x}")
--- a/crates/front/src/broker/requests.rs
+++ b/crates/front/src/broker/requests.rs
@@ -25,6 +25,7 @@
 use route::table::Rejection;
 
 use super::Broker;
+use super::crashes;
 use crate::metrics;
 
 /// Retry delay for callers when no endpoint is available: about the time in which
@@ -164,6 +165,7 @@
             Err(Rejection::NoRoute) => return Err(refuse(&id, Cause::NoRoute, 404, None)),
             Err(Rejection::UnknownKey) => return Err(refuse(&id, Cause::UnknownKey, 401, None)),
         };
+        let fingerprint = crashes::fingerprint(fingerprint, found.workspace);
         if self.is_suspect(&id, fingerprint, now) {
             return Err(refuse(&id, Cause::Suspect, 503, Some(SUSPECT_DELAY)));
         }
--- a/crates/relay/src/admission.rs
+++ b/crates/relay/src/admission.rs
@@ -16,7 +16,7 @@
     pub path: String,
     /// Attributes decoded from the request head.
     pub attributes: Attributes,
-    /// Fingerprint of path, API key and body.
+    /// Fingerprint of path and body.
     pub fingerprint: u128,
 }
 
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -12,7 +12,6 @@
 use hyper::body::Body;
 use hyper::body::Incoming;
 use platform::head;
-use route::request::Attributes;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 use tokio::time::timeout_at;
@@ -64,7 +63,7 @@
     let host = parts.headers.get(HOST).and_then(|it| it.to_str().ok());
     let host = host.or(parts.uri.host()).unwrap_or_default().to_owned();
     let path = parts.uri.path().to_owned();
-    let fingerprint = fingerprint(&path, &attributes, &body);
+    let fingerprint = fingerprint(&path, &body);
     let id = attributes.id.clone();
     let caller_timeout = attributes.timeout;
     let arrival = Box::new(Arrival { host, path, attributes, fingerprint });
@@ -205,9 +204,9 @@
     refusal_response(&Refusal { status: status.as_u16(), retry_after: None }, id)
 }
 
-fn fingerprint(path: &str, attributes: &Attributes, body: &[u8]) -> u128 {
+fn fingerprint(path: &str, body: &[u8]) -> u128 {
     let mut hash = Xxh3::new();
-    for part in [path.as_bytes(), attributes.key.as_deref().unwrap_or_default().as_bytes(), body] {
+    for part in [path.as_bytes(), body] {
         hash.update(&(part.len() as u64).to_be_bytes());
         hash.update(part);
     }
