Tell requests that crash endpoints apart by their query

What callers saw: requests to the same path with the same body and another query were rejected once one of them had crashed endpoints.

Cause: the fingerprint was of the path without the query. It now includes the query.

--- a/crates/relay/src/admission.rs
+++ b/crates/relay/src/admission.rs
@@ -16,7 +16,7 @@
     pub path: String,
     /// Attributes decoded from the request head.
     pub attributes: Attributes,
-    /// Fingerprint of path and body.
+    /// Fingerprint of path, query and body.
     pub fingerprint: u128,
 }
 
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -63,7 +63,8 @@
     let host = parts.headers.get(HOST).and_then(|it| it.to_str().ok());
     let host = host.or(parts.uri.host()).unwrap_or_default().to_owned();
     let path = parts.uri.path().to_owned();
-    let fingerprint = fingerprint(&path, &body);
+    let uri = parts.uri.path_and_query().map_or("/", |it| it.as_str());
+    let fingerprint = fingerprint(uri, &body);
     let id = attributes.id.clone();
     let caller_timeout = attributes.timeout;
     let arrival = Box::new(Arrival { host, path, attributes, fingerprint });
@@ -73,7 +74,6 @@
     };
     let ticket = server.ticket(plan.ticket);
     let timeout = caller_timeout.map_or(plan.timeout, |it| it.min(plan.timeout));
-    let uri = parts.uri.path_and_query().map_or("/", |it| it.as_str());
     let call = Call {
         method: parts.method,
         uri: uri.parse().unwrap_or_default(),
@@ -204,9 +204,9 @@
     refusal_response(&Refusal { status: status.as_u16(), retry_after: None }, id)
 }
 
-fn fingerprint(path: &str, body: &[u8]) -> u128 {
+fn fingerprint(uri: &str, body: &[u8]) -> u128 {
     let mut hash = Xxh3::new();
-    for part in [path.as_bytes(), body] {
+    for part in [uri.as_bytes(), body] {
         hash.update(&(part.len() as u64).to_be_bytes());
         hash.update(part);
     }
