Record how the retry after an endpoint's own error ended

What callers saw: a request that crashed the endpoint of its second attempt, after another endpoint had failed it, was not counted, and the crash even passed for a response of the crashed endpoint.

Cause: retry_once reported every unsuccessful second attempt as failed. It now reports the attempt's own outcome; the caller still gets the first response.

a_crash_after_the_error_of_another_endpoint_is_recorded failed before (no line within 20 s) and passes.

--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -171,13 +171,14 @@
     let retried = match attempt::send(server.pool(), call, plan, &target, None).await {
         Ok(head) if head.status.is_success() && !plan.is_stream => {
             ticket.report_started();
-            buffered::collect(server.pool(), call, &target.id, head).await.ok()
+            buffered::collect(server.pool(), call, &target.id, head).await
         }
-        _ => None,
+        Ok(_) => Err(Outcome::Failed),
+        Err(outcome) => Err(outcome),
     };
     let (outcome, response) = match retried {
-        Some(response) => (Outcome::Served, response),
-        None => (Outcome::Failed, failure),
+        Ok(response) => (Outcome::Served, response),
+        Err(outcome) => (outcome, failure),
     };
     ticket.set_result(outcome, response.status().as_u16());
     Ok(response)
