Keep requests that crash endpoints in the store

What callers saw: after all daemons had been killed, a request that had been rejected crashed further endpoints. The users' platform bears the loss of any number of entry VMs at once, and gossip alone leaves nobody to tell.

At most 128 requests, with the time of their crashes. Ruled out: a row for each request, which would need somebody to delete it; reading the row by all daemons at each change, since gossip tells them sooner.

--- a/crates/balance/src/suspects.rs
+++ b/crates/balance/src/suspects.rs
@@ -190,6 +190,12 @@
         suspect.crashed_at().is_some_and(|it| now < it + duration.min(RETENTION))
     }
 
+    /// Returns up to `limit` requests that are rejected now.
+    pub fn rejected(&self, limit: usize, now: Instant) -> Vec<Report> {
+        let rejected = self.by_fingerprint.keys().filter(|it| self.is_rejected(**it, now));
+        rejected.take(limit).filter_map(|it| self.report(*it, now)).collect()
+    }
+
     /// Returns the number of instances that the request is suspected to have crashed.
     pub fn count(&self, fingerprint: u128) -> usize {
         self.by_fingerprint.get(&fingerprint).map_or(0, Suspect::count)
--- a/crates/front/src/broker/gossip.rs
+++ b/crates/front/src/broker/gossip.rs
@@ -117,7 +117,7 @@
         }
     }
 
-    fn merge_suspects(&mut self, reports: &[suspects::Report], now: Instant) {
+    pub(super) fn merge_suspects(&mut self, reports: &[suspects::Report], now: Instant) {
         for report in reports {
             if !self.suspects.merge_remote(report, now) {
                 continue;
--- a/crates/front/src/broker/leader.rs
+++ b/crates/front/src/broker/leader.rs
@@ -1,6 +1,7 @@
 //! Leader tasks: the work of the daemon that holds the lease.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -21,7 +22,10 @@
 use crate::cloud;
 use crate::lease;
 use crate::metrics;
+use crate::rejected;
 
+/// Maximum number of rejected requests that are stored, so that they fit in a row.
+const MAX_STORED_REJECTED: usize = 128;
 /// Minimum remaining lease time for starting a call.
 const LEASE_MARGIN: Duration = Duration::from_millis(400);
 
@@ -34,6 +38,8 @@
     retry_at: Option<Instant>,
     /// Number of orders in progress.
     orders: usize,
+    /// Whether the row of rejected requests is being written.
+    stores_rejected: bool,
 }
 
 impl Broker {
@@ -51,6 +57,7 @@
         let grant = self.lease.grant(since_boot, LEASE_MARGIN);
         self.update_leadership(grant);
         let Some(grant) = grant else { return };
+        self.store_rejected(now);
         if self.context.settings.cloud.is_none() {
             return;
         }
@@ -171,6 +178,57 @@
         }
     }
 
+    /// Stores the requests that crash endpoints if they have changed.
+    fn store_rejected(&mut self, now: Instant) {
+        if self.leader_calls.stores_rejected || now < self.stored_rejected_at + PLAN_INTERVAL {
+            return;
+        }
+        let rejected = self.suspects.rejected(MAX_STORED_REJECTED, now);
+        let fingerprints: BTreeSet<u128> = rejected.iter().map(|it| it.fingerprint).collect();
+        if fingerprints == self.stored_rejected {
+            return;
+        }
+        self.stored_rejected_at = now;
+        self.leader_calls.stores_rejected = true;
+        let content = rejected::encode(&rejected, self.clock.now_ms(clock::since_boot()));
+        self.call_store(lease::Job::StoreRejected { fingerprints, content });
+    }
+
+    pub(super) fn handle_rejected_stored(
+        &mut self,
+        fingerprints: BTreeSet<u128>,
+        result: Result<Commit, Error>,
+    ) {
+        self.leader_calls.stores_rejected = false;
+        match result {
+            Ok(_) => {
+                spdlog::info!("rejected requests stored", kv: { count = fingerprints.len() });
+                self.stored_rejected = fingerprints;
+            }
+            Err(error) => {
+                metrics::count("store_failed", "rejected");
+                spdlog::warn!("failed to store the rejected requests",
+                    kv: { count = fingerprints.len(), cause = error.to_string() });
+            }
+        }
+    }
+
+    /// Learns from a daemon that may have ended which requests crash endpoints.
+    pub(super) fn handle_rejected_read(&mut self, row: &Row, now: Instant) {
+        let now_ms = self.clock.now_ms(clock::since_boot());
+        let reports = match rejected::decode(&row.value, now_ms) {
+            Ok(reports) => reports,
+            Err(error) => {
+                spdlog::error!("rejected requests can't be decoded; the row is replaced at the next change",
+                    kv: { cause = error.to_string(), version = row.version });
+                return;
+            }
+        };
+        spdlog::info!("rejected requests read", kv: { count = reports.len(), version = row.version });
+        self.merge_suspects(&reports, now);
+        self.stored_rejected.extend(reports.iter().map(|it| it.fingerprint));
+    }
+
     fn update_leadership(&mut self, grant: Option<Grant>) {
         let is_leader = grant.is_some();
         if is_leader == self.is_leader {
--- a/crates/front/src/broker/mod.rs
+++ b/crates/front/src/broker/mod.rs
@@ -6,6 +6,7 @@
 mod requests;
 
 use std::cell::Cell;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
@@ -112,6 +113,10 @@
     /// Attempts without a complete response, until it is known whether the endpoint
     /// crashed.
     interruptions: VecDeque<crashes::Interruption>,
+    /// Requests in the store row of rejected requests, as last read or written.
+    stored_rejected: BTreeSet<u128>,
+    /// When that row was last written.
+    stored_rejected_at: Instant,
     buckets: HashMap<String, Bucket>,
     budgets: HashMap<String, Budget>,
     requests: HashMap<u64, Pending>,
@@ -170,6 +175,8 @@
             pool: Pool::default(),
             suspects: Suspects::default(),
             interruptions: VecDeque::new(),
+            stored_rejected: BTreeSet::new(),
+            stored_rejected_at: now,
             buckets: HashMap::new(),
             budgets: HashMap::new(),
             requests: HashMap::new(),
@@ -230,6 +237,10 @@
             Event::PeerLost { stream, detail } => self.handle_peer_loss(stream, &detail),
             Event::LeaseRead(result) => self.handle_lease_read(result),
             Event::LeaseWritten(result) => self.handle_lease_write(result),
+            Event::RejectedRead(row) => self.handle_rejected_read(&row, now),
+            Event::RejectedStored { fingerprints, result } => {
+                self.handle_rejected_stored(fingerprints, result);
+            }
             Event::UsageRecorded { window, counts, result } => {
                 self.handle_usage_record(window, counts, result);
             }
--- a/crates/front/src/event.rs
+++ b/crates/front/src/event.rs
@@ -1,5 +1,7 @@
 //! Messages to the broker.
 
+use std::collections::BTreeSet;
+
 use balance::endpoint::Change;
 use balance::endpoint::Roster;
 use duty::order::Order;
@@ -44,6 +46,15 @@
     LeaseRead(Result<Row, Error>),
     /// A write of the lease row completed.
     LeaseWritten(Result<Commit, Error>),
+    /// The row of rejected requests was read at the start.
+    RejectedRead(Row),
+    /// A write of the row of rejected requests completed.
+    RejectedStored {
+        /// Fingerprints of the requests.
+        fingerprints: BTreeSet<u128>,
+        /// Result of the write.
+        result: Result<Commit, Error>,
+    },
     /// An attempt to record a window's counts in the store completed.
     UsageRecorded {
         /// Number of the window.
--- a/crates/front/src/feeds.rs
+++ b/crates/front/src/feeds.rs
@@ -16,6 +16,7 @@
 use tokio::time::sleep;
 
 use crate::event::Event;
+use crate::lease::REJECTED_KEY;
 
 /// Long-poll timeout for changes of endpoints. Endpoints write heartbeats more
 /// often, so a missing response reveals a dead connection.
@@ -123,6 +124,21 @@
     }
 }
 
+/// Reads the row of rejected requests once.
+pub async fn rejected(store: SocketAddr, events: UnboundedSender<Event>) {
+    let mut client = Client::new(store);
+    loop {
+        match rows::read(&mut client, REJECTED_KEY).await {
+            Ok(row) => {
+                let _ = events.send(Event::RejectedRead(row));
+                return;
+            }
+            Err(error) => report_call(&events, "rejected", Some(error)),
+        }
+        sleep(RETRY_DELAY).await;
+    }
+}
+
 /// Reads the secret shared by the daemons. If there is none, stores `candidate`
 /// as the secret.
 pub async fn secret(store: SocketAddr, candidate: String) -> String {
--- a/crates/front/src/lease.rs
+++ b/crates/front/src/lease.rs
@@ -1,5 +1,6 @@
 //! The task that makes the leader tasks' calls to the store.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 use duty::lease::Action;
@@ -17,6 +18,8 @@
 
 /// Key of the lease row.
 const LEASE_KEY: &str = "duties/lease";
+/// Key of the row of rejected requests.
+pub const REJECTED_KEY: &str = "duties/rejected";
 /// Number of windows whose rows are retained. Each write of a window deletes the
 /// row that falls out of this range.
 const RETAINED_WINDOWS: u64 = 40;
@@ -33,6 +36,13 @@
         /// Requests per workspace.
         counts: Counts,
     },
+    /// Replaces the row of rejected requests.
+    StoreRejected {
+        /// Fingerprints of the requests.
+        fingerprints: BTreeSet<u128>,
+        /// New content.
+        content: String,
+    },
 }
 
 /// Makes the calls sequentially.
@@ -57,6 +67,12 @@
                 let result = rows::commit(&mut client, &usage_transaction(window, &counts)).await;
                 Event::UsageRecorded { window, counts, result }
             }
+            Job::StoreRejected { fingerprints, content } => {
+                let put = Put { key: REJECTED_KEY.to_owned(), value: content };
+                let write = Transaction { puts: vec![put], ..Transaction::default() };
+                let result = rows::commit(&mut client, &write).await;
+                Event::RejectedStored { fingerprints, result }
+            }
         };
         let _ = events.send(event);
     }
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -12,3 +12,4 @@
 mod lease;
 mod peers;
 mod probe;
+pub mod rejected;
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -125,6 +125,7 @@
         events.clone(),
         is_reader,
     ));
+    spawn_local(feeds::rejected(settings.store, events.clone()));
     spawn_local(lease::run(settings.store, lease_calls, events.clone()));
     if let Some(address) = settings.cloud {
         let daemon = settings.daemon.clone();
--- /dev/null
+++ b/crates/front/tests/rejected.rs
@@ -0,0 +1,57 @@
+//! Content of the store row of rejected requests.
+
+use arbtest::arbtest;
+use balance::endpoint::Instance;
+use balance::suspects::Evidence;
+use balance::suspects::Interruption;
+use balance::suspects::Report;
+use front::rejected;
+
+/// Unix time of the tests, in milliseconds.
+const NOW_MS: i64 = 1_796_000_000_000;
+
+#[test]
+fn stored_requests_are_read_with_the_age_of_their_crashes() {
+    let reports = [report(7, &[(1, 500), (u64::MAX, 0)]), report(u128::MAX, &[(3, 10)])];
+
+    let content = rejected::encode(&reports, NOW_MS);
+    let read = rejected::decode(&content, NOW_MS + 1_000).unwrap();
+
+    assert_eq!(
+        read,
+        [report(7, &[(1, 1_500), (u64::MAX, 1_000)]), report(u128::MAX, &[(3, 1_010)])]
+    );
+}
+
+#[test]
+fn crashes_that_seem_to_be_in_the_future_have_no_age() {
+    let content = rejected::encode(&[report(7, &[(1, 0)])], NOW_MS);
+
+    let read = rejected::decode(&content, NOW_MS - 60_000).unwrap();
+
+    assert_eq!(read, [report(7, &[(1, 0)])]);
+}
+
+#[test]
+fn arbitrary_content_is_decoded_or_rejected() {
+    assert_eq!(rejected::decode("", NOW_MS).unwrap(), []);
+    for seed in 0..200 {
+        arbtest(|u| {
+            let content: String = u.arbitrary()?;
+            let _ = rejected::decode(&content, u.arbitrary()?);
+            let _ =
+                rejected::decode(&format!(r#"[{{"fingerprint":"{content}","crashes":[]}}]"#), 0);
+            Ok(())
+        })
+        .seed(seed << 32 | 256);
+    }
+}
+
+fn report(fingerprint: u128, crashes: &[(u64, u64)]) -> Report {
+    let interruptions = crashes.iter().map(|(instance, age_ms)| Interruption {
+        instance: Instance(*instance),
+        evidence: Evidence::Interrupted,
+        age_ms: *age_ms,
+    });
+    Report { fingerprint, interruptions: interruptions.collect() }
+}
