Separate what is known of suspected requests from how it is sent

Suspects mixed the evidence with the queues of front's gossip, and its limit was front's. The evidence now has a limit in points, with half of a crash for one after the request had made progress, so that serve can use it; the queues are in balance::spread.

--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -9,4 +9,5 @@
 pub mod load;
 pub mod model;
 pub mod pool;
+pub mod spread;
 pub mod suspects;
--- a/crates/balance/src/suspects.rs
+++ b/crates/balance/src/suspects.rs
@@ -6,9 +6,7 @@
 //! needs to crash the next endpoints.
 
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::collections::HashMap;
-use std::collections::VecDeque;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -17,11 +15,8 @@
 
 use crate::endpoint::Instance;
 
-/// Number of instances after which a request is rejected. Unrelated crashes can hit
-/// a request more than once.
-pub const CRASH_LIMIT: usize = 3;
-/// Number of instances from which on all daemons are told of a request.
-const SPREAD_THRESHOLD: usize = 2;
+/// Number of crashed instances from which on all daemons are told of a request.
+const REPEATED: usize = 2;
 /// How long a request is rejected after the crash that reached the limit. Doubles
 /// with each further crash.
 const REJECTION_TIME: Duration = Duration::from_secs(120);
@@ -31,14 +26,19 @@
 const SHORT_RETENTION: Duration = Duration::from_secs(10);
 /// Maximum number of requests remembered.
 const MAX_REQUESTS: usize = 4_096;
-/// Number of gossip rounds in which a changed request is sent.
-const SPREAD_ROUNDS: u32 = 4;
+/// Points for a crash of which the request may be the cause.
+pub const CRASH_POINTS: u32 = 2;
+/// Points for a crash of which another request is more likely the cause.
+const UNLIKELY_POINTS: u32 = 1;
 
 /// What is known about an instance at which an attempt was interrupted. A later
 /// variant overrides an earlier one, so that daemons agree whatever the order in
 /// which they learn of them.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Encode, Decode)]
 pub enum Evidence {
+    /// The instance crashed after the request had made progress, so another one is more
+    /// likely the cause.
+    Progressed,
     /// Nothing has been heard of the instance since.
     Interrupted,
     /// The instance has responded to a later request, so it did not crash.
@@ -50,8 +50,12 @@
 }
 
 impl Evidence {
-    fn counts(self) -> bool {
-        matches!(self, Evidence::Interrupted | Evidence::Replaced)
+    fn points(self) -> u32 {
+        match self {
+            Evidence::Progressed => UNLIKELY_POINTS,
+            Evidence::Interrupted | Evidence::Replaced => CRASH_POINTS,
+            Evidence::Responded | Evidence::Served => 0,
+        }
     }
 }
 
@@ -76,34 +80,35 @@
 }
 
 /// Interrupted requests by fingerprint.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Suspects {
+    /// Number of points at which a request is rejected.
+    limit: u32,
     by_fingerprint: HashMap<u128, Suspect>,
     /// Requests that were interrupted at an instance from which nothing has been
     /// heard since.
     by_instance: HashMap<Instance, Vec<u128>>,
-    /// Requests to be gossiped to all daemons, with the number of remaining rounds.
-    spreading: VecDeque<(u128, u32)>,
-    /// Requests of which something was learned here, to be reported to the daemons that
-    /// count their interruptions.
-    unreported: BTreeSet<u128>,
 }
 
 #[derive(Clone, Debug, Default)]
 struct Suspect {
     interruptions: BTreeMap<Instance, (Evidence, Instant)>,
-    /// Whether all daemons were told of the request.
-    is_spread: bool,
+    /// Whether the request was suspected of several crashes at some time.
+    is_repeated: bool,
 }
 
 impl Suspect {
     fn count(&self) -> usize {
-        self.interruptions.values().filter(|(evidence, _)| evidence.counts()).count()
+        self.interruptions.values().filter(|(evidence, _)| evidence.points() > 0).count()
+    }
+
+    fn points(&self) -> u32 {
+        self.interruptions.values().map(|(evidence, _)| evidence.points()).sum()
     }
 
     /// Returns when the latest instance crashed.
     fn crashed_at(&self) -> Option<Instant> {
-        let counted = self.interruptions.values().filter(|(evidence, _)| evidence.counts());
+        let counted = self.interruptions.values().filter(|(evidence, _)| evidence.points() > 0);
         counted.map(|(_, at)| *at).max()
     }
 
@@ -113,6 +118,11 @@
 }
 
 impl Suspects {
+    /// Creates an empty set, of which requests are rejected from `limit` points on.
+    pub fn new(limit: u32) -> Suspects {
+        Suspects { limit, by_fingerprint: HashMap::new(), by_instance: HashMap::new() }
+    }
+
     /// Records what this daemon has learned about an instance at which an attempt of
     /// the request was interrupted. Returns whether it is new.
     pub fn record(
@@ -122,11 +132,7 @@
         evidence: Evidence,
         now: Instant,
     ) -> bool {
-        let is_new = self.merge(fingerprint, instance, evidence, now, now);
-        if is_new {
-            self.publish(fingerprint, true);
-        }
-        is_new
+        self.merge(fingerprint, instance, evidence, now, now)
     }
 
     /// Records that an instance has responded to a request sent at `sent_at`. Returns
@@ -152,7 +158,6 @@
         if fingerprints.is_empty() {
             self.by_instance.remove(&instance);
         }
-        refuted.iter().for_each(|it| self.publish(*it, true));
         refuted
     }
 
@@ -161,32 +166,24 @@
         let Some(suspect) = self.by_fingerprint.get_mut(&fingerprint) else { return false };
         let was_suspected = suspect.count() > 0;
         suspect.interruptions.values_mut().for_each(|it| it.0 = Evidence::Served);
-        if was_suspected {
-            self.publish(fingerprint, true);
-        }
         was_suspected
     }
 
-    /// Merges what another daemon knows about a request. Returns whether its number of
-    /// crashes has grown.
+    /// Merges what another daemon knows about a request. Returns whether any of it is new.
     pub fn merge_remote(&mut self, report: &Report, now: Instant) -> bool {
-        let before = self.count(report.fingerprint);
-        let mut has_changed = false;
+        let mut is_new = false;
         for it in &report.interruptions {
             let at = now.checked_sub(Duration::from_millis(it.age_ms)).unwrap_or(now);
-            has_changed |= self.merge(report.fingerprint, it.instance, it.evidence, at, now);
+            is_new |= self.merge(report.fingerprint, it.instance, it.evidence, at, now);
         }
-        if has_changed {
-            self.publish(report.fingerprint, false);
-        }
-        self.count(report.fingerprint) > before
+        is_new
     }
 
     /// Whether the request must be rejected.
     pub fn is_rejected(&self, fingerprint: u128, now: Instant) -> bool {
         let Some(suspect) = self.by_fingerprint.get(&fingerprint) else { return false };
-        let Some(excess) = suspect.count().checked_sub(CRASH_LIMIT) else { return false };
-        let duration = REJECTION_TIME * 2u32.saturating_pow(excess.min(8) as u32);
+        let Some(excess) = suspect.points().checked_sub(self.limit) else { return false };
+        let duration = REJECTION_TIME * 2u32.saturating_pow((excess / CRASH_POINTS).min(8));
         suspect.crashed_at().is_some_and(|it| now < it + duration.min(RETENTION))
     }
 
@@ -201,46 +198,29 @@
         self.by_fingerprint.get(&fingerprint).map_or(0, Suspect::count)
     }
 
-    /// Returns up to `limit` reports for the next gossip round to all daemons.
-    pub fn take_spreading(&mut self, limit: usize, now: Instant) -> Vec<Report> {
-        let mut reports = Vec::new();
-        for _ in 0..self.spreading.len().min(limit) {
-            let Some((fingerprint, rounds)) = self.spreading.pop_front() else { break };
-            let Some(report) = self.report(fingerprint, now) else { continue };
-            reports.push(report);
-            if rounds > 1 {
-                self.spreading.push_back((fingerprint, rounds - 1));
-            }
-        }
-        reports
+    /// Whether the request was suspected of several crashes at some time, so that all
+    /// daemons should know about it.
+    pub fn is_repeated(&self, fingerprint: u128) -> bool {
+        self.by_fingerprint.get(&fingerprint).is_some_and(|it| it.is_repeated)
     }
 
-    /// Returns reports of requests of which something was learned here, for the daemons
-    /// that count the interruptions of each of them.
-    pub fn take_unreported(&mut self, now: Instant) -> Vec<Report> {
-        let fingerprints = std::mem::take(&mut self.unreported);
-        fingerprints.into_iter().filter_map(|it| self.report(it, now)).collect()
+    /// Returns up to `limit` suspected requests, those with the most crashes first.
+    pub fn most_suspected(&self, limit: usize) -> Vec<u128> {
+        let counts = self.by_fingerprint.iter().map(|(it, suspect)| (suspect.count(), *it));
+        let mut suspected: Vec<(usize, u128)> = counts.filter(|(count, _)| *count > 0).collect();
+        suspected.sort_unstable_by(|a, b| b.cmp(a));
+        suspected.truncate(limit);
+        suspected.into_iter().map(|(_, fingerprint)| fingerprint).collect()
     }
 
-    /// Gossips the requests that all daemons should know again, since a daemon was
-    /// heard that may not know them. At most `limit`, those with the most crashes
-    /// first.
-    pub fn spread_again(&mut self, limit: usize) {
-        let is_known_to_all = |it: &(&u128, &Suspect)| it.1.count() >= SPREAD_THRESHOLD;
-        let mut known: Vec<(usize, u128)> = self
-            .by_fingerprint
-            .iter()
-            .filter(is_known_to_all)
-            .map(|(fingerprint, it)| (it.count(), *fingerprint))
-            .collect();
-        known.sort_unstable_by(|a, b| b.cmp(a));
-        known.truncate(limit);
-        known.into_iter().for_each(|(_, it)| self.enqueue(it));
-    }
-
-    /// Whether a change waits to be gossiped that brings a request close to the limit.
-    pub fn has_urgent_changes(&self) -> bool {
-        self.spreading.iter().any(|(_, rounds)| *rounds == SPREAD_ROUNDS)
+    /// Returns what is known about a request, to be sent to other daemons.
+    pub fn report(&self, fingerprint: u128, now: Instant) -> Option<Report> {
+        let suspect = self.by_fingerprint.get(&fingerprint)?;
+        let interruptions = suspect.interruptions.iter().map(|(instance, (evidence, at))| {
+            let age_ms = now.saturating_duration_since(*at).as_millis() as u64;
+            Interruption { instance: *instance, evidence: *evidence, age_ms }
+        });
+        Some(Report { fingerprint, interruptions: interruptions.collect() })
     }
 
     /// Removes expired requests.
@@ -265,42 +245,17 @@
         if let Some((known, _)) = suspect.interruptions.get_mut(&instance) {
             let is_new = evidence > *known;
             *known = evidence.max(*known);
+            suspect.is_repeated |= suspect.count() >= REPEATED;
             return is_new;
         }
         suspect.interruptions.insert(instance, (evidence, at));
+        suspect.is_repeated |= suspect.count() >= REPEATED;
         if evidence == Evidence::Interrupted {
             self.by_instance.entry(instance).or_default().push(fingerprint);
         }
         true
     }
 
-    /// Queues a changed request for the daemons that must learn of the change.
-    fn publish(&mut self, fingerprint: u128, is_own: bool) {
-        let Some(suspect) = self.by_fingerprint.get_mut(&fingerprint) else { return };
-        if suspect.is_spread || suspect.count() >= SPREAD_THRESHOLD {
-            suspect.is_spread = true;
-            self.enqueue(fingerprint);
-        } else if is_own && self.unreported.len() < MAX_REQUESTS {
-            self.unreported.insert(fingerprint);
-        }
-    }
-
-    fn enqueue(&mut self, fingerprint: u128) {
-        match self.spreading.iter_mut().find(|(it, _)| *it == fingerprint) {
-            Some((_, rounds)) => *rounds = SPREAD_ROUNDS,
-            None => self.spreading.push_back((fingerprint, SPREAD_ROUNDS)),
-        }
-    }
-
-    fn report(&self, fingerprint: u128, now: Instant) -> Option<Report> {
-        let suspect = self.by_fingerprint.get(&fingerprint)?;
-        let interruptions = suspect.interruptions.iter().map(|(instance, (evidence, at))| {
-            let age_ms = now.saturating_duration_since(*at).as_millis() as u64;
-            Interruption { instance: *instance, evidence: *evidence, age_ms }
-        });
-        Some(Report { fingerprint, interruptions: interruptions.collect() })
-    }
-
     /// Makes room for one more request. Requests with a single interruption give way,
     /// since most of them were interrupted by the crash of another. Returns whether
     /// there is room.
@@ -310,7 +265,7 @@
                 return true;
             }
             self.by_fingerprint.retain(|_, it| {
-                let is_retained = it.count() >= SPREAD_THRESHOLD;
+                let is_retained = it.count() >= REPEATED;
                 !it.is_older(if is_retained { RETENTION } else { retention }, now)
             });
             self.remove_dangling();
--- a/crates/balance/tests/suspects.rs
+++ b/crates/balance/tests/suspects.rs
@@ -6,7 +6,8 @@
 use arbtest::arbitrary::Unstructured;
 use arbtest::arbtest;
 use balance::endpoint::Instance;
-use balance::suspects::CRASH_LIMIT;
+use balance::spread::Spread;
+use balance::suspects::CRASH_POINTS;
 use balance::suspects::Evidence;
 use balance::suspects::Report;
 use balance::suspects::Suspects;
@@ -17,6 +18,8 @@
 const SEEDS: u64 = 500;
 /// Length of the random data of an exchange.
 const RANDOM_BYTES: u64 = 512;
+/// Number of crashed instances at which a request is rejected.
+const CRASH_LIMIT: usize = 3;
 /// Maximum number of reports taken at once.
 const MANY: usize = 1_000;
 
@@ -24,7 +27,7 @@
 fn a_request_is_rejected_after_crashes_of_different_instances() {
     let now = Instant::now();
     let check = |instances: &[u64], is_rejected: bool| {
-        let mut suspects = Suspects::default();
+        let mut suspects = suspects();
 
         for instance in instances {
             suspects.record(REQUEST, Instance(*instance), Evidence::Interrupted, now);
@@ -99,38 +102,49 @@
     assert_eq!(suspects.count(REQUEST + 1), 1);
 }
 
+#[test]
+fn a_crash_after_progress_counts_half() {
+    let now = Instant::now();
+    let mut suspects = interrupted(now, CRASH_LIMIT - 1);
+
+    suspects.record(REQUEST, Instance(10), Evidence::Progressed, now);
+    let after_one = suspects.is_rejected(REQUEST, now);
+    suspects.record(REQUEST, Instance(11), Evidence::Progressed, now);
+
+    assert!(!after_one);
+    assert!(suspects.is_rejected(REQUEST, now));
+}
+
 #[test]
 fn a_single_interruption_goes_to_its_counters_and_further_ones_to_all() {
     let now = Instant::now();
-    let mut suspects = interrupted(now, 1);
+    let mut daemon = Daemon::new();
+    daemon.record(REQUEST, 1, Evidence::Interrupted, now);
 
-    let first = suspects.take_unreported(now);
-    let spread_first = suspects.take_spreading(MANY, now);
-    suspects.record(REQUEST, Instance(2), Evidence::Interrupted, now);
-    let rounds = (0..20).take_while(|_| !suspects.take_spreading(MANY, now).is_empty()).count();
+    let first = daemon.spread.take_unreported(&daemon.suspects, now);
+    let gossip = daemon.spread.take_gossip(&daemon.suspects, MANY, now);
+    daemon.record(REQUEST, 2, Evidence::Interrupted, now);
+    let rounds = daemon.gossip_rounds(now);
 
     assert_eq!(first.len(), 1);
-    assert!(spread_first.is_empty());
+    assert!(gossip.is_empty());
     assert!((2..20).contains(&rounds), "{rounds}");
-    assert!(suspects.take_unreported(now).is_empty());
+    assert!(daemon.spread.take_unreported(&daemon.suspects, now).is_empty());
 }
 
 #[test]
 fn requests_with_the_most_crashes_are_told_to_new_daemons_first() {
     let now = Instant::now();
-    let mut suspects = interrupted(now, CRASH_LIMIT);
-    for other in [1, 2] {
-        suspects.record(other, Instance(1), Evidence::Interrupted, now);
-        suspects.record(other, Instance(2), Evidence::Interrupted, now);
+    let mut daemon = Daemon::new();
+    for (fingerprint, instances) in [(REQUEST, 3), (1, 2), (2, 2), (3, 1)] {
+        (0..instances).for_each(|it| daemon.record(fingerprint, it, Evidence::Interrupted, now));
     }
-    suspects.record(3, Instance(1), Evidence::Interrupted, now);
-    while !suspects.take_spreading(MANY, now).is_empty() {}
+    daemon.gossip_rounds(now);
 
-    suspects.spread_again(2);
+    daemon.spread.push_again(&daemon.suspects, 2);
 
-    let told: Vec<u128> =
-        suspects.take_spreading(MANY, now).iter().map(|it| it.fingerprint).collect();
-    assert_eq!(told, [REQUEST, 2]);
+    let told = daemon.spread.take_gossip(&daemon.suspects, MANY, now);
+    assert_eq!(told.iter().map(|it| it.fingerprint).collect::<Vec<_>>(), [REQUEST, 2]);
 }
 
 #[test]
@@ -142,70 +156,106 @@
 
 fn exchange_reports(u: &mut Unstructured<'_>) -> arbtest::arbitrary::Result<()> {
     let now = Instant::now();
-    let mut daemons = vec![Suspects::default(); 3];
+    let mut daemons = [Daemon::new(), Daemon::new(), Daemon::new()];
     let mut reports: Vec<Report> = Vec::new();
     for _ in 0..u.int_in_range(1..=30)? {
         let daemon = u.choose_index(daemons.len())?;
-        change(&mut daemons[daemon], now, u)?;
-        reports.extend(daemons[daemon].take_unreported(now));
-        reports.extend(daemons[daemon].take_spreading(MANY, now));
+        daemons[daemon].observe(now, u)?;
+        reports.extend(daemons[daemon].take_reports(now));
         if !reports.is_empty() && u.ratio(1, 2)? {
             let report = u.choose(&reports)?.clone();
-            daemons[u.choose_index(3)?].merge_remote(&report, now);
+            daemons[u.choose_index(3)?].merge(&report, now);
         }
     }
 
     deliver_all(&mut daemons, &reports, now);
 
-    let counts: Vec<usize> = daemons.iter().map(|it| it.count(REQUEST)).collect();
+    let counts: Vec<usize> = daemons.iter().map(|it| it.suspects.count(REQUEST)).collect();
     assert!(counts.iter().all(|it| *it == counts[0]), "{counts:?}");
     Ok(())
 }
 
-/// Makes a random observation.
-fn change(
-    suspects: &mut Suspects,
-    now: Instant,
-    u: &mut Unstructured<'_>,
-) -> arbtest::arbitrary::Result<()> {
-    let instance = Instance(u.int_in_range(0..=4)?);
-    match u.int_in_range(0..=5)? {
-        0 => {
-            suspects.record_response(instance, now);
-        }
-        1 => {
-            suspects.record_service(REQUEST);
-        }
-        2 => {
-            suspects.record(REQUEST, instance, Evidence::Replaced, now);
-        }
-        _ => {
-            suspects.record(REQUEST, instance, Evidence::Interrupted, now);
-        }
-    }
-    Ok(())
-}
-
 /// Delivers all reports, and those that result, to all daemons.
-fn deliver_all(daemons: &mut [Suspects], reports: &[Report], now: Instant) {
+fn deliver_all(daemons: &mut [Daemon], reports: &[Report], now: Instant) {
     let mut reports = reports.to_vec();
     while !reports.is_empty() {
         let batch = std::mem::take(&mut reports);
         for daemon in &mut *daemons {
-            for report in &batch {
-                daemon.merge_remote(report, now);
-            }
+            batch.iter().for_each(|it| daemon.merge(it, now));
         }
         for daemon in &mut *daemons {
-            reports.extend(daemon.take_unreported(now));
-            reports.extend(daemon.take_spreading(MANY, now));
+            reports.extend(daemon.take_reports(now));
         }
     }
 }
 
+struct Daemon {
+    suspects: Suspects,
+    spread: Spread,
+}
+
+impl Daemon {
+    fn new() -> Daemon {
+        Daemon { suspects: suspects(), spread: Spread::default() }
+    }
+
+    fn record(&mut self, fingerprint: u128, instance: u64, evidence: Evidence, now: Instant) {
+        if self.suspects.record(fingerprint, Instance(instance), evidence, now) {
+            self.spread.push(&self.suspects, fingerprint, true);
+        }
+    }
+
+    /// Makes a random observation.
+    fn observe(
+        &mut self,
+        now: Instant,
+        u: &mut Unstructured<'_>,
+    ) -> arbtest::arbitrary::Result<()> {
+        let instance = u.int_in_range(0..=4)?;
+        match u.int_in_range(0..=6)? {
+            0 => {
+                for it in self.suspects.record_response(Instance(instance), now) {
+                    self.spread.push(&self.suspects, it, true);
+                }
+            }
+            1 => {
+                if self.suspects.record_service(REQUEST) {
+                    self.spread.push(&self.suspects, REQUEST, true);
+                }
+            }
+            2 => self.record(REQUEST, instance, Evidence::Replaced, now),
+            3 => self.record(REQUEST, instance, Evidence::Progressed, now),
+            _ => self.record(REQUEST, instance, Evidence::Interrupted, now),
+        }
+        Ok(())
+    }
+
+    fn merge(&mut self, report: &Report, now: Instant) {
+        if self.suspects.merge_remote(report, now) {
+            self.spread.push(&self.suspects, report.fingerprint, false);
+        }
+    }
+
+    fn take_reports(&mut self, now: Instant) -> Vec<Report> {
+        let mut reports = self.spread.take_unreported(&self.suspects, now);
+        reports.extend(self.spread.take_gossip(&self.suspects, MANY, now));
+        reports
+    }
+
+    fn gossip_rounds(&mut self, now: Instant) -> usize {
+        (0..100)
+            .take_while(|_| !self.spread.take_gossip(&self.suspects, MANY, now).is_empty())
+            .count()
+    }
+}
+
+fn suspects() -> Suspects {
+    Suspects::new(CRASH_LIMIT as u32 * CRASH_POINTS)
+}
+
 /// Returns suspects with a request interrupted at this number of instances.
 fn interrupted(now: Instant, count: usize) -> Suspects {
-    let mut suspects = Suspects::default();
+    let mut suspects = suspects();
     for instance in 1..=count as u64 {
         suspects.record(REQUEST, Instance(instance), Evidence::Interrupted, now);
     }
--- a/crates/front/src/broker/crashes.rs
+++ b/crates/front/src/broker/crashes.rs
@@ -5,6 +5,7 @@
 use std::time::Instant;
 
 use balance::endpoint::Instance;
+use balance::suspects::CRASH_POINTS;
 use balance::suspects::Evidence;
 use relay::admission::Outcome;
 use route::config::Workspace;
@@ -13,6 +14,9 @@
 use super::Broker;
 use crate::metrics;
 
+/// Number of points at which a request is rejected: three crashes. Two may be due to
+/// other requests.
+pub(super) const CRASH_LIMIT: u32 = 3 * CRASH_POINTS;
 /// Maximum time from an interrupted attempt until the end of the endpoint becomes known.
 const CRASH_DETECTION_TIME: Duration = Duration::from_secs(10);
 /// Maximum number of interrupted attempts that wait for signs of a crash.
@@ -75,6 +79,7 @@
             if !self.suspects.record(it.fingerprint, it.instance, evidence, now) {
                 continue;
             }
+            self.spread.push(&self.suspects, it.fingerprint, true);
             metrics::count("crash", "recorded");
             spdlog::warn!("endpoint crashed under request", kv: {
                 request = it.request.as_str(),
@@ -99,6 +104,7 @@
                 let is_cleared =
                     outcome == Outcome::Served && self.suspects.record_service(fingerprint);
                 if is_cleared {
+                    self.spread.push(&self.suspects, fingerprint, true);
                     metrics::count("crash", "cleared");
                     spdlog::info!("suspected request served",
                         kv: { request = id, fingerprint = hex(fingerprint) });
@@ -140,7 +146,9 @@
         if outcome != Outcome::Broken {
             return;
         }
-        self.suspects.record(pending.fingerprint, pending.instance, Evidence::Interrupted, now);
+        if self.suspects.record(pending.fingerprint, pending.instance, Evidence::Interrupted, now) {
+            self.spread.push(&self.suspects, pending.fingerprint, true);
+        }
         metrics::count("crash", "suspected");
         spdlog::info!("attempt broke", kv: {
             request = pending.attributes.id.as_str(),
@@ -153,6 +161,7 @@
     /// Records that an endpoint responded to a request sent at `sent_at`.
     pub(super) fn record_response(&mut self, endpoint: &str, instance: Instance, sent_at: Instant) {
         for fingerprint in self.suspects.record_response(instance, sent_at) {
+            self.spread.push(&self.suspects, fingerprint, true);
             metrics::count("crash", "refuted");
             spdlog::info!("endpoint responded after broken attempt",
                 kv: { endpoint = endpoint, fingerprint = hex(fingerprint) });
--- a/crates/front/src/broker/gossip.rs
+++ b/crates/front/src/broker/gossip.rs
@@ -107,7 +107,7 @@
             return;
         }
         let mut by_address: HashMap<SocketAddr, Vec<suspects::Report>> = HashMap::new();
-        for report in self.suspects.take_unreported(now) {
+        for report in self.spread.take_unreported(&self.suspects, now) {
             for address in self.peers.counting_addresses(report.fingerprint, now) {
                 by_address.entry(address).or_default().push(report.clone());
             }
@@ -119,7 +119,11 @@
 
     pub(super) fn merge_suspects(&mut self, reports: &[suspects::Report], now: Instant) {
         for report in reports {
-            if !self.suspects.merge_remote(report, now) {
+            let before = self.suspects.count(report.fingerprint);
+            if self.suspects.merge_remote(report, now) {
+                self.spread.push(&self.suspects, report.fingerprint, false);
+            }
+            if self.suspects.count(report.fingerprint) <= before {
                 continue;
             }
             metrics::count("crash", "heard");
@@ -201,7 +205,7 @@
         if !was_live {
             let address = digest.address.to_string();
             spdlog::info!("daemon heard", kv: { daemon = id.as_str(), address = address });
-            self.suspects.spread_again(MAX_SUSPECTS_PER_DIGEST);
+            self.spread.push_again(&self.suspects, MAX_SUSPECTS_PER_DIGEST);
         }
         if let Some(read_at) =
             digest.read_age_ms.and_then(|it| now.checked_sub(Duration::from_millis(it)))
@@ -291,7 +295,7 @@
             loads: loaded.map(|it| (it.endpoint.id.clone(), it.own_load)).collect(),
             admitted: self.buckets.iter().map(|(name, it)| (name.clone(), it.admitted())).collect(),
             usage_report: None,
-            suspects: self.suspects.take_spreading(MAX_SUSPECTS_PER_DIGEST, now),
+            suspects: self.spread.take_gossip(&self.suspects, MAX_SUSPECTS_PER_DIGEST, now),
             leaving: leaving
                 .map(|it| (it.endpoint.id.clone(), it.endpoint.started_at_ms))
                 .collect(),
--- a/crates/front/src/broker/mod.rs
+++ b/crates/front/src/broker/mod.rs
@@ -17,6 +17,7 @@
 
 use balance::pool::Effect;
 use balance::pool::Pool;
+use balance::spread::Spread;
 use balance::suspects::Suspects;
 use duty::clock::Clock;
 use duty::demand::Demand;
@@ -110,6 +111,8 @@
     table: Rc<Table>,
     pool: Pool,
     suspects: Suspects,
+    /// Changes of `suspects` that wait to be sent.
+    spread: Spread,
     /// Attempts without a complete response, until it is known whether the endpoint
     /// crashed.
     interruptions: VecDeque<crashes::Interruption>,
@@ -173,7 +176,8 @@
             stage: Stage::Running,
             table: Rc::default(),
             pool: Pool::default(),
-            suspects: Suspects::default(),
+            suspects: Suspects::new(crashes::CRASH_LIMIT),
+            spread: Spread::default(),
             interruptions: VecDeque::new(),
             stored_rejected: BTreeSet::new(),
             stored_rejected_at: now,
@@ -302,7 +306,7 @@
         after!(TICK, [cx], tick());
         let now = cx.now();
         self.context.ready.send_replace(self.is_ready());
-        let is_urgent = self.has_urgent_changes || self.suspects.has_urgent_changes();
+        let is_urgent = self.has_urgent_changes || self.spread.has_news();
         if is_urgent || now >= self.gossiped_at + self.gossip_interval() {
             self.gossip(now);
         }
