Count crashes of serve by the same evidence as front

What callers saw: with serve too, a daemon that started after a request had been rejected let it crash further engines.

Cause: the same class of fault in a second implementation, policy::suspects: each daemon sent its points once, to the daemons that were live then. Every attempt of a request counted, several for one crash, and nothing cleared a request that was interrupted by the crash of another and then completed.

--- a/crates/balance/src/endpoint.rs
+++ b/crates/balance/src/endpoint.rs
@@ -36,11 +36,17 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Encode, Decode)]
 pub struct Instance(pub u64);
 
+impl Instance {
+    /// Returns the instance with a unique identity.
+    pub fn of(identity: &str) -> Instance {
+        Instance(xxh3_64(identity.as_bytes()))
+    }
+}
+
 impl Endpoint {
     /// Returns the identity of this instance of the endpoint.
     pub fn instance(&self) -> Instance {
-        let identity = format!("{} {} {}", self.id, self.started_at_ms, self.address);
-        Instance(xxh3_64(identity.as_bytes()))
+        Instance::of(&format!("{} {} {}", self.id, self.started_at_ms, self.address))
     }
 }
 
--- a/crates/balance/src/suspects.rs
+++ b/crates/balance/src/suspects.rs
@@ -12,14 +12,12 @@
 
 use bincode::Decode;
 use bincode::Encode;
+use xxhash_rust::xxh3::Xxh3;
 
 use crate::endpoint::Instance;
 
 /// Number of crashed instances from which on all daemons are told of a request.
 const REPEATED: usize = 2;
-/// How long a request is rejected after the crash that reached the limit. Doubles
-/// with each further crash.
-const REJECTION_TIME: Duration = Duration::from_secs(120);
 /// How long a request is remembered after its last interruption.
 const RETENTION: Duration = Duration::from_secs(1_800);
 /// Like [`RETENTION`], for a request with a single interruption while memory is short.
@@ -79,11 +77,20 @@
     pub interruptions: Vec<Interruption>,
 }
 
+/// When and how long a request is rejected.
+#[derive(Clone, Copy, Debug)]
+pub struct Limit {
+    /// Number of points from which on it is rejected.
+    pub points: u32,
+    /// How long it is rejected after the crash that reached the limit. Doubles with each
+    /// further crash.
+    pub rejection_time: Duration,
+}
+
 /// Interrupted requests by fingerprint.
 #[derive(Clone, Debug)]
 pub struct Suspects {
-    /// Number of points at which a request is rejected.
-    limit: u32,
+    limit: Limit,
     by_fingerprint: HashMap<u128, Suspect>,
     /// Requests that were interrupted at an instance from which nothing has been
     /// heard since.
@@ -117,9 +124,20 @@
     }
 }
 
+/// Returns the fingerprint of a request's content, of which two parts never run into
+/// each other.
+pub fn fingerprint(parts: &[&[u8]]) -> u128 {
+    let mut hash = Xxh3::new();
+    for part in parts {
+        hash.update(&(part.len() as u64).to_be_bytes());
+        hash.update(part);
+    }
+    hash.digest128()
+}
+
 impl Suspects {
-    /// Creates an empty set, of which requests are rejected from `limit` points on.
-    pub fn new(limit: u32) -> Suspects {
+    /// Creates an empty set.
+    pub fn new(limit: Limit) -> Suspects {
         Suspects { limit, by_fingerprint: HashMap::new(), by_instance: HashMap::new() }
     }
 
@@ -182,8 +200,9 @@
     /// Whether the request must be rejected.
     pub fn is_rejected(&self, fingerprint: u128, now: Instant) -> bool {
         let Some(suspect) = self.by_fingerprint.get(&fingerprint) else { return false };
-        let Some(excess) = suspect.points().checked_sub(self.limit) else { return false };
-        let duration = REJECTION_TIME * 2u32.saturating_pow((excess / CRASH_POINTS).min(8));
+        let Some(excess) = suspect.points().checked_sub(self.limit.points) else { return false };
+        let duration =
+            self.limit.rejection_time * 2u32.saturating_pow((excess / CRASH_POINTS).min(8));
         suspect.crashed_at().is_some_and(|it| now < it + duration.min(RETENTION))
     }
 
--- a/crates/balance/tests/suspects.rs
+++ b/crates/balance/tests/suspects.rs
@@ -7,8 +7,10 @@
 use arbtest::arbtest;
 use balance::endpoint::Instance;
 use balance::spread::Spread;
+use balance::suspects;
 use balance::suspects::CRASH_POINTS;
 use balance::suspects::Evidence;
+use balance::suspects::Limit;
 use balance::suspects::Report;
 use balance::suspects::Suspects;
 
@@ -27,7 +29,7 @@
 fn a_request_is_rejected_after_crashes_of_different_instances() {
     let now = Instant::now();
     let check = |instances: &[u64], is_rejected: bool| {
-        let mut suspects = suspects();
+        let mut suspects = new_suspects();
 
         for instance in instances {
             suspects.record(REQUEST, Instance(*instance), Evidence::Interrupted, now);
@@ -42,6 +44,15 @@
     check(&[1, 2, 3], true);
 }
 
+#[test]
+fn fingerprints_differ_where_parts_are_split_differently() {
+    let fingerprints =
+        [suspects::fingerprint(&[b"poison"]), suspects::fingerprint(&[b"pois", b"on"])];
+
+    assert_ne!(fingerprints[0], fingerprints[1]);
+    assert_eq!(fingerprints[0], suspects::fingerprint(&[b"poison"]));
+}
+
 #[test]
 fn an_interruption_counts_until_it_is_refuted() {
     let now = Instant::now();
@@ -196,7 +207,7 @@
 
 impl Daemon {
     fn new() -> Daemon {
-        Daemon { suspects: suspects(), spread: Spread::default() }
+        Daemon { suspects: new_suspects(), spread: Spread::default() }
     }
 
     fn record(&mut self, fingerprint: u128, instance: u64, evidence: Evidence, now: Instant) {
@@ -249,13 +260,16 @@
     }
 }
 
-fn suspects() -> Suspects {
-    Suspects::new(CRASH_LIMIT as u32 * CRASH_POINTS)
+fn new_suspects() -> Suspects {
+    Suspects::new(Limit {
+        points: CRASH_LIMIT as u32 * CRASH_POINTS,
+        rejection_time: Duration::from_secs(120),
+    })
 }
 
 /// Returns suspects with a request interrupted at this number of instances.
 fn interrupted(now: Instant, count: usize) -> Suspects {
-    let mut suspects = suspects();
+    let mut suspects = new_suspects();
     for instance in 1..=count as u64 {
         suspects.record(REQUEST, Instance(instance), Evidence::Interrupted, now);
     }
--- a/crates/front/src/broker/crashes.rs
+++ b/crates/front/src/broker/crashes.rs
@@ -5,18 +5,19 @@
 use std::time::Instant;
 
 use balance::endpoint::Instance;
+use balance::suspects;
 use balance::suspects::CRASH_POINTS;
 use balance::suspects::Evidence;
+use balance::suspects::Limit;
 use relay::admission::Outcome;
 use route::config::Workspace;
-use xxhash_rust::xxh3::xxh3_128;
 
 use super::Broker;
 use crate::metrics;
 
-/// Number of points at which a request is rejected: three crashes. Two may be due to
-/// other requests.
-pub(super) const CRASH_LIMIT: u32 = 3 * CRASH_POINTS;
+/// Limit of three crashes. Two may be due to other requests.
+pub(super) const LIMIT: Limit =
+    Limit { points: 3 * CRASH_POINTS, rejection_time: Duration::from_secs(120) };
 /// Maximum time from an interrupted attempt until the end of the endpoint becomes known.
 const CRASH_DETECTION_TIME: Duration = Duration::from_secs(10);
 /// Maximum number of interrupted attempts that wait for signs of a crash.
@@ -173,7 +174,7 @@
 /// workspace, as its API key may be replaced.
 pub(super) fn fingerprint(content: u128, workspace: Option<&Workspace>) -> u128 {
     let name = workspace.map_or("", |it| it.name.as_str());
-    xxh3_128(format!("{content:032x} {name}").as_bytes())
+    suspects::fingerprint(&[&content.to_be_bytes(), name.as_bytes()])
 }
 
 /// Formats a fingerprint for logs.
--- a/crates/front/src/broker/mod.rs
+++ b/crates/front/src/broker/mod.rs
@@ -176,7 +176,7 @@
             stage: Stage::Running,
             table: Rc::default(),
             pool: Pool::default(),
-            suspects: Suspects::new(crashes::CRASH_LIMIT),
+            suspects: Suspects::new(crashes::LIMIT),
             spread: Spread::default(),
             interruptions: VecDeque::new(),
             stored_rejected: BTreeSet::new(),
--- a/crates/harness/tests/faults/main.rs
+++ b/crates/harness/tests/faults/main.rs
@@ -1,5 +1,6 @@
 //! Requests that crash endpoints, and endpoints and daemons that stop responding.
 
+use std::fs;
 use std::io;
 use std::time::Duration;
 
@@ -13,6 +14,10 @@
 const NO_FAILURES: [String; 0] = [];
 /// Maximum number of endpoints that one request may crash.
 const MAX_CRASHES: usize = 2;
+/// Time within which daemons tell one that has started about such requests.
+const REPORT_TIMEOUT: Duration = Duration::from_secs(5);
+/// Log line of a daemon that was told.
+const TOLD: &str = "crashes heard";
 
 #[test]
 fn a_request_that_crashes_endpoints_is_rejected_on_every_daemon() -> io::Result<()> {
@@ -45,6 +50,39 @@
     Ok(())
 }
 
+#[test]
+fn a_daemon_that_starts_later_rejects_a_request_that_crashed_endpoints() -> io::Result<()> {
+    let mut cluster = deployment(&["e1", "e2", "e3", "e4"])?;
+    for engine in &cluster.engines {
+        cluster::set_switches(&engine.address, &json!({ "crash_on": "poison" }))?;
+    }
+    let poison = |address: &str| -> io::Result<u16> {
+        Ok(Draft::new(address, "poison in the batch", 50).stream(|_| {})?.status)
+    };
+    poison(&addresses(&cluster)[0])?;
+
+    cluster.add_daemon("entry-3", "kpone")?;
+    let latest = cluster::catalog_revision(&cluster.daemons[0].operators)?;
+    let operators = cluster.daemons[2].operators.clone();
+    cluster::wait_for("the configuration", || {
+        cluster::catalog_revision(&operators).is_ok_and(|it| it >= latest)
+    })?;
+    let started = cluster.daemons[2].callers.clone();
+    let log = cluster.daemons[2].process.log.clone();
+    let is_told = || fs::read_to_string(&log).is_ok_and(|it| it.contains(TOLD));
+    // The request tells whether the daemon was told in time.
+    let _ = cluster::wait_within(REPORT_TIMEOUT, "the daemon to be told", is_told);
+    let status = poison(&started)?;
+
+    assert_eq!(status, 422);
+    let mut crashed = 0;
+    for engine in &mut cluster.engines {
+        crashed += usize::from(engine.process.wait(Duration::ZERO)?.is_some());
+    }
+    assert!(crashed <= MAX_CRASHES, "{crashed} engines crashed");
+    Ok(())
+}
+
 #[test]
 fn streams_move_off_connections_on_which_the_endpoint_goes_silent() -> io::Result<()> {
     let cluster = deployment(&["e1"])?;
--- a/crates/lentilhook/src/daemon/dispatch/attempts.rs
+++ b/crates/lentilhook/src/daemon/dispatch/attempts.rs
@@ -38,6 +38,8 @@
 
 /// Maximum number of failed attempts of a job.
 pub(super) const MAX_FAILURES: u32 = 4;
+/// Lowest status with which a service reports an error of its own.
+const FIRST_SERVER_ERROR: u16 = 500;
 /// Response timeout of a plain service.
 const PLAIN_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -113,6 +115,9 @@
             Event::Finished(usage) => self.complete(cx, id, number, usage),
             Event::Answered(response) => {
                 self.admission.record_success();
+                if response.status < FIRST_SERVER_ERROR {
+                    self.record_service(cx, id);
+                }
                 self.close_attempt(cx, attempt);
                 self.end_with_response(cx, id, response);
             }
@@ -172,6 +177,7 @@
                 }
                 self.record_cached(cx, id, &usage);
                 self.admission.record_success();
+                self.record_service(cx, id);
                 self.close_running(cx, id);
                 self.end(cx, id, Reply::Finished(usage));
             }
--- a/crates/lentilhook/src/daemon/dispatch/mod.rs
+++ b/crates/lentilhook/src/daemon/dispatch/mod.rs
@@ -26,6 +26,7 @@
 use ::job::call::Call;
 use ::job::problem::Problem;
 use ::job::reply::Reply;
+use balance::suspects::Suspects;
 use config::catalog::Catalog;
 use config::object::Service;
 use endpoint::attempt::AttemptId;
@@ -42,7 +43,6 @@
 use peer::wire::Forward;
 use peer::wire::Frame;
 use policy::route::Mode;
-use policy::suspects::Suspects;
 use stakker::Actor;
 use stakker::CX;
 use stakker::Ret;
@@ -54,6 +54,7 @@
 use stakker::sync::ChannelGuard;
 
 use self::admission::Admission;
+use self::fingerprints::Crash;
 use self::handover::Pending;
 use self::job::Job;
 use self::job::JobId;
@@ -100,6 +101,8 @@
     relays: HashMap<StreamId, Relay>,
     recovery: Recovery,
     suspects: Suspects,
+    /// Latest crash of each endpoint.
+    crashes: BTreeMap<String, Crash>,
     is_round_scheduled: bool,
     lookups: HashMap<StreamId, Lookup>,
     handovers: HashMap<StreamId, Pending>,
@@ -159,7 +162,8 @@
             by_attempt: HashMap::new(),
             relays: HashMap::new(),
             recovery: Recovery::new(cx),
-            suspects: Suspects::default(),
+            suspects: Suspects::new(fingerprints::LIMIT),
+            crashes: BTreeMap::new(),
             is_round_scheduled: false,
             lookups: HashMap::new(),
             handovers: HashMap::new(),
@@ -185,6 +189,11 @@
     pub fn vm_changed(&mut self, cx: CX![], vm: Vm) {
         match vm.role {
             Role::Daemon => {
+                let is_live = |it: &Vm| it.state == State::Live && it.incarnation == vm.incarnation;
+                let was_live = self.daemons.get(&vm.id).is_some_and(is_live);
+                if is_live(&vm) && !was_live {
+                    self.report_suspects(cx, &vm);
+                }
                 self.daemons.insert(vm.id.clone(), vm);
             }
             Role::Endpoint => {
@@ -233,8 +242,8 @@
                 }
                 self.relay_reply(cx, stream, reply);
             }
-            Event::Frame { stream, frame: Frame::Suspect(suspect) } => {
-                self.merge_suspect(cx, stream, &suspect);
+            Event::Frame { stream, frame: Frame::Suspects(reports) } => {
+                self.merge_suspects(cx, stream, &reports);
             }
             Event::Frame { stream, frame: Frame::Handover(handover) } => {
                 self.receive_handover(cx, stream, *handover);
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -1,6 +1,7 @@
 //! Frames exchanged between daemons and their encoding: a four-byte big-endian
 //! length followed by the frame in bincode.
 
+use balance::suspects::Report;
 use bincode::Decode;
 use bincode::Encode;
 use bytes::Buf;
@@ -29,8 +30,8 @@
     Reply(Reply),
     /// The sender's view of the VMs; opens a stream.
     Gossip(Gossip),
-    /// A request that crashes endpoints; opens a stream.
-    Suspect(Suspect),
+    /// Requests that may crash endpoints; opens a stream.
+    Suspects(Vec<Report>),
     /// A message between replicas of the configuration; opens a stream or
     /// replies on one.
     Config {
@@ -78,17 +79,6 @@
     pub hops: u8,
 }
 
-/// Endpoint crashes during a request, as counted by one daemon.
-#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
-pub struct Suspect {
-    /// Fingerprint of the request's content.
-    pub fingerprint: u128,
-    /// Daemon that counted the crashes.
-    pub daemon: String,
-    /// Number of points that it has counted so far.
-    pub points: u32,
-}
-
 /// Errors of encoding and decoding frames.
 #[derive(Debug, PartialEq, Eq, Snafu)]
 pub enum Error {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -13,4 +13,3 @@
 pub mod retry;
 pub mod ring;
 pub mod route;
-pub mod suspects;
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -1,5 +1,6 @@
 //! Handling of one caller's request, from its head to the response.
 
+use balance::suspects;
 use bytes::Bytes;
 use http::Request;
 use http::Response;
@@ -15,7 +16,6 @@
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 use tokio::time::timeout_at;
-use xxhash_rust::xxh3::Xxh3;
 
 use crate::admission::Arrival;
 use crate::admission::Message;
@@ -64,7 +64,7 @@
     let host = host.or(parts.uri.host()).unwrap_or_default().to_owned();
     let path = parts.uri.path().to_owned();
     let uri = parts.uri.path_and_query().map_or("/", |it| it.as_str());
-    let fingerprint = fingerprint(uri, &body);
+    let fingerprint = suspects::fingerprint(&[uri.as_bytes(), &body]);
     let id = attributes.id.clone();
     let caller_timeout = attributes.timeout;
     let arrival = Box::new(Arrival { host, path, attributes, fingerprint });
@@ -205,15 +205,6 @@
     refusal_response(&Refusal { status: status.as_u16(), retry_after: None }, id)
 }
 
-fn fingerprint(uri: &str, body: &[u8]) -> u128 {
-    let mut hash = Xxh3::new();
-    for part in [uri.as_bytes(), body] {
-        hash.update(&(part.len() as u64).to_be_bytes());
-        hash.update(part);
-    }
-    hash.digest128()
-}
-
 impl Server {
     async fn decide(&self, arrival: Box<Arrival>) -> Result<(Plan, Target), Refusal> {
         let (reply, decision) = oneshot::channel();
