Count attempts at endpoints that go silent under a request

What callers saw: a request under which endpoints hang, instead of closing their connections, was sent on until their entries had expired.

Cause: an attempt that a timeout or its caller ended waited for a sign of a crash: a failed connection, or the entry's expiry 4 s later. It now counts at once if the endpoint has responded to nothing since the request was sent, for at least 1 s; a later response withdraws it, as for broken connections. This replaces the two signs, and the log line names what ended the attempt.

--- a/crates/balance/src/pool.rs
+++ b/crates/balance/src/pool.rs
@@ -7,6 +7,7 @@
 
 use crate::endpoint::Change;
 use crate::endpoint::Endpoint;
+use crate::endpoint::Instance;
 use crate::endpoint::Roster;
 use crate::health::Health;
 use crate::health::Outcome;
@@ -30,6 +31,8 @@
 pub struct Member {
     /// Latest description.
     pub endpoint: Endpoint,
+    /// The instance that it describes.
+    pub instance: Instance,
     /// Whether the list contains its entry.
     pub listed: bool,
     /// Whether the endpoint is known to be leaving, from its description or from
@@ -43,6 +46,8 @@
     pub health: Health,
     /// Learned engine speed.
     pub speed: Speed,
+    /// When this daemon last received a response from this instance.
+    pub responded_at: Option<Instant>,
     /// Prompt parts that this daemon has sent, with the time of the last send.
     cached: HashMap<u64, Instant>,
 }
@@ -51,6 +56,7 @@
     fn new(endpoint: Endpoint) -> Member {
         let leaving = endpoint.leaving;
         Member {
+            instance: endpoint.instance(),
             endpoint,
             listed: true,
             leaving,
@@ -58,6 +64,7 @@
             own_load: Load::default(),
             health: Health::default(),
             speed: Speed::default(),
+            responded_at: None,
             cached: HashMap::new(),
         }
     }
--- a/crates/front/src/broker/crashes.rs
+++ b/crates/front/src/broker/crashes.rs
@@ -1,5 +1,6 @@
 //! Recognition of requests that crash endpoints, from how their attempts end.
 
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
@@ -23,10 +24,15 @@
 /// Maximum number of interrupted attempts that wait for signs of a crash.
 const MAX_INTERRUPTIONS: usize = 4_096;
 
+/// Time without any response of an endpoint after which an attempt that its caller or a
+/// timeout ends counts as interrupted.
+const MIN_SILENCE: Duration = Duration::from_secs(1);
+
 /// An attempt that ended without a complete response.
 #[derive(Debug)]
 pub struct Interruption {
     request: String,
+    outcome: Outcome,
     fingerprint: u128,
     endpoint: String,
     address: SocketAddr,
@@ -52,46 +58,22 @@
     /// its own, and other endpoints at its address.
     pub(super) fn handle_joined(&mut self, id: &str, now: Instant) {
         let Some(member) = self.pool.member(id) else { return };
-        let (instance, address) = (member.endpoint.instance(), member.endpoint.address);
-        let is_replaced = |it: &Interruption| {
-            it.instance != instance && (it.endpoint == id || it.address == address)
-        };
-        self.record_crashes(is_replaced, Evidence::Replaced, now);
+        let (instance, address) = (member.instance, member.endpoint.address);
+        self.interruptions.retain(|it| now < it.at + CRASH_DETECTION_TIME);
+        let (replaced, others): (VecDeque<_>, VecDeque<_>) =
+            std::mem::take(&mut self.interruptions).into_iter().partition(|it| {
+                it.instance != instance && (it.endpoint == id || it.address == address)
+            });
+        self.interruptions = others;
+        for it in &replaced {
+            self.record(it, Evidence::Replaced, now);
+        }
     }
 
-    /// Handles the end of an endpoint's use. Without an announcement, the endpoint may have
-    /// crashed under the requests that it left unanswered.
-    pub(super) fn handle_left(&mut self, id: &str, now: Instant) {
+    /// Forgets interruptions at an endpoint that has announced its end.
+    pub(super) fn handle_left(&mut self, id: &str) {
         if self.pool.member(id).is_some_and(|it| it.leaving) {
             self.interruptions.retain(|it| it.endpoint != id);
-        } else {
-            self.record_crashes(|it| it.endpoint == id, Evidence::Interrupted, now);
-        }
-    }
-
-    fn record_crashes(
-        &mut self,
-        is_crash: impl Fn(&Interruption) -> bool,
-        evidence: Evidence,
-        now: Instant,
-    ) {
-        self.interruptions.retain(|it| now < it.at + CRASH_DETECTION_TIME);
-        for it in self.interruptions.iter().filter(|it| is_crash(it)) {
-            if !self.suspects.record(it.fingerprint, it.instance, evidence, now) {
-                continue;
-            }
-            self.spread.push(&self.suspects, it.fingerprint, true);
-            metrics::count("crash", "recorded");
-            spdlog::warn!("endpoint crashed under request", kv: {
-                request = it.request.as_str(),
-                endpoint = it.endpoint.as_str(),
-                fingerprint = hex(it.fingerprint),
-                evidence:? = evidence,
-                crashes = self.suspects.count(it.fingerprint),
-            });
-        }
-        if evidence == Evidence::Replaced {
-            self.interruptions.retain(|it| !is_crash(it));
         }
     }
 
@@ -111,60 +93,81 @@
                         kv: { request = id, fingerprint = hex(fingerprint) });
                 }
                 let (endpoint, sent_at) = (pending.endpoint.clone(), pending.sent_at);
-                self.record_response(&endpoint, instance, sent_at);
+                self.record_response(&endpoint, instance, sent_at, now);
             }
             Outcome::Broken | Outcome::TimedOut | Outcome::Abandoned => {
                 self.record_interruption(ticket, outcome, now);
             }
-            Outcome::Unreachable => {
-                let endpoint = pending.endpoint.clone();
-                self.record_crashes(|it| it.endpoint == endpoint, Evidence::Interrupted, now);
-            }
-            Outcome::Misdirected => {}
+            Outcome::Unreachable | Outcome::Misdirected => {}
         }
     }
 
     fn record_interruption(&mut self, ticket: u64, outcome: Outcome, now: Instant) {
         let Some(pending) = self.requests.get(&ticket) else { return };
+        let Some(member) = self.pool.member(&pending.endpoint) else { return };
+        let is_silent = now >= pending.sent_at + MIN_SILENCE
+            && member.responded_at.is_none_or(|it| it < pending.sent_at);
         // An endpoint that announced its end also breaks off requests that it can't finish.
-        let is_leaving = self.pool.member(&pending.endpoint).is_some_and(|it| it.leaving);
-        // A caller or a timeout may end an attempt whose endpoint is slow or has crashed.
-        let is_unanswered = outcome == Outcome::Broken || !pending.has_started;
-        if is_leaving || !is_unanswered {
+        // A timeout or the caller also ends attempts at an endpoint that is only slow.
+        if member.leaving || (outcome != Outcome::Broken && !is_silent) {
             return;
         }
-        if self.interruptions.len() >= MAX_INTERRUPTIONS {
-            self.interruptions.pop_front();
-        }
-        self.interruptions.push_back(Interruption {
+        let interruption = Interruption {
             request: pending.attributes.id.clone(),
+            outcome,
             fingerprint: pending.fingerprint,
             endpoint: pending.endpoint.clone(),
             address: pending.address,
             instance: pending.instance,
             at: now,
-        });
-        if outcome != Outcome::Broken {
-            return;
+        };
+        self.record(&interruption, Evidence::Interrupted, now);
+        if self.interruptions.len() >= MAX_INTERRUPTIONS {
+            self.interruptions.pop_front();
         }
-        if self.suspects.record(pending.fingerprint, pending.instance, Evidence::Interrupted, now) {
-            self.spread.push(&self.suspects, pending.fingerprint, true);
+        self.interruptions.push_back(interruption);
+    }
+
+    fn record(&mut self, interruption: &Interruption, evidence: Evidence, now: Instant) {
+        let Interruption { fingerprint, instance, .. } = *interruption;
+        if !self.suspects.record(fingerprint, instance, evidence, now) {
+            return;
         }
-        metrics::count("crash", "suspected");
-        spdlog::info!("attempt broke", kv: {
-            request = pending.attributes.id.as_str(),
-            endpoint = pending.endpoint.as_str(),
-            fingerprint = hex(pending.fingerprint),
-            crashes = self.suspects.count(pending.fingerprint),
+        self.spread.push(&self.suspects, fingerprint, true);
+        metrics::count(
+            "crash",
+            if evidence == Evidence::Replaced { "recorded" } else { "suspected" },
+        );
+        let payload = match evidence {
+            Evidence::Replaced => "endpoint crashed under request",
+            _ => "attempt interrupted",
+        };
+        spdlog::info!("{payload}", kv: {
+            request = interruption.request.as_str(),
+            after = interruption.outcome.name(),
+            endpoint = interruption.endpoint.as_str(),
+            fingerprint = hex(fingerprint),
+            crashes = self.suspects.count(fingerprint),
         });
     }
 
     /// Records that an endpoint responded to a request sent at `sent_at`.
-    pub(super) fn record_response(&mut self, endpoint: &str, instance: Instance, sent_at: Instant) {
+    pub(super) fn record_response(
+        &mut self,
+        endpoint: &str,
+        instance: Instance,
+        sent_at: Instant,
+        now: Instant,
+    ) {
+        if let Some(member) = self.pool.member_mut(endpoint)
+            && member.instance == instance
+        {
+            member.responded_at = Some(now);
+        }
         for fingerprint in self.suspects.record_response(instance, sent_at) {
             self.spread.push(&self.suspects, fingerprint, true);
             metrics::count("crash", "refuted");
-            spdlog::info!("endpoint responded after broken attempt",
+            spdlog::info!("endpoint responded after interruption",
                 kv: { endpoint = endpoint, fingerprint = hex(fingerprint) });
         }
     }
--- a/crates/front/src/broker/mod.rs
+++ b/crates/front/src/broker/mod.rs
@@ -411,7 +411,7 @@
         for (id, effect) in effects {
             match effect {
                 Effect::Joined => self.handle_joined(&id, now),
-                Effect::Left => self.handle_left(&id, now),
+                Effect::Left => self.handle_left(&id),
                 Effect::Unchanged => {}
             }
             spdlog::info!("endpoint", kv: {
--- a/crates/front/src/broker/requests.rs
+++ b/crates/front/src/broker/requests.rs
@@ -280,7 +280,7 @@
         pending.has_started = true;
         let (endpoint, instance, sent_at) =
             (pending.endpoint.clone(), pending.instance, pending.sent_at);
-        self.record_response(&endpoint, instance, sent_at);
+        self.record_response(&endpoint, instance, sent_at, now);
         self.count_run(ticket);
         let Some(pending) = self.requests.get_mut(&ticket) else { return };
         let waited = now.saturating_duration_since(pending.sent_at);
@@ -349,7 +349,7 @@
         pending.tried.push(choice.id.clone());
         pending.endpoint = choice.id;
         pending.address = member.endpoint.address;
-        pending.instance = member.endpoint.instance();
+        pending.instance = member.instance;
         pending.load = choice.load;
         pending.prefill_tokens = choice.total_prefill_tokens;
         pending.predicted = choice.predicted;
