Log workspace and units of each placed request, and what breaks the quota

No line told the units that a request was charged. `placed` now does.

Found with it: 281 requests with 1.95 million tokens are admitted within 0.2 s after all 63 daemons restart at once, as each has a full bucket and knows no other.

--- a/crates/front/src/broker/requests.rs
+++ b/crates/front/src/broker/requests.rs
@@ -183,6 +183,8 @@
         spdlog::info!("placed", kv: {
             request = id,
             route = found.route.name.as_str(),
+            workspace = found.workspace.map_or("", |it| it.name.as_str()),
+            units = units.round() as i64,
             endpoint = choice.id.as_str(),
             predicted_ms = choice.predicted.as_millis() as u64,
             unread = choice.total_prefill_tokens,
