--- a/crates/balance/src/suspects.rs
+++ b/crates/balance/src/suspects.rs
@@ -48,6 +48,11 @@
 }
 
 impl Evidence {
+    /// Whether the instance counts as crashed by the request.
+    pub fn counts(self) -> bool {
+        self.points() > 0
+    }
+
     fn points(self) -> u32 {
         match self {
             Evidence::Progressed => UNLIKELY_POINTS,
@@ -106,7 +111,7 @@
 
 impl Suspect {
     fn count(&self) -> usize {
-        self.interruptions.values().filter(|(evidence, _)| evidence.points() > 0).count()
+        self.interruptions.values().filter(|(evidence, _)| evidence.counts()).count()
     }
 
     fn points(&self) -> u32 {
@@ -115,7 +120,7 @@
 
     /// Returns when the latest instance crashed.
     fn crashed_at(&self) -> Option<Instant> {
-        let counted = self.interruptions.values().filter(|(evidence, _)| evidence.points() > 0);
+        let counted = self.interruptions.values().filter(|(evidence, _)| evidence.counts());
         counted.map(|(_, at)| *at).max()
     }
 
--- a/crates/front/src/broker/crashes.rs
+++ b/crates/front/src/broker/crashes.rs
@@ -23,9 +23,8 @@
 const CRASH_DETECTION_TIME: Duration = Duration::from_secs(10);
 /// Maximum number of interrupted attempts that wait for signs of a crash.
 const MAX_INTERRUPTIONS: usize = 4_096;
-
-/// Time without any response of an endpoint after which an attempt that its caller or a
-/// timeout ends counts as interrupted.
+/// Minimum time without any response from an endpoint for an attempt to count as
+/// interrupted that a timeout or the caller has ended.
 const MIN_SILENCE: Duration = Duration::from_secs(1);
 
 /// An attempt that ended without a complete response.
@@ -134,14 +133,11 @@
             return;
         }
         self.spread.push(&self.suspects, fingerprint, true);
-        metrics::count(
-            "crash",
-            if evidence == Evidence::Replaced { "recorded" } else { "suspected" },
-        );
-        let payload = match evidence {
-            Evidence::Replaced => "endpoint crashed under request",
-            _ => "attempt interrupted",
+        let (cause, payload) = match evidence {
+            Evidence::Replaced => ("recorded", "endpoint crashed under request"),
+            _ => ("suspected", "attempt interrupted"),
         };
+        metrics::count("crash", cause);
         spdlog::info!("{payload}", kv: {
             request = interruption.request.as_str(),
             after = interruption.outcome.name(),
--- a/crates/front/src/broker/gossip.rs
+++ b/crates/front/src/broker/gossip.rs
@@ -100,8 +100,8 @@
         self.report_interruptions(now);
     }
 
-    /// Reports requests that were interrupted here for the first time to the daemons that
-    /// count the interruptions of each.
+    /// Reports what was learned of single interruptions to the daemons that count those
+    /// of each request.
     fn report_interruptions(&mut self, now: Instant) {
         if self.peers.live(now).next().is_none() {
             return;
--- a/crates/front/src/broker/leader.rs
+++ b/crates/front/src/broker/leader.rs
@@ -25,7 +25,7 @@
 use crate::rejected;
 
 /// Maximum number of rejected requests that are stored, so that they fit in a row.
-const MAX_STORED_REJECTED: usize = 128;
+const MAX_STORED_REJECTED: usize = 64;
 /// Minimum remaining lease time for starting a call.
 const LEASE_MARGIN: Duration = Duration::from_millis(400);
 
--- a/crates/harness/tests/faults/main.rs
+++ b/crates/harness/tests/faults/main.rs
@@ -42,10 +42,7 @@
         assert!(problem["retry_after_s"].is_null(), "{problem}");
     }
     assert_eq!(load.failures(), NO_FAILURES);
-    let mut crashed = 0;
-    for engine in &mut cluster.engines {
-        crashed += usize::from(engine.process.wait(Duration::ZERO)?.is_some());
-    }
+    let crashed = count_crashed(&mut cluster)?;
     assert!(crashed <= MAX_CRASHES, "{crashed} engines crashed");
     Ok(())
 }
@@ -75,10 +72,7 @@
     let status = poison(&started)?;
 
     assert_eq!(status, 422);
-    let mut crashed = 0;
-    for engine in &mut cluster.engines {
-        crashed += usize::from(engine.process.wait(Duration::ZERO)?.is_some());
-    }
+    let crashed = count_crashed(&mut cluster)?;
     assert!(crashed <= MAX_CRASHES, "{crashed} engines crashed");
     Ok(())
 }
@@ -126,6 +120,14 @@
     Ok(cluster)
 }
 
+fn count_crashed(cluster: &mut Cluster) -> io::Result<usize> {
+    let mut crashed = 0;
+    for engine in &mut cluster.engines {
+        crashed += usize::from(engine.process.wait(Duration::ZERO)?.is_some());
+    }
+    Ok(crashed)
+}
+
 fn addresses(cluster: &Cluster) -> Vec<String> {
     cluster.daemons.iter().map(|it| it.callers.clone()).collect()
 }
