Log how much of each response the caller's socket took

Around SIGTERM, callers of two daemons got a part of a stream and then the end of the connection.

The relay now follows each exchange from the first byte of a request until the socket has taken the last byte of its response. Counters: event `exchange`. `lentilhook explain` reads the new lines.

Ruled out: queued log lines are not lost at a normal exit.

No logic changed.

--- a/crates/explain/src/cause.rs
+++ b/crates/explain/src/cause.rs
@@ -4,7 +4,16 @@
 
 /// Whether a line records a decision on a request, rather than what became known later.
 pub fn is_decision(record: &Record) -> bool {
-    matches!(record.event.as_str(), "refused" | "over" | "placed" | "placed again" | "began")
+    matches!(
+        record.event.as_str(),
+        "refused"
+            | "over"
+            | "placed"
+            | "placed again"
+            | "began"
+            | "request incomplete"
+            | "response cut"
+    )
 }
 
 /// Describes the cause of a request's outcome, with hints on what to check next.
@@ -12,6 +21,8 @@
     match last.event.as_str() {
         "refused" => rejection(last.text("cause").unwrap_or_default()).to_owned(),
         "over" => outcome(last),
+        "response cut" => cut(last).to_owned(),
+        "request incomplete" => incomplete(last).to_owned(),
         "placed" | "placed again" | "began" => {
             "these logs do not contain the end of the request: the daemon terminated, log lines \
              were dropped, or the request is still open"
@@ -41,6 +52,26 @@
     }
 }
 
+fn cut(last: &Record) -> &'static str {
+    match last.text("by").unwrap_or_default() {
+        "caller" => "the caller closed the connection before it had taken the whole response",
+        "aborted" => "the daemon broke the response off, since the endpoint did not complete it",
+        "stopped" => {
+            "the daemon exited before the caller had taken the whole response; check the cause \
+             in its `stopped` line"
+        }
+        _ => "the response was cut for a cause unknown to this version",
+    }
+}
+
+fn incomplete(last: &Record) -> &'static str {
+    match last.text("by").unwrap_or_default() {
+        "stopped" => "the daemon exited while it was receiving the request",
+        "caller" => "the caller closed the connection before it had sent the whole request",
+        _ => "the request was not received completely within the limits; see its status",
+    }
+}
+
 fn outcome(last: &Record) -> String {
     let endpoint = last.text("endpoint").filter(|it| !it.is_empty()).unwrap_or("no endpoint");
     match last.text("ended").unwrap_or_default() {
--- a/crates/explain/tests/timeline.rs
+++ b/crates/explain/tests/timeline.rs
@@ -46,6 +46,10 @@
     check("refused", r#""cause":"newer""#, "unknown to this version");
     check("over", r#""ended":"timed_out""#, "expired while e was processing the request");
     check("over", r#""ended":"served""#, "served by e");
+    check("response cut", r#""by":"stopped""#, "exited before the caller had taken");
+    check("response cut", r#""by":"caller""#, "the caller closed the connection before");
+    check("request incomplete", r#""by":"stopped""#, "while it was receiving the request");
+    check("request incomplete", r#""status":408"#, "not received completely within the limits");
     check("began", r#""waited_ms":3"#, "these logs do not contain the end of the request");
 }
 
--- a/crates/front/src/broker/mod.rs
+++ b/crates/front/src/broker/mod.rs
@@ -32,6 +32,7 @@
 use quota::workspace::Bucket;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use relay::exchange::Exchanges;
 use relay::server::Phase;
 use route::config::Config;
 use route::config::Limits;
@@ -88,6 +89,8 @@
     pub limits: Rc<Cell<Limits>>,
     /// Publishes the shutdown phase to callers' connections.
     pub phase: watch::Sender<Phase>,
+    /// Counts of callers' connections.
+    pub exchanges: Exchanges,
     /// Publishes the readiness for the load balancer's probe.
     pub ready: watch::Sender<bool>,
     /// Publishes to the feeds whether this daemon is a store reader.
@@ -348,7 +351,10 @@
         self.stage = Stage::Stopping { since: now };
         self.context.ready.send_replace(false);
         self.context.phase.send_replace(Phase::Closing);
-        spdlog::info!("stopping", kv: { open = self.requests.len() });
+        spdlog::info!("stopping", kv: {
+            open = self.requests.len(),
+            callers = self.context.exchanges.counts().to_string(),
+        });
         self.gossip(now);
     }
 
@@ -360,8 +366,13 @@
         }
         self.context.phase.send_replace(Phase::Closed);
         let is_grace_over = elapsed + KILL_MARGIN >= self.context.settings.bounds.grace;
-        if self.requests.is_empty() && elapsed > BALANCER_LAG + TICK * 3 || is_grace_over {
-            spdlog::info!("stopped", kv: { open = self.requests.len() });
+        let is_drained = self.requests.is_empty() && elapsed > BALANCER_LAG + TICK * 3;
+        if is_drained || is_grace_over {
+            spdlog::info!("stopped", kv: {
+                open = self.requests.len(),
+                callers = self.context.exchanges.counts().to_string(),
+                cause = if is_drained { "drained" } else { "grace_over" },
+            });
             cx.shutdown(StopCause::Stopped);
         }
     }
--- a/crates/front/src/broker/requests.rs
+++ b/crates/front/src/broker/requests.rs
@@ -150,6 +150,7 @@
             Message::Finished { ticket, outcome, status } => {
                 self.finish(ticket, outcome, status, now);
             }
+            Message::Exchanged { end } => metrics::count("exchange", end.name()),
         }
     }
 
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -10,6 +10,7 @@
 use platform::settings;
 use platform::settings::Settings;
 use rand::RngExt;
+use relay::exchange::Exchanges;
 use relay::server;
 use relay::server::Phase;
 use relay::server::Server;
@@ -102,6 +103,7 @@
     let (ready, is_ready) = watch::channel(false);
     let (reader, is_reader) = watch::channel(true);
     let limits = Rc::new(Cell::new(Limits::default()));
+    let exchanges = Exchanges::default();
     let context = Context {
         settings: settings.clone(),
         instance_id: instance_id.clone(),
@@ -110,6 +112,7 @@
         streams: Streams::new(),
         limits: limits.clone(),
         phase,
+        exchanges: exchanges.clone(),
         ready,
         reader,
         seed: rng.random(),
@@ -134,7 +137,7 @@
     spawn_local(probe::run(readiness, is_ready.clone()));
     spawn_local(probe::run(metrics, is_ready));
     spawn_local(watch_signals(path, events.clone()));
-    spawn_local(close_idle_connections(serve_callers(callers, &events, limits, phases)));
+    spawn_local(close_idle_connections(serve_callers(callers, &events, limits, phases, exchanges)));
     let (secret_sender, secret) = unbounded_channel();
     let candidate: String =
         (0..SECRET_BYTES).map(|_| format!("{:02x}", rng.random::<u8>())).collect();
@@ -181,6 +184,7 @@
     events: &UnboundedSender<Event>,
     limits: Rc<Cell<Limits>>,
     phases: watch::Receiver<Phase>,
+    exchanges: Exchanges,
 ) -> Server {
     let (messages, mut received) = unbounded_channel();
     let events = events.clone();
@@ -189,7 +193,7 @@
             let _ = events.send(Event::Request(message));
         }
     });
-    let server = Server::new(messages, limits, phases);
+    let server = Server::new(messages, limits, phases, exchanges);
     spawn_local(server.clone().run(callers));
     server
 }
--- a/crates/relay/src/admission.rs
+++ b/crates/relay/src/admission.rs
@@ -7,6 +7,8 @@
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::oneshot;
 
+use crate::exchange::End;
+
 /// A request that was received completely.
 #[derive(Clone, Debug)]
 pub struct Arrival {
@@ -127,6 +129,11 @@
         /// Status sent to the caller; 0 if none was sent.
         status: u16,
     },
+    /// An exchange with a caller has ended, for a request that was admitted or not.
+    Exchanged {
+        /// How it ended.
+        end: End,
+    },
 }
 
 /// Guard of an admitted request. Reports the request as finished when dropped.
--- a/crates/relay/src/body.rs
+++ b/crates/relay/src/body.rs
@@ -1,10 +1,13 @@
 //! Bodies of responses to callers.
 
+use std::cell::Cell;
 use std::convert::Infallible;
 use std::io;
 use std::pin::Pin;
+use std::rc::Rc;
 use std::task::Context;
 use std::task::Poll;
+use std::task::ready;
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -12,6 +15,10 @@
 use hyper::body::Frame;
 use hyper::body::SizeHint;
 use tokio::sync::mpsc::Receiver;
+use tokio::sync::mpsc::Sender;
+use tokio::sync::mpsc::error::SendError;
+
+use crate::exchange::Progress;
 
 /// A response body: buffered, or streamed with the possibility of an error.
 #[derive(Debug)]
@@ -20,7 +27,7 @@
     Buffered(Full<Bytes>),
     /// Chunks of the body. An error aborts the connection, so that the caller
     /// doesn't mistake a partial response for a complete one.
-    Streamed(Receiver<io::Result<Bytes>>),
+    Streamed(Chunks),
 }
 
 impl Payload {
@@ -28,6 +35,54 @@
     pub fn buffered(bytes: Bytes) -> Payload {
         Payload::Buffered(Full::new(bytes))
     }
+
+    /// Returns the number of bytes that are not taken yet, as far as they are known.
+    fn remaining(&self) -> u64 {
+        match self {
+            Payload::Buffered(body) => body.size_hint().lower(),
+            Payload::Streamed(chunks) => chunks.queued.get(),
+        }
+    }
+}
+
+/// Chunks of a streamed body that wait for the caller.
+#[derive(Debug)]
+pub struct Chunks {
+    receiver: Receiver<io::Result<Bytes>>,
+    /// Number of bytes that wait.
+    queued: Rc<Cell<u64>>,
+}
+
+/// Sends the chunks of a streamed body.
+#[derive(Debug)]
+pub struct ChunkSender {
+    sender: Sender<io::Result<Bytes>>,
+    queued: Rc<Cell<u64>>,
+}
+
+/// Creates a streamed body of which at most `capacity` chunks wait for the caller.
+pub fn channel(capacity: usize) -> (ChunkSender, Payload) {
+    let (sender, receiver) = tokio::sync::mpsc::channel(capacity);
+    let queued = Rc::<Cell<u64>>::default();
+    let chunks = Chunks { receiver, queued: queued.clone() };
+    (ChunkSender { sender, queued }, Payload::Streamed(chunks))
+}
+
+impl ChunkSender {
+    /// Sends a chunk, or an error that aborts the connection. Fails if the body was
+    /// dropped.
+    pub async fn send(&self, chunk: io::Result<Bytes>) -> Result<(), SendError<io::Result<Bytes>>> {
+        let permit = self.sender.reserve().await.map_err(|_| SendError(Ok(Bytes::new())))?;
+        let bytes = chunk.as_ref().map_or(0, Bytes::len);
+        self.queued.set(self.queued.get() + bytes as u64);
+        permit.send(chunk);
+        Ok(())
+    }
+
+    /// Waits until the body was dropped.
+    pub async fn closed(&self) {
+        self.sender.closed().await;
+    }
 }
 
 impl Body for Payload {
@@ -43,7 +98,11 @@
                 .poll_frame(cx)
                 .map(|it| it.map(|it| it.map_err(|never: Infallible| match never {}))),
             Payload::Streamed(chunks) => {
-                chunks.poll_recv(cx).map(|it| it.map(|it| it.map(Frame::data)))
+                let chunk = ready!(chunks.receiver.poll_recv(cx));
+                if let Some(Ok(bytes)) = &chunk {
+                    chunks.queued.set(chunks.queued.get() - bytes.len() as u64);
+                }
+                Poll::Ready(chunk.map(|it| it.map(Frame::data)))
             }
         }
     }
@@ -62,3 +121,47 @@
         }
     }
 }
+
+/// A response body that records how much of it was taken.
+#[derive(Debug)]
+pub struct Tracked {
+    payload: Payload,
+    progress: Rc<Progress>,
+}
+
+impl Tracked {
+    /// Tracks the body of the current response on a connection.
+    pub fn new(payload: Payload, progress: Rc<Progress>) -> Tracked {
+        Tracked { payload, progress }
+    }
+}
+
+impl Body for Tracked {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<io::Result<Frame<Bytes>>>> {
+        let frame = ready!(Pin::new(&mut self.payload).poll_frame(cx));
+        if let Some(Ok(frame)) = &frame {
+            self.progress.record_taken(frame.data_ref().map_or(0, Bytes::len));
+        }
+        Poll::Ready(frame)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.payload.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.payload.size_hint()
+    }
+}
+
+impl Drop for Tracked {
+    fn drop(&mut self) {
+        self.progress.end_body(self.payload.remaining());
+    }
+}
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -8,9 +8,11 @@
 pub mod body;
 pub mod connection;
 pub mod event;
+pub mod exchange;
 pub mod server;
 
 mod attempt;
 mod buffered;
 mod serve;
+mod socket;
 mod stream;
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -1,5 +1,7 @@
 //! Handling of one caller's request, from its head to the response.
 
+use std::rc::Rc;
+
 use balance::suspects;
 use bytes::Bytes;
 use http::Request;
@@ -13,6 +15,7 @@
 use hyper::body::Body;
 use hyper::body::Incoming;
 use platform::head;
+use route::config::Limits;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 use tokio::time::timeout_at;
@@ -28,38 +31,46 @@
 use crate::attempt::Call;
 use crate::attempt::Head;
 use crate::body::Payload;
+use crate::body::Tracked;
 use crate::buffered;
+use crate::exchange::Progress;
 use crate::server::Server;
 use crate::stream;
 
-/// Serves a request.
-pub async fn serve(server: Server, request: Request<Incoming>) -> Response<Payload> {
-    let mut response = respond(&server, request).await;
+/// Serves a request and records its progress.
+pub async fn serve(
+    server: Server,
+    request: Request<Incoming>,
+    progress: Rc<Progress>,
+) -> Response<Tracked> {
+    let mut response = respond(&server, request, &progress).await;
     if server.is_closing() {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
-    response
+    response.map(|it| Tracked::new(it, progress))
 }
 
-async fn respond(server: &Server, request: Request<Incoming>) -> Response<Payload> {
+async fn respond(
+    server: &Server,
+    request: Request<Incoming>,
+    progress: &Progress,
+) -> Response<Payload> {
     let arrived_at = Instant::now();
     let limits = server.limits();
     let (parts, body) = request.into_parts();
     let attributes = head::decode_request(&parts.headers);
-    if body.size_hint().lower() > limits.body_bytes as u64 {
-        return status_response(StatusCode::PAYLOAD_TOO_LARGE, &attributes.id);
-    }
-    let body = Limited::new(body, limits.body_bytes).collect();
-    let Ok(body) = timeout_at(arrived_at + limits.idle(), body).await else {
-        return status_response(StatusCode::REQUEST_TIMEOUT, &attributes.id);
-    };
-    let body: Bytes = match body {
-        Ok(body) => body.to_bytes(),
-        Err(error) if error.is::<http_body_util::LengthLimitError>() => {
-            return status_response(StatusCode::PAYLOAD_TOO_LARGE, &attributes.id);
+    progress.begin(&attributes.id);
+    let body = match receive(body, limits, arrived_at).await {
+        Ok(body) => body,
+        Err(status) => {
+            spdlog::info!("request incomplete", kv: {
+                request = attributes.id.as_str(),
+                status = status.as_u16(),
+            });
+            return status_response(status, &attributes.id);
         }
-        Err(_) => return status_response(StatusCode::BAD_REQUEST, &attributes.id),
     };
+    progress.record_received();
     let host = parts.headers.get(HOST).and_then(|it| it.to_str().ok());
     let host = host.or(parts.uri.host()).unwrap_or_default().to_owned();
     let path = parts.uri.path().to_owned();
@@ -85,6 +96,22 @@
     forward(server, call, plan, target, ticket).await
 }
 
+/// Receives the body of a request, or returns the status for the caller.
+async fn receive(body: Incoming, limits: Limits, arrived_at: Instant) -> Result<Bytes, StatusCode> {
+    if body.size_hint().lower() > limits.body_bytes as u64 {
+        return Err(StatusCode::PAYLOAD_TOO_LARGE);
+    }
+    let body = Limited::new(body, limits.body_bytes).collect();
+    match timeout_at(arrived_at + limits.idle(), body).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
+            Err(StatusCode::PAYLOAD_TOO_LARGE)
+        }
+        Ok(Err(_)) => Err(StatusCode::BAD_REQUEST),
+        Err(_) => Err(StatusCode::REQUEST_TIMEOUT),
+    }
+}
+
 /// Sends the request to one endpoint after the other until one responds or no retry
 /// is left.
 async fn forward(
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -25,7 +25,11 @@
 use crate::admission::Message;
 use crate::admission::Ticket;
 use crate::connection::Pool;
+use crate::exchange::Cause;
+use crate::exchange::Exchanges;
+use crate::exchange::Progress;
 use crate::serve::serve;
+use crate::socket::Socket;
 
 /// Maximum number of connections that wait to be accepted.
 const BACKLOG: u32 = 1_024;
@@ -55,6 +59,7 @@
     pool: Pool,
     limits: Rc<Cell<Limits>>,
     phase: watch::Receiver<Phase>,
+    exchanges: Exchanges,
 }
 
 impl Server {
@@ -63,8 +68,9 @@
         messages: UnboundedSender<Message>,
         limits: Rc<Cell<Limits>>,
         phase: watch::Receiver<Phase>,
+        exchanges: Exchanges,
     ) -> Server {
-        Server { messages, pool: Pool::default(), limits, phase }
+        Server { messages, pool: Pool::default(), limits, phase, exchanges }
     }
 
     /// Returns the connections to endpoints.
@@ -122,9 +128,11 @@
     let _ = stream.set_nodelay(true);
     let limits = server.limits();
     let mut phase = server.phase.clone();
+    let progress = Progress::new(&server.exchanges, &server.messages);
+    let service_progress = progress.clone();
     let service = service_fn(move |request: Request<Incoming>| {
-        let server = server.clone();
-        async move { Ok::<_, Infallible>(serve(server, request).await) }
+        let (server, progress) = (server.clone(), service_progress.clone());
+        async move { Ok::<_, Infallible>(serve(server, request, progress).await) }
     });
     let mut builder = http1::Builder::new();
     builder
@@ -132,14 +140,22 @@
         // The library measures this timeout from the end of the previous response.
         .header_read_timeout(limits.idle())
         .max_buf_size(limits.head_bytes.max(MIN_BUFFER_BYTES));
-    let connection = builder.serve_connection(TokioIo::new(stream), service);
+    let socket = Socket::new(stream, progress.clone());
+    let connection = builder.serve_connection(TokioIo::new(socket), service);
     tokio::pin!(connection);
     let closed = phase.wait_for(|it| *it == Phase::Closed);
     tokio::select! {
-        // Each request on the connection reports its own outcome.
-        _ = connection.as_mut() => return,
+        ended = connection.as_mut() => return progress.set_cause(cause(&ended)),
         _ = closed => {}
     }
     connection.as_mut().graceful_shutdown();
-    let _ = connection.await;
+    progress.set_cause(cause(&connection.await));
+}
+
+/// Returns the cause of the end of a connection, in case an exchange was in progress.
+fn cause(ended: &hyper::Result<()>) -> Cause {
+    match ended {
+        Err(error) if error.is_user() => Cause::Aborted,
+        Ok(()) | Err(_) => Cause::Caller,
+    }
 }
--- /dev/null
+++ b/crates/relay/src/socket.rs
@@ -0,0 +1,82 @@
+//! Socket of a caller's connection, which records the progress of its exchanges.
+
+use std::io;
+use std::io::IoSlice;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::Context;
+use std::task::Poll;
+use std::task::ready;
+
+use tokio::io::AsyncRead;
+use tokio::io::AsyncWrite;
+use tokio::io::ReadBuf;
+use tokio::net::TcpStream;
+
+use crate::exchange::Progress;
+
+/// A caller's socket.
+#[derive(Debug)]
+pub struct Socket {
+    stream: TcpStream,
+    progress: Rc<Progress>,
+}
+
+impl Socket {
+    /// Wraps the stream of a caller's connection.
+    pub fn new(stream: TcpStream, progress: Rc<Progress>) -> Socket {
+        Socket { stream, progress }
+    }
+}
+
+impl AsyncRead for Socket {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buffer.filled().len();
+        ready!(Pin::new(&mut self.stream).poll_read(cx, buffer))?;
+        if buffer.filled().len() > before {
+            self.progress.record_read();
+        }
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncWrite for Socket {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let written = ready!(Pin::new(&mut self.stream).poll_write(cx, bytes))?;
+        self.progress.record_written(written);
+        Poll::Ready(Ok(written))
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        slices: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let written = ready!(Pin::new(&mut self.stream).poll_write_vectored(cx, slices))?;
+        self.progress.record_written(written);
+        Poll::Ready(Ok(written))
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    /// The HTTP library flushes once the socket has taken all bytes that it has buffered.
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        ready!(Pin::new(&mut self.stream).poll_flush(cx))?;
+        self.progress.record_flush();
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -3,13 +3,10 @@
 
 use std::io;
 
-use bytes::Bytes;
 use http::Response;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use platform::head;
-use tokio::sync::mpsc::Sender;
-use tokio::sync::mpsc::channel;
 use tokio::task::spawn_local;
 use tokio::time::timeout_at;
 
@@ -20,6 +17,8 @@
 use crate::attempt;
 use crate::attempt::Call;
 use crate::attempt::Head;
+use crate::body;
+use crate::body::ChunkSender;
 use crate::body::Payload;
 use crate::connection::Pool;
 use crate::event::Event;
@@ -66,8 +65,8 @@
     ticket: Ticket,
     stream: Stream,
 ) -> Response<Payload> {
-    let (chunks, receiver) = channel(BUFFERED_EVENTS);
-    let mut response = Response::new(Payload::Streamed(receiver));
+    let (chunks, payload) = body::channel(BUFFERED_EVENTS);
+    let mut response = Response::new(payload);
     *response.status_mut() = stream.source.head.status;
     *response.headers_mut() = head::forward_response(&stream.source.head.headers);
     let relay = Relay { pool: pool.clone(), call, plan, ticket, chunks, last_event_id: None };
@@ -80,7 +79,7 @@
     call: Call,
     plan: Plan,
     ticket: Ticket,
-    chunks: Sender<io::Result<Bytes>>,
+    chunks: ChunkSender,
     /// Id of the last event that was relayed.
     last_event_id: Option<String>,
 }
