Wait for callers' exchanges before a stopping daemon exits

Callers that read slowly got a part of a response and then the end of the connection, seconds before the grace period was over. Callers whose request body was still arriving got no answer.

Cause: a request counted as open from its admission until its task had queued the last event or handed the body to the HTTP library. The exit looked at that count alone, and 50 ms later the process was gone. What the library and the queue of events still held was lost, and so was a request that had not been admitted yet.

The exit now waits for every exchange, from the first byte of a request until the socket has taken the last byte of its response, bounded by the grace period. Idle connections don't count. Half a second before a forced exit, a request whose body has not arrived is refused with 503.

A daemon without exchanges exits when it did before: at 2.40 to 2.45 s by its schedule, formerly 2.45 to 2.50 s, and 50 ms more.

Ruled out: the response was not lost in the kernel (`response cut` shows 839,606 bytes left in the process).

--- a/crates/front/src/broker/mod.rs
+++ b/crates/front/src/broker/mod.rs
@@ -47,6 +47,8 @@
 use self::requests::Pending;
 use crate::clock;
 use crate::cloud;
+use crate::drain::Drain;
+use crate::drain::Step;
 use crate::event::Event;
 use crate::lease;
 use crate::metrics;
@@ -66,11 +68,6 @@
 const PLAN_INTERVAL: Duration = Duration::from_millis(500);
 /// How long entries may still be missing after the store was unreachable.
 const STORE_SETTLE_TIME: Duration = Duration::from_secs(4);
-/// How long after SIGTERM the load balancer still opens connections. It probes once a
-/// second and removes a daemon after two failures.
-const BALANCER_LAG: Duration = Duration::from_millis(2_300);
-/// How long before SIGKILL a daemon exits despite open requests.
-const KILL_MARGIN: Duration = Duration::from_millis(400);
 
 /// Settings, channels and shared state that the broker is created with.
 #[derive(Debug)]
@@ -103,7 +100,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Stage {
     Running,
-    Stopping { since: Instant },
+    Stopping(Drain),
 }
 
 /// The broker actor.
@@ -348,7 +345,7 @@
         if self.stage != Stage::Running {
             return;
         }
-        self.stage = Stage::Stopping { since: now };
+        self.stage = Stage::Stopping(Drain::new(now));
         self.context.ready.send_replace(false);
         self.context.phase.send_replace(Phase::Closing);
         spdlog::info!("stopping", kv: {
@@ -359,21 +356,26 @@
     }
 
     fn exit_if_drained(&mut self, cx: CX![], now: Instant) {
-        let Stage::Stopping { since } = self.stage else { return };
-        let elapsed = now.saturating_duration_since(since);
-        if elapsed < BALANCER_LAG {
-            return;
-        }
-        self.context.phase.send_replace(Phase::Closed);
-        let is_grace_over = elapsed + KILL_MARGIN >= self.context.settings.bounds.grace;
-        let is_drained = self.requests.is_empty() && elapsed > BALANCER_LAG + TICK * 3;
-        if is_drained || is_grace_over {
-            spdlog::info!("stopped", kv: {
+        let Stage::Stopping(drain) = &mut self.stage else { return };
+        let callers = self.context.exchanges.counts();
+        let open = self.requests.len().max(callers.in_progress());
+        let phase = match drain.step(open, self.context.settings.bounds.grace, now) {
+            Step::Continue(phase) => phase,
+            Step::Exit(cause) => {
+                spdlog::info!("stopped", kv: {
+                    open = self.requests.len(),
+                    callers = callers.to_string(),
+                    cause = cause.name(),
+                });
+                return cx.shutdown(StopCause::Stopped);
+            }
+        };
+        self.context.phase.send_if_modified(|it| std::mem::replace(it, phase) != phase);
+        if drain.is_report_due(now) {
+            spdlog::info!("waiting for callers", kv: {
                 open = self.requests.len(),
-                callers = self.context.exchanges.counts().to_string(),
-                cause = if is_drained { "drained" } else { "grace_over" },
+                callers = callers.to_string(),
             });
-            cx.shutdown(StopCause::Stopped);
         }
     }
 
--- /dev/null
+++ b/crates/front/src/drain.rs
@@ -0,0 +1,95 @@
+//! Decisions of a stopping daemon. Takes time and counts, performs no I/O.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use relay::server::Phase;
+
+/// How long after SIGTERM the load balancer still opens connections. It probes once a
+/// second and removes a daemon after two failures.
+const BALANCER_LAG: Duration = Duration::from_millis(2_300);
+/// How long before SIGKILL a daemon exits despite open exchanges.
+const KILL_MARGIN: Duration = Duration::from_millis(400);
+/// How long before such an exit incomplete requests are refused, so that the response
+/// reaches their callers.
+const LAST_CALL: Duration = Duration::from_millis(500);
+/// How long a phase lasts at least before the next one, so that connections follow it.
+const SETTLE_TIME: Duration = Duration::from_millis(50);
+/// Interval between reports of what the daemon waits for.
+const REPORT_INTERVAL: Duration = Duration::from_secs(1);
+
+/// What a stopping daemon does next.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// Handles callers' connections as in this phase.
+    Continue(Phase),
+    /// Exits.
+    Exit(Cause),
+}
+
+/// Cause of an exit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cause {
+    /// No exchange was in progress.
+    Drained,
+    /// The grace period was over.
+    GraceOver,
+}
+
+impl Cause {
+    /// Returns the name used in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Cause::Drained => "drained",
+            Cause::GraceOver => "grace_over",
+        }
+    }
+}
+
+/// Progress of a stopping daemon.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Drain {
+    since: Instant,
+    reported_at: Instant,
+    /// When [`Phase::Ending`] began.
+    ending_since: Option<Instant>,
+}
+
+impl Drain {
+    /// Begins to stop.
+    pub fn new(now: Instant) -> Drain {
+        Drain { since: now, reported_at: now, ending_since: None }
+    }
+
+    /// Returns what to do next. `open` is the number of exchanges in progress, from the
+    /// first byte of a request until the caller's socket has taken its response.
+    pub fn step(&mut self, open: usize, grace: Duration, now: Instant) -> Step {
+        let elapsed = now.saturating_duration_since(self.since);
+        let limit = grace.saturating_sub(KILL_MARGIN);
+        if elapsed >= limit {
+            return Step::Exit(Cause::GraceOver);
+        }
+        let is_last_call = elapsed + LAST_CALL >= limit;
+        if elapsed < BALANCER_LAG && !is_last_call {
+            return Step::Continue(Phase::Closing);
+        }
+        let has_settled = elapsed >= BALANCER_LAG + SETTLE_TIME;
+        if self.ending_since.is_none() && (is_last_call || open == 0 && has_settled) {
+            self.ending_since = Some(now);
+        }
+        let Some(ending_since) = self.ending_since else { return Step::Continue(Phase::Closed) };
+        if open == 0 && now >= ending_since + SETTLE_TIME {
+            return Step::Exit(Cause::Drained);
+        }
+        Step::Continue(Phase::Ending)
+    }
+
+    /// Whether to report what the daemon waits for.
+    pub fn is_report_due(&mut self, now: Instant) -> bool {
+        let is_due = now >= self.reported_at + REPORT_INTERVAL;
+        if is_due {
+            self.reported_at = now;
+        }
+        is_due
+    }
+}
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -2,6 +2,7 @@
 //! broker actor, the tasks that own sockets, and their wiring.
 
 pub mod broker;
+pub mod drain;
 pub mod event;
 pub mod metrics;
 pub mod run;
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -1,6 +1,7 @@
 //! Handling of one caller's request, from its head to the response.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use balance::suspects;
 use bytes::Bytes;
@@ -37,6 +38,9 @@
 use crate::server::Server;
 use crate::stream;
 
+/// Refusal of a request while the daemon stops. Another daemon can serve it at once.
+const STOPPING: Refusal = Refusal { status: 503, retry_after: Some(Duration::from_millis(100)) };
+
 /// Serves a request and records its progress.
 pub async fn serve(
     server: Server,
@@ -60,14 +64,19 @@
     let (parts, body) = request.into_parts();
     let attributes = head::decode_request(&parts.headers);
     progress.begin(&attributes.id);
-    let body = match receive(body, limits, arrived_at).await {
+    let received = tokio::select! {
+        biased;
+        received = receive(body, limits, arrived_at) => received,
+        () = server.ending() => Err(STOPPING),
+    };
+    let body = match received {
         Ok(body) => body,
-        Err(status) => {
+        Err(refusal) => {
             spdlog::info!("request incomplete", kv: {
                 request = attributes.id.as_str(),
-                status = status.as_u16(),
+                status = refusal.status,
             });
-            return status_response(status, &attributes.id);
+            return refusal_response(&refusal, &attributes.id);
         }
     };
     progress.record_received();
@@ -96,19 +105,20 @@
     forward(server, call, plan, target, ticket).await
 }
 
-/// Receives the body of a request, or returns the status for the caller.
-async fn receive(body: Incoming, limits: Limits, arrived_at: Instant) -> Result<Bytes, StatusCode> {
+/// Receives the body of a request.
+async fn receive(body: Incoming, limits: Limits, arrived_at: Instant) -> Result<Bytes, Refusal> {
+    let refuse = |status: StatusCode| Err(Refusal { status: status.as_u16(), retry_after: None });
     if body.size_hint().lower() > limits.body_bytes as u64 {
-        return Err(StatusCode::PAYLOAD_TOO_LARGE);
+        return refuse(StatusCode::PAYLOAD_TOO_LARGE);
     }
     let body = Limited::new(body, limits.body_bytes).collect();
     match timeout_at(arrived_at + limits.idle(), body).await {
         Ok(Ok(body)) => Ok(body.to_bytes()),
         Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
-            Err(StatusCode::PAYLOAD_TOO_LARGE)
+            refuse(StatusCode::PAYLOAD_TOO_LARGE)
         }
-        Ok(Err(_)) => Err(StatusCode::BAD_REQUEST),
-        Err(_) => Err(StatusCode::REQUEST_TIMEOUT),
+        Ok(Err(_)) => refuse(StatusCode::BAD_REQUEST),
+        Err(_) => refuse(StatusCode::REQUEST_TIMEOUT),
     }
 }
 
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -41,7 +41,7 @@
 
 /// Phase of the daemon's shutdown, which determines how callers' connections are
 /// handled.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Phase {
     /// Connections are kept alive.
     #[default]
@@ -50,6 +50,9 @@
     Closing,
     /// Idle connections are closed as well.
     Closed,
+    /// The daemon is about to exit: requests that were not received completely are
+    /// refused.
+    Ending,
 }
 
 /// State shared by the tasks of callers' connections.
@@ -88,6 +91,12 @@
         *self.phase.borrow() != Phase::Serving
     }
 
+    /// Waits until the daemon is about to exit.
+    pub async fn ending(&self) {
+        // The sender lives as long as the daemon.
+        let _ = self.phase.clone().wait_for(|it| *it >= Phase::Ending).await;
+    }
+
     /// Sends a message to the broker.
     pub fn send(&self, message: Message) {
         // Sending fails only while the daemon shuts down.
@@ -143,7 +152,7 @@
     let socket = Socket::new(stream, progress.clone());
     let connection = builder.serve_connection(TokioIo::new(socket), service);
     tokio::pin!(connection);
-    let closed = phase.wait_for(|it| *it == Phase::Closed);
+    let closed = phase.wait_for(|it| *it >= Phase::Closed);
     tokio::select! {
         ended = connection.as_mut() => return progress.set_cause(cause(&ended)),
         _ = closed => {}
