Refuse requests that can't end before a stopping daemon exits

A request that reached a stopping daemon late in its grace period was sent to an endpoint and cut in the middle of its response: LOST, and work of the endpoint for nothing. Others on a fresh connection got no answer at all: from 2.3 s after SIGTERM, a new connection was closed before its first request was read, depending on which branch of a `select!` came first.

Admission now asks `front::drain` while the daemon stops. A request is sent to an endpoint if its time limit ends before the exit, or if the time that few requests of its route exceed does (`front::durations`, smoothed as the round-trip time in TCP). Others get 503, `Retry-After: 0.10` and `Connection: close` before any endpoint has seen them, so that "not run" is true and another daemon serves them a moment later. The same holds for a request that endpoints declined and that is about to be sent again. A new connection keeps its first request: the response closes it. A connection with part of a request head isn't closed under it either.

Seen failing before, stream of 5.6 s that arrives 4 s after SIGTERM: status 200 and cut (`expected 503`) in one run, status 0 in another. Passes now; the endpoint has not received the request, and one with a limit of 1.5 s that arrives beside it is served.

Ruled out: refusing from SIGTERM on. Requests in the first seconds end in time as a rule, and the balancer still sends them here; a test serves them.

--- a/crates/explain/src/cause.rs
+++ b/crates/explain/src/cause.rs
@@ -47,6 +47,7 @@
         "unknown_key" => "no workspace has the caller's key in the active configuration",
         "attempts" => "all attempts allowed by the route were used up",
         "retry_budget" => "the retry budget of the service was exhausted",
+        "stopping" => "the daemon was stopping and could not have completed the request in time",
         "crashes_endpoints" => "the same request had crashed endpoints before",
         _ => "the daemon rejected the request for a cause unknown to this version",
     }
--- a/crates/front/src/broker/mod.rs
+++ b/crates/front/src/broker/mod.rs
@@ -49,6 +49,7 @@
 use crate::cloud;
 use crate::drain::Drain;
 use crate::drain::Step;
+use crate::durations::Durations;
 use crate::event::Event;
 use crate::lease;
 use crate::metrics;
@@ -123,6 +124,7 @@
     buckets: HashMap<String, Bucket>,
     budgets: HashMap<String, Budget>,
     requests: HashMap<u64, Pending>,
+    durations: Durations,
     next_ticket: u64,
     peers: Peers,
     sequence: u64,
@@ -184,6 +186,7 @@
             buckets: HashMap::new(),
             budgets: HashMap::new(),
             requests: HashMap::new(),
+            durations: Durations::default(),
             next_ticket: 0,
             peers: Peers::default(),
             sequence: 0,
@@ -406,6 +409,7 @@
                 }
             }
         }
+        self.durations.retain(|route| config.routes.iter().any(|it| it.name == route));
         self.table = Rc::new(Table::new(Arc::new(config)));
         self.has_urgent_changes = true;
     }
--- a/crates/front/src/broker/requests.rs
+++ b/crates/front/src/broker/requests.rs
@@ -25,7 +25,9 @@
 use route::table::Rejection;
 
 use super::Broker;
+use super::Stage;
 use super::crashes;
+use crate::drain::Remaining;
 use crate::metrics;
 
 /// Retry delay for callers when no endpoint is available: about the time in which
@@ -63,6 +65,8 @@
     prefill_tokens: u32,
     predicted: Duration,
     arrived_at: Instant,
+    /// Time limit of the route or the caller, counted from `arrived_at`.
+    limit: Duration,
     pub(super) sent_at: Instant,
     pub(super) has_started: bool,
     /// Whether an endpoint may have run the request.
@@ -76,6 +80,7 @@
         attributes: Attributes,
         fingerprint: u128,
         units: f64,
+        limit: Duration,
         now: Instant,
     ) -> Pending {
         Pending {
@@ -95,6 +100,7 @@
             prefill_tokens: 0,
             predicted: Duration::ZERO,
             arrived_at: now,
+            limit,
             sent_at: now,
             has_started: false,
             may_have_run: false,
@@ -113,6 +119,7 @@
     NoEndpoint,
     Attempts,
     RetryBudget,
+    Stopping,
 }
 
 impl Cause {
@@ -126,6 +133,7 @@
             Cause::NoEndpoint => "no_endpoint",
             Cause::Attempts => "attempts",
             Cause::RetryBudget => "retry_budget",
+            Cause::Stopping => "stopping",
         }
     }
 }
@@ -155,7 +163,7 @@
     }
 
     fn admit(&mut self, arrival: Arrival, now: Instant) -> Result<(Plan, Target), Refusal> {
-        let Arrival { host, path, attributes, fingerprint } = arrival;
+        let Arrival { host, path, attributes, fingerprint, waited } = arrival;
         let id = attributes.id.clone();
         if self.table.config.version == 0 {
             return Err(refuse(&id, Cause::NoConfiguration, 503, Some(NO_ENDPOINT_DELAY)));
@@ -170,6 +178,10 @@
         if self.is_suspect(&id, fingerprint, now) {
             return Err(refuse(&id, Cause::Suspect, 503, Some(SUSPECT_DELAY)));
         }
+        let limit = time_limit(&found, &attributes).saturating_sub(waited);
+        if !self.ends_before_exit(&found.route.name, limit, now) {
+            return Err(refuse(&id, Cause::Stopping, 503, relay::server::STOPPING.retry_after));
+        }
         let units = self.charge_quota(&found, &attributes, now)?;
         let choice = self.choose(found.service, &attributes, &[], now);
         let target = choice.as_ref().and_then(|it| self.target(&it.id));
@@ -192,7 +204,8 @@
             config = table.config.version,
             endpoints = self.pool.store_version,
         });
-        self.requests.insert(ticket, Pending::new(&found, attributes, fingerprint, units, now));
+        self.requests
+            .insert(ticket, Pending::new(&found, attributes, fingerprint, units, limit, now));
         self.place(ticket, choice, now);
         Ok((plan, target))
     }
@@ -240,6 +253,10 @@
         if may_have_run && !pending.is_idempotent {
             return Err(refuse(&id, Cause::Attempts, 502, None));
         }
+        let (route, limit) = (
+            pending.route.clone(),
+            (pending.arrived_at + pending.limit).saturating_duration_since(now),
+        );
         let (service, attributes, tried) =
             (pending.service.clone(), pending.attributes.clone(), pending.tried.clone());
         let fingerprint = pending.fingerprint;
@@ -249,6 +266,9 @@
         if attempts_left == 0 {
             return Err(refuse(&id, Cause::Attempts, status, delay_if_not_run(DECLINED_DELAY)));
         }
+        if !may_have_run && !self.ends_before_exit(&route, limit, now) {
+            return Err(refuse(&id, Cause::Stopping, 503, relay::server::STOPPING.retry_after));
+        }
         let daemons = self.peers.live(now).count() + 1;
         // An attempt that never reached its endpoint doesn't count as a retry.
         if outcome != Outcome::Unreachable && !self.budget(&service).take_retry(daemons, now) {
@@ -324,6 +344,9 @@
             self.refund(pending.workspace.as_deref(), pending.units);
         }
         let took = now.saturating_duration_since(pending.arrived_at);
+        if outcome == Outcome::Served {
+            self.durations.record(&pending.route, took);
+        }
         metrics::count("over", outcome.name());
         metrics::observe("over", &pending.route, took);
         spdlog::info!("over", kv: {
@@ -393,6 +416,13 @@
         self.record_evidence(ticket, outcome, now);
     }
 
+    /// Whether a request can be expected to end before this daemon exits.
+    fn ends_before_exit(&self, route: &str, limit: Duration, now: Instant) -> bool {
+        let Stage::Stopping(drain) = &self.stage else { return true };
+        let remaining = Remaining { limit, expected: self.durations.upper(route) };
+        drain.admits(remaining, self.context.settings.bounds.grace, now)
+    }
+
     fn choose(
         &mut self,
         service: &str,
@@ -427,6 +457,11 @@
     }
 }
 
+fn time_limit(found: &Match<'_>, attributes: &Attributes) -> Duration {
+    let timeout = Duration::from_millis(found.route.timeout_ms);
+    attributes.timeout.map_or(timeout, |it| it.min(timeout))
+}
+
 fn plan(ticket: u64, found: &Match<'_>, strips_key: bool) -> Plan {
     let route = found.route;
     Plan {
--- a/crates/front/src/drain.rs
+++ b/crates/front/src/drain.rs
@@ -15,6 +15,8 @@
 const LAST_CALL: Duration = Duration::from_millis(500);
 /// How long a phase lasts at least before the next one, so that connections follow it.
 const SETTLE_TIME: Duration = Duration::from_millis(50);
+/// Time for which the end of a response may take to reach its caller.
+const DELIVERY_TIME: Duration = Duration::from_millis(200);
 /// Interval between reports of what the daemon waits for.
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -46,6 +48,15 @@
     }
 }
 
+/// Time that a request may still take.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Remaining {
+    /// Time until the request's time limit.
+    pub limit: Duration,
+    /// Time that few requests of its route exceed, if known.
+    pub expected: Option<Duration>,
+}
+
 /// Progress of a stopping daemon.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Drain {
@@ -84,6 +95,20 @@
         Step::Continue(Phase::Ending)
     }
 
+    /// Whether a request that arrives while the daemon stops is sent to an endpoint.
+    ///
+    /// Such requests come on connections that the load balancer opens until it has
+    /// removed the daemon, or longer while few daemons of the zone are ready, on kept
+    /// connections, and with bodies that arrive slowly. A request that is cut is lost, and
+    /// one that is refused is served by another daemon a moment later. So only those are
+    /// admitted that can be expected to end before the daemon exits: by their time limit,
+    /// or by the time that few requests of their route exceed.
+    pub fn admits(&self, request: Remaining, grace: Duration, now: Instant) -> bool {
+        let exit_at = self.since + grace.saturating_sub(KILL_MARGIN + DELIVERY_TIME);
+        let left = exit_at.saturating_duration_since(now);
+        request.limit <= left || request.expected.is_some_and(|it| it <= left)
+    }
+
     /// Whether to report what the daemon waits for.
     pub fn is_report_due(&mut self, now: Instant) -> bool {
         let is_due = now >= self.reported_at + REPORT_INTERVAL;
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod broker;
 pub mod drain;
+pub mod durations;
 pub mod event;
 pub mod metrics;
 pub mod run;
--- a/crates/front/tests/drain.rs
+++ b/crates/front/tests/drain.rs
@@ -5,7 +5,9 @@
 
 use front::drain::Cause;
 use front::drain::Drain;
+use front::drain::Remaining;
 use front::drain::Step;
+use front::durations::Durations;
 use relay::server::Phase;
 
 const GRACE: Duration = Duration::from_secs(8);
@@ -54,6 +56,46 @@
     check(300, 0);
 }
 
+#[test]
+fn only_requests_that_end_before_the_exit_are_admitted() {
+    let start = Instant::now();
+    let drain = Drain::new(start);
+    let check = |at_ms: u64, limit_ms: u64, expected_ms: Option<u64>, is_admitted: bool| {
+        let expected = expected_ms.map(Duration::from_millis);
+        let remaining = Remaining { limit: Duration::from_millis(limit_ms), expected };
+
+        let admits = drain.admits(remaining, GRACE, start + Duration::from_millis(at_ms));
+
+        assert_eq!(admits, is_admitted, "{at_ms} ms: {remaining:?}");
+    };
+
+    check(0, 7_400, None, true);
+    check(0, 7_401, None, false);
+    check(0, 30_000, Some(3_000), true);
+    check(4_000, 3_400, None, true);
+    check(4_000, 8_000, None, false);
+    check(4_000, 8_000, Some(3_400), true);
+    check(4_000, 8_000, Some(3_401), false);
+    check(4_000, 1_000, Some(5_000), true);
+    check(7_500, 8_000, Some(1), false);
+}
+
+#[test]
+fn a_route_exceeds_the_upper_estimate_of_its_durations_rarely() {
+    let mut durations = Durations::default();
+    assert_eq!(durations.upper("r"), None);
+    let took = |at: u64| Duration::from_millis(1_000 + at * 7_919 % 1_000);
+
+    (0..100).for_each(|at| durations.record("r", took(at)));
+
+    let upper = durations.upper("r").unwrap();
+    let exceeding = (0..1_000).filter(|at| took(*at) > upper).count();
+    assert!(exceeding <= 10, "{exceeding} of 1000 above {upper:?}");
+    assert!(upper < Duration::from_secs(4), "{upper:?}");
+    durations.retain(|_| false);
+    assert_eq!(durations.upper("r"), None);
+}
+
 /// Returns the steps of a daemon that checks every 50 ms, by milliseconds since SIGTERM.
 fn run(grace: Duration, open: impl Fn(u64) -> usize) -> Vec<(u64, Step)> {
     let start = Instant::now();
--- a/crates/relay/src/admission.rs
+++ b/crates/relay/src/admission.rs
@@ -20,6 +20,8 @@
     pub attributes: Attributes,
     /// Fingerprint of path, query and body.
     pub fingerprint: u128,
+    /// Time since its head was received.
+    pub waited: Duration,
 }
 
 /// Instructions for running an admitted request.
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -1,7 +1,6 @@
 //! Handling of one caller's request, from its head to the response.
 
 use std::rc::Rc;
-use std::time::Duration;
 
 use balance::suspects;
 use bytes::Bytes;
@@ -35,12 +34,10 @@
 use crate::body::Tracked;
 use crate::buffered;
 use crate::exchange::Progress;
+use crate::server::STOPPING;
 use crate::server::Server;
 use crate::stream;
 
-/// Refusal of a request while the daemon stops. Another daemon can serve it at once.
-const STOPPING: Refusal = Refusal { status: 503, retry_after: Some(Duration::from_millis(100)) };
-
 /// Serves a request and records its progress.
 pub async fn serve(
     server: Server,
@@ -87,7 +84,8 @@
     let fingerprint = suspects::fingerprint(&[uri.as_bytes(), &body]);
     let id = attributes.id.clone();
     let caller_timeout = attributes.timeout;
-    let arrival = Box::new(Arrival { host, path, attributes, fingerprint });
+    let arrival =
+        Box::new(Arrival { host, path, attributes, fingerprint, waited: arrived_at.elapsed() });
     let (plan, target) = match server.decide(arrival).await {
         Ok(decision) => decision,
         Err(refusal) => return refusal_response(&refusal, &id),
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -23,11 +23,13 @@
 use tokio::time::sleep;
 
 use crate::admission::Message;
+use crate::admission::Refusal;
 use crate::admission::Ticket;
 use crate::connection::Pool;
 use crate::exchange::Cause;
 use crate::exchange::Exchanges;
 use crate::exchange::Progress;
+use crate::exchange::Stage;
 use crate::serve::serve;
 use crate::socket::Socket;
 
@@ -39,6 +41,10 @@
 /// Minimum buffer size that the HTTP library accepts.
 const MIN_BUFFER_BYTES: usize = 8_192;
 
+/// Refusal of a request while the daemon stops. Another daemon can serve it at once.
+pub const STOPPING: Refusal =
+    Refusal { status: 503, retry_after: Some(Duration::from_millis(100)) };
+
 /// Phase of the daemon's shutdown, which determines how callers' connections are
 /// handled.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
@@ -154,13 +160,28 @@
     tokio::pin!(connection);
     let closed = phase.wait_for(|it| *it >= Phase::Closed);
     tokio::select! {
+        // Bytes that have arrived begin an exchange, which is completed.
+        biased;
         ended = connection.as_mut() => return progress.set_cause(cause(&ended)),
         _ = closed => {}
     }
-    connection.as_mut().graceful_shutdown();
+    if closes_itself(&progress) {
+        connection.as_mut().graceful_shutdown();
+    }
     progress.set_cause(cause(&connection.await));
 }
 
+/// Whether a connection is closed when it is idle or after the current response.
+/// Otherwise, its next response closes it.
+fn closes_itself(progress: &Progress) -> bool {
+    match progress.stage() {
+        // The caller is about to send its first request.
+        Stage::Idle => progress.sent_at().is_some(),
+        Stage::Head | Stage::Body => false,
+        Stage::Running | Stage::Sending | Stage::Closing => true,
+    }
+}
+
 /// Returns the cause of the end of a connection, in case an exchange was in progress.
 fn cause(ended: &hyper::Result<()>) -> Cause {
     match ended {
