Close callers' connections without discarding the end of a response

A caller that had sent bytes beyond its request when the daemon closed the connection lost the end of the response: closing a socket with unread bytes resets the connection, and the kernel then drops what it has not delivered. It needs no SIGTERM (a request with `Connection: close` and bytes after it), but a stopping daemon closes connections under callers that send their next request on them.

The connection is now closed for writing first. What arrives is read and discarded until the caller closes, at most 500 ms after the socket took the end of the response. Such connections count as exchanges for the exit, idle ones that served a response earlier don't.

The kernel also took up to 4 MB for a caller that reads nothing, and "the socket has taken it" said little. TCP_NOTSENT_LOWAT bounds what it holds beyond the bytes in flight to 64 KB (and one segment), so that the rest stays in an exchange that the exit waits for. Kernel memory for slow callers falls as well.

--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -4,6 +4,7 @@
 use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -14,6 +15,7 @@
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
 use route::config::Limits;
+use socket2::SockRef;
 use tokio::net::TcpListener;
 use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
@@ -21,6 +23,7 @@
 use tokio::sync::watch;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
+use tokio::time::timeout_at;
 
 use crate::admission::Message;
 use crate::admission::Refusal;
@@ -38,6 +41,11 @@
 /// Pause after a failed accept, for example when the process has no free file
 /// descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// How long after a response its connection may wait for the caller to close it.
+const LINGER_TIME: Duration = Duration::from_millis(500);
+/// Maximum number of bytes that the kernel holds for a caller beyond those in flight,
+/// so that what it has taken is soon received.
+const MAX_UNSENT_BYTES: u32 = 64 * 1_024;
 /// Minimum buffer size that the HTTP library accepts.
 const MIN_BUFFER_BYTES: usize = 8_192;
 
@@ -141,6 +149,7 @@
 async fn serve_connection(server: Server, stream: TcpStream) {
     // Latency of small events matters more than the number of packets.
     let _ = stream.set_nodelay(true);
+    let _ = SockRef::from(&stream).set_tcp_notsent_lowat(MAX_UNSENT_BYTES);
     let limits = server.limits();
     let mut phase = server.phase.clone();
     let progress = Progress::new(&server.exchanges, &server.messages);
@@ -156,19 +165,42 @@
         .header_read_timeout(limits.idle())
         .max_buf_size(limits.head_bytes.max(MIN_BUFFER_BYTES));
     let socket = Socket::new(stream, progress.clone());
-    let connection = builder.serve_connection(TokioIo::new(socket), service);
-    tokio::pin!(connection);
+    let mut connection = builder.serve_connection(TokioIo::new(socket), service);
     let closed = phase.wait_for(|it| *it >= Phase::Closed);
-    tokio::select! {
+    let ended = tokio::select! {
         // Bytes that have arrived begin an exchange, which is completed.
         biased;
-        ended = connection.as_mut() => return progress.set_cause(cause(&ended)),
-        _ = closed => {}
+        ended = &mut connection => Some(ended),
+        _ = closed => None,
+    };
+    let ended = match ended {
+        Some(ended) => ended,
+        None => {
+            if closes_itself(&progress) {
+                Pin::new(&mut connection).graceful_shutdown();
+            }
+            (&mut connection).await
+        }
+    };
+    progress.set_cause(cause(&ended));
+    if ended.is_ok() {
+        let socket = connection.into_parts().io.into_inner();
+        linger(&socket, &progress).await;
     }
-    if closes_itself(&progress) {
-        connection.as_mut().graceful_shutdown();
+}
+
+/// Keeps a connection that was closed for writing until the caller has closed it as
+/// well. Closing it while bytes from the caller are unread would reset the connection,
+/// which discards the end of a response that the caller has not received.
+async fn linger(socket: &Socket, progress: &Progress) {
+    let Some(sent_at) = progress.sent_at() else { return };
+    if matches!(progress.stage(), Stage::Running | Stage::Sending) {
+        // The caller has disconnected.
+        return;
     }
-    progress.set_cause(cause(&connection.await));
+    progress.close();
+    // The caller may keep the connection open for as long as it likes.
+    let _ = timeout_at(sent_at + LINGER_TIME, socket.discard()).await;
 }
 
 /// Whether a connection is closed when it is idle or after the current response.
--- a/crates/relay/src/socket.rs
+++ b/crates/relay/src/socket.rs
@@ -1,6 +1,7 @@
 //! Socket of a caller's connection, which records the progress of its exchanges.
 
 use std::io;
+use std::io::ErrorKind;
 use std::io::IoSlice;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -15,6 +16,9 @@
 
 use crate::exchange::Progress;
 
+/// Number of bytes that are discarded at a time.
+const DISCARD_BYTES: usize = 4_096;
+
 /// A caller's socket.
 #[derive(Debug)]
 pub struct Socket {
@@ -27,6 +31,19 @@
     pub fn new(stream: TcpStream, progress: Rc<Progress>) -> Socket {
         Socket { stream, progress }
     }
+
+    /// Reads and discards bytes until the caller closes the connection.
+    pub async fn discard(&self) {
+        while self.stream.readable().await.is_ok() {
+            let mut buffer = [0; DISCARD_BYTES];
+            match self.stream.try_read(&mut buffer) {
+                Ok(0) => return,
+                Ok(_) => {}
+                Err(error) if error.kind() == ErrorKind::WouldBlock => {}
+                Err(_) => return,
+            }
+        }
+    }
 }
 
 impl AsyncRead for Socket {
