--- a/crates/front/src/broker/mod.rs
+++ b/crates/front/src/broker/mod.rs
@@ -32,6 +32,7 @@
 use quota::workspace::Bucket;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use relay::exchange::Exchanges;
 use relay::server::Phase;
 use route::config::Config;
 use route::config::Limits;
@@ -46,6 +47,9 @@
 use self::requests::Pending;
 use crate::clock;
 use crate::cloud;
+use crate::drain::Drain;
+use crate::drain::Step;
+use crate::durations::Durations;
 use crate::event::Event;
 use crate::lease;
 use crate::metrics;
@@ -65,11 +69,6 @@
 const PLAN_INTERVAL: Duration = Duration::from_millis(500);
 /// How long entries may still be missing after the store was unreachable.
 const STORE_SETTLE_TIME: Duration = Duration::from_secs(4);
-/// How long after SIGTERM the load balancer still opens connections. It probes once a
-/// second and removes a daemon after two failures.
-const BALANCER_LAG: Duration = Duration::from_millis(2_300);
-/// How long before SIGKILL a daemon exits despite open requests.
-const KILL_MARGIN: Duration = Duration::from_millis(400);
 
 /// Settings, channels and shared state that the broker is created with.
 #[derive(Debug)]
@@ -88,6 +87,8 @@
     pub limits: Rc<Cell<Limits>>,
     /// Publishes the shutdown phase to callers' connections.
     pub phase: watch::Sender<Phase>,
+    /// Counts of callers' connections.
+    pub exchanges: Exchanges,
     /// Publishes the readiness for the load balancer's probe.
     pub ready: watch::Sender<bool>,
     /// Publishes to the feeds whether this daemon is a store reader.
@@ -100,7 +101,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Stage {
     Running,
-    Stopping { since: Instant },
+    Stopping(Drain),
 }
 
 /// The broker actor.
@@ -123,6 +124,7 @@
     buckets: HashMap<String, Bucket>,
     budgets: HashMap<String, Budget>,
     requests: HashMap<u64, Pending>,
+    durations: Durations,
     next_ticket: u64,
     peers: Peers,
     sequence: u64,
@@ -184,6 +186,7 @@
             buckets: HashMap::new(),
             budgets: HashMap::new(),
             requests: HashMap::new(),
+            durations: Durations::default(),
             next_ticket: 0,
             peers: Peers::default(),
             sequence: 0,
@@ -345,24 +348,37 @@
         if self.stage != Stage::Running {
             return;
         }
-        self.stage = Stage::Stopping { since: now };
+        self.stage = Stage::Stopping(Drain::new(now));
         self.context.ready.send_replace(false);
         self.context.phase.send_replace(Phase::Closing);
-        spdlog::info!("stopping", kv: { open = self.requests.len() });
+        spdlog::info!("stopping", kv: {
+            open = self.requests.len(),
+            callers = self.context.exchanges.counts().to_string(),
+        });
         self.gossip(now);
     }
 
     fn exit_if_drained(&mut self, cx: CX![], now: Instant) {
-        let Stage::Stopping { since } = self.stage else { return };
-        let elapsed = now.saturating_duration_since(since);
-        if elapsed < BALANCER_LAG {
-            return;
-        }
-        self.context.phase.send_replace(Phase::Closed);
-        let is_grace_over = elapsed + KILL_MARGIN >= self.context.settings.bounds.grace;
-        if self.requests.is_empty() && elapsed > BALANCER_LAG + TICK * 3 || is_grace_over {
-            spdlog::info!("stopped", kv: { open = self.requests.len() });
-            cx.shutdown(StopCause::Stopped);
+        let Stage::Stopping(drain) = &mut self.stage else { return };
+        let callers = self.context.exchanges.counts();
+        let open = self.requests.len().max(callers.in_progress());
+        let phase = match drain.step(open, self.context.settings.bounds.grace, now) {
+            Step::Continue(phase) => phase,
+            Step::Exit(cause) => {
+                spdlog::info!("stopped", kv: {
+                    open = self.requests.len(),
+                    callers = callers.to_string(),
+                    cause = cause.name(),
+                });
+                return cx.shutdown(StopCause::Stopped);
+            }
+        };
+        self.context.phase.send_if_modified(|it| std::mem::replace(it, phase) != phase);
+        if drain.is_report_due(now) {
+            spdlog::info!("waiting for callers", kv: {
+                open = self.requests.len(),
+                callers = callers.to_string(),
+            });
         }
     }
 
@@ -393,6 +409,7 @@
                 }
             }
         }
+        self.durations.retain(|route| config.routes.iter().any(|it| it.name == route));
         self.table = Rc::new(Table::new(Arc::new(config)));
         self.has_urgent_changes = true;
     }
--- a/crates/relay/src/admission.rs
+++ b/crates/relay/src/admission.rs
@@ -7,6 +7,8 @@
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::oneshot;
 
+use crate::exchange::End;
+
 /// A request that was received completely.
 #[derive(Clone, Debug)]
 pub struct Arrival {
@@ -18,6 +20,8 @@
     pub attributes: Attributes,
     /// Fingerprint of path, query and body.
     pub fingerprint: u128,
+    /// Time since its head was received.
+    pub waited: Duration,
 }
 
 /// Instructions for running an admitted request.
@@ -127,6 +131,11 @@
         /// Status sent to the caller; 0 if none was sent.
         status: u16,
     },
+    /// An exchange with a caller has ended, for a request that was admitted or not.
+    Exchanged {
+        /// How it ended.
+        end: End,
+    },
 }
 
 /// Guard of an admitted request. Reports the request as finished when dropped.
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -1,5 +1,7 @@
 //! Handling of one caller's request, from its head to the response.
 
+use std::rc::Rc;
+
 use balance::suspects;
 use bytes::Bytes;
 use http::Request;
@@ -13,6 +15,7 @@
 use hyper::body::Body;
 use hyper::body::Incoming;
 use platform::head;
+use route::config::Limits;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 use tokio::time::timeout_at;
@@ -28,38 +31,52 @@
 use crate::attempt::Call;
 use crate::attempt::Head;
 use crate::body::Payload;
+use crate::body::Tracked;
 use crate::buffered;
+use crate::exchange::Progress;
+use crate::server::STOPPING;
 use crate::server::Server;
 use crate::stream;
 
-/// Serves a request.
-pub async fn serve(server: Server, request: Request<Incoming>) -> Response<Payload> {
-    let mut response = respond(&server, request).await;
+/// Serves a request and records its progress.
+pub async fn serve(
+    server: Server,
+    request: Request<Incoming>,
+    progress: Rc<Progress>,
+) -> Response<Tracked> {
+    let mut response = respond(&server, request, &progress).await;
     if server.is_closing() {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
-    response
+    response.map(|it| Tracked::new(it, progress))
 }
 
-async fn respond(server: &Server, request: Request<Incoming>) -> Response<Payload> {
+async fn respond(
+    server: &Server,
+    request: Request<Incoming>,
+    progress: &Progress,
+) -> Response<Payload> {
     let arrived_at = Instant::now();
     let limits = server.limits();
     let (parts, body) = request.into_parts();
     let attributes = head::decode_request(&parts.headers);
-    if body.size_hint().lower() > limits.body_bytes as u64 {
-        return status_response(StatusCode::PAYLOAD_TOO_LARGE, &attributes.id);
-    }
-    let body = Limited::new(body, limits.body_bytes).collect();
-    let Ok(body) = timeout_at(arrived_at + limits.idle(), body).await else {
-        return status_response(StatusCode::REQUEST_TIMEOUT, &attributes.id);
+    progress.begin(&attributes.id);
+    let received = tokio::select! {
+        biased;
+        received = receive(body, limits, arrived_at) => received,
+        () = server.ending() => Err(STOPPING),
     };
-    let body: Bytes = match body {
-        Ok(body) => body.to_bytes(),
-        Err(error) if error.is::<http_body_util::LengthLimitError>() => {
-            return status_response(StatusCode::PAYLOAD_TOO_LARGE, &attributes.id);
+    let body = match received {
+        Ok(body) => body,
+        Err(refusal) => {
+            spdlog::info!("request incomplete", kv: {
+                request = attributes.id.as_str(),
+                status = refusal.status,
+            });
+            return refusal_response(&refusal, &attributes.id);
         }
-        Err(_) => return status_response(StatusCode::BAD_REQUEST, &attributes.id),
     };
+    progress.record_received();
     let host = parts.headers.get(HOST).and_then(|it| it.to_str().ok());
     let host = host.or(parts.uri.host()).unwrap_or_default().to_owned();
     let path = parts.uri.path().to_owned();
@@ -67,7 +84,8 @@
     let fingerprint = suspects::fingerprint(&[uri.as_bytes(), &body]);
     let id = attributes.id.clone();
     let caller_timeout = attributes.timeout;
-    let arrival = Box::new(Arrival { host, path, attributes, fingerprint });
+    let arrival =
+        Box::new(Arrival { host, path, attributes, fingerprint, waited: arrived_at.elapsed() });
     let (plan, target) = match server.decide(arrival).await {
         Ok(decision) => decision,
         Err(refusal) => return refusal_response(&refusal, &id),
@@ -85,6 +103,23 @@
     forward(server, call, plan, target, ticket).await
 }
 
+/// Receives the body of a request.
+async fn receive(body: Incoming, limits: Limits, arrived_at: Instant) -> Result<Bytes, Refusal> {
+    let refuse = |status: StatusCode| Err(Refusal { status: status.as_u16(), retry_after: None });
+    if body.size_hint().lower() > limits.body_bytes as u64 {
+        return refuse(StatusCode::PAYLOAD_TOO_LARGE);
+    }
+    let body = Limited::new(body, limits.body_bytes).collect();
+    match timeout_at(arrived_at + limits.idle(), body).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
+            refuse(StatusCode::PAYLOAD_TOO_LARGE)
+        }
+        Ok(Err(_)) => refuse(StatusCode::BAD_REQUEST),
+        Err(_) => refuse(StatusCode::REQUEST_TIMEOUT),
+    }
+}
+
 /// Sends the request to one endpoint after the other until one responds or no retry
 /// is left.
 async fn forward(
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -4,6 +4,7 @@
 use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -14,6 +15,7 @@
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
 use route::config::Limits;
+use socket2::SockRef;
 use tokio::net::TcpListener;
 use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
@@ -21,23 +23,39 @@
 use tokio::sync::watch;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
+use tokio::time::timeout_at;
 
 use crate::admission::Message;
+use crate::admission::Refusal;
 use crate::admission::Ticket;
 use crate::connection::Pool;
+use crate::exchange::Cause;
+use crate::exchange::Exchanges;
+use crate::exchange::Progress;
+use crate::exchange::Stage;
 use crate::serve::serve;
+use crate::socket::Socket;
 
 /// Maximum number of connections that wait to be accepted.
 const BACKLOG: u32 = 1_024;
 /// Pause after a failed accept, for example when the process has no free file
 /// descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// How long after a response its connection may wait for the caller to close it.
+const LINGER_TIME: Duration = Duration::from_millis(500);
+/// Maximum number of bytes that the kernel holds for a caller beyond those in flight,
+/// so that what it has taken is soon received.
+const MAX_UNSENT_BYTES: u32 = 64 * 1_024;
 /// Minimum buffer size that the HTTP library accepts.
 const MIN_BUFFER_BYTES: usize = 8_192;
 
+/// Refusal of a request while the daemon stops. Another daemon can serve it at once.
+pub const STOPPING: Refusal =
+    Refusal { status: 503, retry_after: Some(Duration::from_millis(100)) };
+
 /// Phase of the daemon's shutdown, which determines how callers' connections are
 /// handled.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Phase {
     /// Connections are kept alive.
     #[default]
@@ -46,6 +64,9 @@
     Closing,
     /// Idle connections are closed as well.
     Closed,
+    /// The daemon is about to exit: requests that were not received completely are
+    /// refused.
+    Ending,
 }
 
 /// State shared by the tasks of callers' connections.
@@ -55,6 +76,7 @@
     pool: Pool,
     limits: Rc<Cell<Limits>>,
     phase: watch::Receiver<Phase>,
+    exchanges: Exchanges,
 }
 
 impl Server {
@@ -63,8 +85,9 @@
         messages: UnboundedSender<Message>,
         limits: Rc<Cell<Limits>>,
         phase: watch::Receiver<Phase>,
+        exchanges: Exchanges,
     ) -> Server {
-        Server { messages, pool: Pool::default(), limits, phase }
+        Server { messages, pool: Pool::default(), limits, phase, exchanges }
     }
 
     /// Returns the connections to endpoints.
@@ -82,6 +105,12 @@
         *self.phase.borrow() != Phase::Serving
     }
 
+    /// Waits until the daemon is about to exit.
+    pub async fn ending(&self) {
+        // The sender lives as long as the daemon.
+        let _ = self.phase.clone().wait_for(|it| *it >= Phase::Ending).await;
+    }
+
     /// Sends a message to the broker.
     pub fn send(&self, message: Message) {
         // Sending fails only while the daemon shuts down.
@@ -120,11 +149,14 @@
 async fn serve_connection(server: Server, stream: TcpStream) {
     // Latency of small events matters more than the number of packets.
     let _ = stream.set_nodelay(true);
+    let _ = SockRef::from(&stream).set_tcp_notsent_lowat(MAX_UNSENT_BYTES);
     let limits = server.limits();
     let mut phase = server.phase.clone();
+    let progress = Progress::new(&server.exchanges, &server.messages);
+    let service_progress = progress.clone();
     let service = service_fn(move |request: Request<Incoming>| {
-        let server = server.clone();
-        async move { Ok::<_, Infallible>(serve(server, request).await) }
+        let (server, progress) = (server.clone(), service_progress.clone());
+        async move { Ok::<_, Infallible>(serve(server, request, progress).await) }
     });
     let mut builder = http1::Builder::new();
     builder
@@ -132,14 +164,60 @@
         // The library measures this timeout from the end of the previous response.
         .header_read_timeout(limits.idle())
         .max_buf_size(limits.head_bytes.max(MIN_BUFFER_BYTES));
-    let connection = builder.serve_connection(TokioIo::new(stream), service);
-    tokio::pin!(connection);
-    let closed = phase.wait_for(|it| *it == Phase::Closed);
-    tokio::select! {
-        // Each request on the connection reports its own outcome.
-        _ = connection.as_mut() => return,
-        _ = closed => {}
+    let socket = Socket::new(stream, progress.clone());
+    let mut connection = builder.serve_connection(TokioIo::new(socket), service);
+    let closed = phase.wait_for(|it| *it >= Phase::Closed);
+    let ended = tokio::select! {
+        // Bytes that have arrived begin an exchange, which is completed.
+        biased;
+        ended = &mut connection => Some(ended),
+        _ = closed => None,
+    };
+    let ended = match ended {
+        Some(ended) => ended,
+        None => {
+            if closes_itself(&progress) {
+                Pin::new(&mut connection).graceful_shutdown();
+            }
+            (&mut connection).await
+        }
+    };
+    progress.set_cause(cause(&ended));
+    if ended.is_ok() {
+        let socket = connection.into_parts().io.into_inner();
+        linger(&socket, &progress).await;
+    }
+}
+
+/// Keeps a connection that was closed for writing until the caller has closed it as
+/// well. Closing it while bytes from the caller are unread would reset the connection,
+/// which discards the end of a response that the caller has not received.
+async fn linger(socket: &Socket, progress: &Progress) {
+    let Some(sent_at) = progress.sent_at() else { return };
+    if matches!(progress.stage(), Stage::Running | Stage::Sending) {
+        // The caller has disconnected.
+        return;
+    }
+    progress.close();
+    // The caller may keep the connection open for as long as it likes.
+    let _ = timeout_at(sent_at + LINGER_TIME, socket.discard()).await;
+}
+
+/// Whether a connection is closed when it is idle or after the current response.
+/// Otherwise, its next response closes it.
+fn closes_itself(progress: &Progress) -> bool {
+    match progress.stage() {
+        // The caller is about to send its first request.
+        Stage::Idle => progress.sent_at().is_some(),
+        Stage::Head | Stage::Body => false,
+        Stage::Running | Stage::Sending | Stage::Closing => true,
+    }
+}
+
+/// Returns the cause of the end of a connection, in case an exchange was in progress.
+fn cause(ended: &hyper::Result<()>) -> Cause {
+    match ended {
+        Err(error) if error.is_user() => Cause::Aborted,
+        Ok(()) | Err(_) => Cause::Caller,
     }
-    connection.as_mut().graceful_shutdown();
-    let _ = connection.await;
 }
