Close the connections of `serve` without losing what was sent on them

What callers saw: a response that ends early although the daemon had sent it, or no answer to a request that had been sent.

Cause: the server closed a socket as soon as the HTTP library had written its last byte. Unread bytes from the caller then reset the connection, and the kernel discards what it had not delivered. At a stop, connections in the listen backlog and requests that had arrived on idle connections were dropped unread. `open_requests` counted a request until the library took its last frame, not until it was written.

Connections are closed by `web::closing`: it waits until the caller's side has acknowledged the bytes, ends the writing side, and discards what the caller still sends until it closes or pauses, at most for the write timeout. A stopped server takes the backlog first and answers requests that it finds unread with 503 `not_run`. A request counts as open until the last chunk of its response is written to the socket. `Server::progress` and `is_closed` tell what is still in transfer, `close_connections` announces the end on each response. The sockets' queues are read without unsafe code: with a send buffer of minimum size, a socket is writable just when its queue is (nearly) empty.

The tests of `progress`, `is_closed` and `close_connections` use new functions and were not seen failing.

--- a/crates/web/src/body.rs
+++ b/crates/web/src/body.rs
@@ -2,9 +2,11 @@
 
 use std::io;
 use std::pin::Pin;
+use std::sync::Arc;
 use std::task::Context;
 use std::task::Poll;
 
+use bytes::Buf;
 use bytes::Bytes;
 use hyper::body::Body;
 use hyper::body::Frame;
@@ -13,11 +15,17 @@
 
 use crate::server::OpenRequest;
 
-/// A response body. The request counts as open until the body is dropped.
+/// A response body. The request counts as open until the body and its chunks are dropped.
 pub(crate) struct ResponseBody {
     content: Content,
     truncated: bool,
-    _open: OpenRequest,
+    open: Arc<OpenRequest>,
+}
+
+/// A chunk of a body, which `hyper` drops once it is written to the socket.
+pub(crate) struct Chunk {
+    bytes: Bytes,
+    open: Arc<OpenRequest>,
 }
 
 /// Source of the bytes of a response body.
@@ -38,25 +46,33 @@
 
 impl ResponseBody {
     pub(crate) fn new(content: Content, open: OpenRequest) -> ResponseBody {
-        ResponseBody { content, truncated: false, _open: open }
+        ResponseBody { content, truncated: false, open: Arc::new(open) }
+    }
+
+    fn frame(&self, bytes: Bytes) -> Frame<Chunk> {
+        self.open.add_unsent(bytes.len());
+        Frame::data(Chunk { bytes, open: Arc::clone(&self.open) })
     }
 }
 
 impl Body for ResponseBody {
-    type Data = Bytes;
+    type Data = Chunk;
     type Error = io::Error;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-    ) -> Poll<Option<io::Result<Frame<Bytes>>>> {
+    ) -> Poll<Option<io::Result<Frame<Chunk>>>> {
         let body = &mut *self;
         match &mut body.content {
             Content::Full(bytes) if bytes.is_empty() => Poll::Ready(None),
-            Content::Full(bytes) => Poll::Ready(Some(Ok(Frame::data(std::mem::take(bytes))))),
+            Content::Full(bytes) => {
+                let bytes = std::mem::take(bytes);
+                Poll::Ready(Some(Ok(body.frame(bytes))))
+            }
             Content::Stream(parts) => match parts.poll_recv(cx) {
                 Poll::Pending => Poll::Pending,
-                Poll::Ready(Some(Part::Chunk(bytes))) => Poll::Ready(Some(Ok(Frame::data(bytes)))),
+                Poll::Ready(Some(Part::Chunk(bytes))) => Poll::Ready(Some(Ok(body.frame(bytes)))),
                 Poll::Ready(Some(Part::End)) => Poll::Ready(None),
                 // The stream was dropped before its end. Flush the buffered bytes first, then
                 // abort the connection so that the caller can't treat the response as complete.
@@ -81,3 +97,24 @@
         }
     }
 }
+
+impl Buf for Chunk {
+    fn remaining(&self) -> usize {
+        self.bytes.remaining()
+    }
+
+    fn chunk(&self) -> &[u8] {
+        self.bytes.chunk()
+    }
+
+    fn advance(&mut self, count: usize) {
+        self.bytes.advance(count);
+        self.open.remove_unsent(count);
+    }
+}
+
+impl Drop for Chunk {
+    fn drop(&mut self) {
+        self.open.remove_unsent(self.bytes.remaining());
+    }
+}
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -8,6 +8,8 @@
 pub mod server;
 
 mod body;
+mod closing;
+mod connection;
 mod error;
 
 pub use error::Error;
--- a/crates/web/src/server.rs
+++ b/crates/web/src/server.rs
@@ -5,6 +5,7 @@
 use std::net::TcpListener;
 use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::thread;
@@ -12,14 +13,10 @@
 
 use hyper::Response;
 use hyper::body::Incoming;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper_util::rt::TokioIo;
-use hyper_util::rt::TokioTimer;
-use socket2::SockRef;
+use hyper::header::CONNECTION;
+use hyper::header::HeaderValue;
 use tokio::net::TcpStream;
 use tokio::runtime::Builder;
-use tokio::sync::OwnedSemaphorePermit;
 use tokio::sync::Semaphore;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
@@ -28,6 +25,8 @@
 use crate::Error;
 use crate::body::Content;
 use crate::body::ResponseBody;
+use crate::closing;
+use crate::connection;
 use crate::problem::Outcome;
 use crate::problem::Problem;
 use crate::request;
@@ -36,12 +35,12 @@
 
 /// Delay after a failed accept. Without it, running out of file descriptors causes a busy loop.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
-/// Maximum size of a request head, in bytes.
-const MAX_HEAD_BYTES: usize = 32 * 1024;
 /// Stack size of a thread that serves one request, in bytes.
 const STACK_BYTES: usize = 256 * 1024;
 /// Value of `Retry-After` in seconds when the server is at a limit.
-const BUSY_RETRY_S: u32 = 1;
+pub(crate) const BUSY_RETRY_S: u32 = 1;
+/// Maximum number of rejected connections that wait for their callers to read the rejection.
+const MAX_REJECTED: usize = 64;
 
 /// Limits of a server.
 #[derive(Clone, Copy, Debug)]
@@ -69,15 +68,43 @@
 pub struct Server {
     /// Address on which the server listens.
     pub address: SocketAddr,
-    open_requests: Arc<AtomicUsize>,
-    shutdown: watch::Sender<bool>,
+    shared: Arc<Shared>,
+    phase: watch::Sender<Phase>,
+}
+
+/// Work in progress on a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Progress {
+    /// Number of open connections, including those whose callers have not received the end of the
+    /// last response.
+    pub connections: usize,
+    /// Number of requests that are being received or served.
+    pub requests: usize,
+    /// Bytes of responses that are buffered because their callers don't read them.
+    pub unsent_bytes: usize,
 }
 
-struct Shared {
-    limits: Limits,
+/// Phase of a server's shutdown.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Phase {
+    /// Connections are kept alive.
+    Serving,
+    /// Each response closes its connection.
+    Closing,
+    /// Idle connections are closed as well, and no new ones are accepted.
+    Stopped,
+}
+
+/// State shared by the tasks of all connections.
+pub(crate) struct Shared {
+    pub(crate) limits: Limits,
     handler: Handler,
     open_requests: Arc<AtomicUsize>,
+    unsent_bytes: Arc<AtomicUsize>,
     connections: Arc<Semaphore>,
+    rejected: Arc<Semaphore>,
+    accepting: AtomicBool,
+    phase: watch::Receiver<Phase>,
 }
 
 impl Server {
@@ -109,110 +136,125 @@
         listener.set_nonblocking(true).map_err(bind_error)?;
         let local_address = listener.local_addr().map_err(bind_error)?;
         let runtime = Builder::new_current_thread().enable_all().build().map_err(bind_error)?;
-        let open_requests = Arc::new(AtomicUsize::new(0));
-        let (shutdown, shutdown_receiver) = watch::channel(false);
+        let (phase, phase_receiver) = watch::channel(Phase::Serving);
         let shared = Arc::new(Shared {
             limits,
             handler,
-            open_requests: Arc::clone(&open_requests),
+            open_requests: Arc::default(),
+            unsent_bytes: Arc::default(),
             connections: Arc::new(Semaphore::new(limits.connections)),
+            rejected: Arc::new(Semaphore::new(MAX_REJECTED)),
+            accepting: AtomicBool::new(true),
+            phase: phase_receiver,
         });
-        thread::spawn(move || runtime.block_on(accept(listener, shared, shutdown_receiver)));
-        Ok(Server { address: local_address, open_requests, shutdown })
+        let accepting = accept(listener, Arc::clone(&shared));
+        thread::spawn(move || runtime.block_on(accepting));
+        Ok(Server { address: local_address, shared, phase })
     }
 
     /// Returns the number of requests currently being served.
     pub fn open_requests(&self) -> usize {
-        self.open_requests.load(Ordering::Acquire)
+        self.shared.open_requests.load(Ordering::Acquire)
     }
 
     /// Returns the shared counter of requests currently being served.
     pub fn open_counter(&self) -> Arc<AtomicUsize> {
-        Arc::clone(&self.open_requests)
+        Arc::clone(&self.shared.open_requests)
+    }
+
+    /// Returns the work in progress.
+    pub fn progress(&self) -> Progress {
+        let shared = &self.shared;
+        Progress {
+            connections: shared.limits.connections - shared.connections.available_permits(),
+            requests: shared.open_requests.load(Ordering::Acquire),
+            unsent_bytes: shared.unsent_bytes.load(Ordering::Acquire),
+        }
+    }
+
+    /// Whether the server has stopped and all its connections are closed.
+    pub fn is_closed(&self) -> bool {
+        !self.shared.accepting.load(Ordering::Acquire) && self.progress().connections == 0
+    }
+
+    /// Closes each connection after its next response, which announces it.
+    pub fn close_connections(&self) {
+        self.phase.send_if_modified(|phase| {
+            let is_serving = *phase == Phase::Serving;
+            if is_serving {
+                *phase = Phase::Closing;
+            }
+            is_serving
+        });
     }
 
     /// Stops accepting connections, and requests on existing connections.
     ///
-    /// Requests already being served run to completion.
+    /// Requests already being received or served run to completion. A request that arrives on an
+    /// idle connection at this moment is rejected.
     pub fn stop(&self) {
-        let _ = self.shutdown.send(true);
+        self.phase.send_replace(Phase::Stopped);
     }
 }
 
-async fn accept(listener: TcpListener, shared: Arc<Shared>, mut shutdown: watch::Receiver<bool>) {
+async fn accept(listener: TcpListener, shared: Arc<Shared>) {
     let Ok(listener) = tokio::net::TcpListener::from_std(listener) else { return };
-    let connection_shutdown = shutdown.clone();
+    let mut phase = shared.phase.clone();
     let accepting = async {
         loop {
-            let Ok((socket, _)) = listener.accept().await else {
-                sleep(ACCEPT_RETRY_DELAY).await;
-                continue;
-            };
-            let Ok(permit) = Arc::clone(&shared.connections).try_acquire_owned() else {
-                reject(&socket);
-                continue;
-            };
-            let socket_ref = SockRef::from(&socket);
-            let _ = socket_ref.set_tcp_nodelay(true);
-            let _ = socket_ref.set_tcp_user_timeout(Some(shared.limits.write_timeout));
-            tokio::spawn(serve_connection(
-                socket,
-                Arc::clone(&shared),
-                connection_shutdown.clone(),
-                permit,
-            ));
+            match listener.accept().await {
+                Ok((socket, _)) => admit(socket, &shared),
+                Err(_) => sleep(ACCEPT_RETRY_DELAY).await,
+            }
         }
     };
     tokio::select! {
         () = accepting => {}
-        _ = shutdown.wait_for(|it| *it) => {}
+        _ = phase.wait_for(|it| *it == Phase::Stopped) => {}
     }
-    // Connections accept no new requests from here on. The future never completes, because
-    // returning would end the runtime and the requests still being served.
-    drop(listener);
+    // Callers that are connected already get an answer instead of a reset.
+    if let Ok(listener) = listener.into_std() {
+        while let Ok((socket, _)) = listener.accept() {
+            let _ = socket.set_nonblocking(true);
+            if let Ok(socket) = TcpStream::from_std(socket) {
+                admit(socket, &shared);
+            }
+        }
+    }
+    shared.accepting.store(false, Ordering::Release);
+    // The future never completes, because returning would end the runtime and the requests still
+    // being served.
     std::future::pending::<()>().await;
 }
 
-async fn serve_connection(
-    socket: TcpStream,
-    shared: Arc<Shared>,
-    mut shutdown: watch::Receiver<bool>,
-    _permit: OwnedSemaphorePermit,
-) {
-    let limits = shared.limits;
-    let service = service_fn(move |raw| respond(raw, Arc::clone(&shared)));
-    let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(limits.read_timeout)
-        .max_buf_size(MAX_HEAD_BYTES)
-        .serve_connection(TokioIo::new(socket), service);
-    tokio::pin!(connection);
-    tokio::select! {
-        _ = connection.as_mut() => return,
-        _ = shutdown.wait_for(|it| *it) => connection.as_mut().graceful_shutdown(),
+/// Serves a connection, or rejects it if there are too many.
+fn admit(socket: TcpStream, shared: &Arc<Shared>) {
+    let limit = shared.limits.write_timeout;
+    if let Ok(permit) = Arc::clone(&shared.connections).try_acquire_owned() {
+        let serving = connection::serve(socket, Arc::clone(shared), shared.phase.clone());
+        tokio::spawn(async move {
+            serving.await;
+            drop(permit);
+        });
+        return;
     }
-    let _ = connection.await;
-}
-
-/// Rejects a connection over the limit with a 503, if the socket accepts the bytes without
-/// blocking.
-fn reject(socket: &TcpStream) {
     let problem = busy("too many connections are open; come back after Retry-After");
-    let body = serde_json::to_string(&problem).unwrap_or_default();
-    let length = body.len();
-    let head = format!(
-        "HTTP/1.1 503 Service Unavailable\r\nContent-Type: application/problem+json\r\n\
-         Retry-After: {BUSY_RETRY_S}\r\nConnection: close\r\nContent-Length: {length}\r\n\r\n"
-    );
-    let _ = socket.try_write(format!("{head}{body}").as_bytes());
+    connection::send_rejection(&socket, &problem);
+    if let Ok(permit) = Arc::clone(&shared.rejected).try_acquire_owned() {
+        tokio::spawn(async move {
+            closing::close(socket, limit).await;
+            drop(permit);
+        });
+    }
 }
 
-async fn respond(
+/// Serves one request.
+pub(crate) async fn respond(
     raw: hyper::Request<Incoming>,
     shared: Arc<Shared>,
 ) -> Result<Response<ResponseBody>, Infallible> {
     let limits = shared.limits;
-    let open = OpenRequest::new(&shared.open_requests);
+    let open = OpenRequest::new(&shared);
     let (sender, receiver) = oneshot::channel();
     let responder = Responder::new(sender, limits.write_timeout);
     if open.count > limits.open_requests {
@@ -232,7 +274,11 @@
         Ok(response) => response,
         Err(_) => interrupted(limits.write_timeout).await,
     };
-    Ok(response.map(|content| ResponseBody::new(content, open)))
+    let mut response = response.map(|content| ResponseBody::new(content, open));
+    if *shared.phase.borrow() != Phase::Serving {
+        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    Ok(response)
 }
 
 /// Returns the response to a request whose handler ended without sending one.
@@ -251,18 +297,28 @@
 /// Counts a request as open until dropped.
 pub(crate) struct OpenRequest {
     count: usize,
-    counter: Arc<AtomicUsize>,
+    shared: Arc<Shared>,
 }
 
 impl OpenRequest {
-    fn new(counter: &Arc<AtomicUsize>) -> OpenRequest {
-        let count = counter.fetch_add(1, Ordering::AcqRel) + 1;
-        OpenRequest { count, counter: Arc::clone(counter) }
+    fn new(shared: &Arc<Shared>) -> OpenRequest {
+        let count = shared.open_requests.fetch_add(1, Ordering::AcqRel) + 1;
+        OpenRequest { count, shared: Arc::clone(shared) }
+    }
+
+    /// Counts bytes of the response as unsent.
+    pub(crate) fn add_unsent(&self, bytes: usize) {
+        self.shared.unsent_bytes.fetch_add(bytes, Ordering::AcqRel);
+    }
+
+    /// Counts bytes of the response as sent or given up.
+    pub(crate) fn remove_unsent(&self, bytes: usize) {
+        self.shared.unsent_bytes.fetch_sub(bytes, Ordering::AcqRel);
     }
 }
 
 impl Drop for OpenRequest {
     fn drop(&mut self) {
-        self.counter.fetch_sub(1, Ordering::AcqRel);
+        self.shared.open_requests.fetch_sub(1, Ordering::AcqRel);
     }
 }
--- a/crates/web/tests/edge/main.rs
+++ b/crates/web/tests/edge/main.rs
@@ -1,6 +1,7 @@
 //! Tests the server with callers that are slow, too many, send too much or disconnect.
 
 mod caller;
+mod closing;
 
 use std::sync::Arc;
 use std::sync::mpsc::Receiver;
