Wait at the exit of `serve` until callers have received their responses

What callers saw: after SIGTERM a caller that reads slowly got a part of its response, and a request whose body was still arriving got no answer.

Cause: the actors stopped once no call was open in them. The responses of these calls may still be in the library's buffers and in the sockets; the process waited 300 ms for them, or up to 5 s for requests that the server still counted. A request that was complete only after the actors had stopped waited for a reply that could not come.

The servers are stopped while the actors still run, so that a late request is answered (503 `draining`, `not_run`); the daemon exits once all connections are closed, at the latest after `limits.write_timeout_ms`. From the signal on, responses announce the close of their connections. `closing connections` and `connections closed` log what is still in transfer.

Ruled out: requests that arrive on new and on kept connections while a stream keeps the daemon draining were refused at once as `not_run` before, and queued log lines can't be lost, since `serve` writes its log synchronously.

--- a/crates/harness/src/cluster.rs
+++ b/crates/harness/src/cluster.rs
@@ -70,6 +70,8 @@
     pub daemons: Vec<Daemon>,
     /// Routing mode in the settings of daemons started from now on.
     pub routing: String,
+    /// Limits in the settings of daemons started from now on.
+    pub limits: Value,
 }
 
 impl Cluster {
@@ -93,6 +95,7 @@
             services: Vec::new(),
             daemons: Vec::new(),
             routing: "scored".to_owned(),
+            limits: json!({}),
         })
     }
 
@@ -259,6 +262,7 @@
             "platform": { "address": self.platform.address },
             "seeds": self.daemons.iter().map(|it| it.peers.as_str()).collect::<Vec<_>>(),
             "routing": { "mode": self.routing },
+            "limits": self.limits,
             "access": {
                 "peer_secret_file": secret,
                 "operator_token_sha256": [token_sha256(OPERATOR_TOKEN)],
--- a/crates/harness/tests/departure/main.rs
+++ b/crates/harness/tests/departure/main.rs
@@ -1,5 +1,8 @@
 //! Graceful shutdowns and reclaims of daemons.
 
+mod closing;
+mod connection;
+
 use std::io;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
--- a/crates/lentilhook/src/daemon/departure.rs
+++ b/crates/lentilhook/src/daemon/departure.rs
@@ -1,16 +1,19 @@
 //! Actor that drives the daemon's lifecycle according to the drain chart.
 
 use std::time::Duration;
+use std::time::Instant;
 
 use gateway::server::Readiness;
 use stakker::Actor;
 use stakker::CX;
 use stakker::Ret;
 use stakker::StopCause;
+use stakker::after;
 use stakker::call;
 use stakker::ret_some_to;
 use statechart::Label;
 use statechart::Lifecycle;
+use web::server::Server;
 
 use crate::daemon::dispatch::Dispatch;
 use crate::daemon::fleet::Fleet;
@@ -23,6 +26,8 @@
 /// Delay between reporting the daemon as not ready and rejecting new requests. It
 /// gives the balancer time to stop routing requests here.
 const DRAIN_DELAY: Duration = Duration::from_millis(500);
+/// Interval between checks whether all connections are closed.
+const CLOSE_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Reason for a shutdown of the daemon.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -39,6 +44,8 @@
     state: State,
     readiness: Readiness,
     subsystems: Subsystems,
+    servers: Vec<Server>,
+    close_timeout: Duration,
 }
 
 /// Actors that take part in a shutdown.
@@ -54,19 +61,23 @@
 }
 
 impl Departures {
-    /// Creates the actor in the chart's initial state.
+    /// Creates the actor in the chart's initial state. After a shutdown, callers have
+    /// `close_timeout` to receive the rest of their responses.
     pub fn init(
         _cx: CX![],
         chart: Lifecycle<State, Event>,
         readiness: Readiness,
         subsystems: Subsystems,
+        close_timeout: Duration,
     ) -> Option<Departures> {
         let state = chart.initial();
-        Some(Departures { chart, state, readiness, subsystems })
+        let servers = Vec::new();
+        Some(Departures { chart, state, readiness, subsystems, servers, close_timeout })
     }
 
     /// Marks the daemon as ready. Called once all servers are listening.
-    pub fn ready(&mut self, _cx: CX![]) {
+    pub fn ready(&mut self, _cx: CX![], servers: Vec<Server>) {
+        self.servers = servers;
         if self.apply(Event::Ready) {
             self.readiness.set(true);
         }
@@ -84,6 +95,7 @@
             return;
         }
         self.readiness.set(false);
+        self.servers.iter().for_each(Server::close_connections);
         metrics::set_draining();
         call!([self.subsystems.fleet], leave());
         if let Departure::Reclaim(left) = departure {
@@ -114,13 +126,40 @@
         call!([self.subsystems.shards], release(released));
     }
 
-    /// Stops the runtime once the leases are released or the release has timed out.
+    /// Closes the connections once the leases are released or the release has timed out. The
+    /// other actors keep answering the requests that are still being received.
     fn released(&mut self, cx: CX![]) {
+        self.servers.iter().for_each(Server::stop);
+        self.log_connections("closing connections");
+        let deadline = cx.now() + self.close_timeout;
+        self.await_connections(cx, deadline);
+    }
+
+    /// Stops the runtime once all connections are closed or the deadline has passed.
+    fn await_connections(&mut self, cx: CX![], deadline: Instant) {
+        let is_closed = self.servers.iter().all(Server::is_closed);
+        if !is_closed && cx.now() < deadline {
+            after!(CLOSE_POLL_INTERVAL, [cx], await_connections(deadline));
+            return;
+        }
+        self.log_connections("connections closed");
         if self.apply(Event::Released) {
             cx.shutdown(StopCause::Stopped);
         }
     }
 
+    fn log_connections(&self, message: &str) {
+        for server in &self.servers {
+            let progress = server.progress();
+            spdlog::info!("{message}", kv: {
+                listen = server.address.to_string(),
+                connections = progress.connections,
+                requests = progress.requests,
+                unsent_bytes = progress.unsent_bytes,
+            });
+        }
+    }
+
     /// Applies an event and returns whether the chart has a transition for it. An event
     /// without one is logged and ignored.
     fn apply(&mut self, event: Event) -> bool {
--- a/crates/lentilhook/src/daemon/mod.rs
+++ b/crates/lentilhook/src/daemon/mod.rs
@@ -16,7 +16,6 @@
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
-use std::time::Instant;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
@@ -68,12 +67,6 @@
 const PLATFORM_THREADS: usize = 4;
 /// Number of threads for the platform and endpoint calls of placement.
 const PLACEMENT_THREADS: usize = 2;
-/// Interval between checks for open requests after a drain, and final pause in
-/// which the last responses reach their callers.
-const DRAIN_LINGER: Duration = Duration::from_millis(300);
-/// Maximum wait for request threads to finish writing their responses.
-const FLUSH_TIMEOUT: Duration = Duration::from_secs(5);
-
 /// Error that keeps a daemon from running.
 #[derive(Debug, Snafu)]
 pub enum Error {
@@ -151,7 +144,11 @@
         placement: actors.placement.clone(),
     };
     let chart = charts.drain.clone();
-    call!([actors.departures], Departures::init(chart, readiness.clone(), subsystems));
+    let close_timeout = limits(settings).write_timeout;
+    call!(
+        [actors.departures],
+        Departures::init(chart, readiness.clone(), subsystems, close_timeout)
+    );
     start_actors(settings, charts, &actors, &me, &transport, &readiness, &departures);
     let callers = gateway::server::start(
         &settings.listen.callers,
@@ -169,20 +166,13 @@
     )
     .context(ServerSnafu)?;
     watch_signals(departures)?;
-    call!([actors.departures], ready());
+    let addresses = (callers.address, operators.address);
+    call!([actors.departures], ready(vec![callers, operators]));
     println!(
         "ready daemon={} callers={} operators={} peers={}",
-        settings.daemon, callers.address, operators.address, transport.address
+        settings.daemon, addresses.0, addresses.1, transport.address
     );
     runtime.run();
-    callers.stop();
-    operators.stop();
-    // Request threads may still be writing the last parts of their responses.
-    let deadline = Instant::now() + FLUSH_TIMEOUT;
-    while callers.open_requests() > 0 && Instant::now() < deadline {
-        thread::sleep(DRAIN_LINGER);
-    }
-    thread::sleep(DRAIN_LINGER);
     spdlog::info!("stopped", kv: { daemon = settings.daemon.as_str() });
     Ok(())
 }
--- a/crates/lentilhook/src/settings/mod.rs
+++ b/crates/lentilhook/src/settings/mod.rs
@@ -93,7 +93,8 @@
     /// Timeout for receiving a request head, for receiving a body, and between requests, in
     /// milliseconds.
     pub read_timeout_ms: u64,
-    /// Timeout for a caller that reads nothing of its response, in milliseconds.
+    /// Timeout for a caller that reads nothing of its response, and for reading the rest of it
+    /// when the daemon has completed its requests and exits, in milliseconds.
     pub write_timeout_ms: u64,
 }
 
