Wait at the exit of `serve` until peers have received their replies

What callers saw: a call that was forwarded to a stopping daemon and executed there was answered 410 `answer not kept`, so its answer was lost, when the forwarding daemon was slow at that moment.

Cause: a job ends when its reply is handed to the peer transport. What the transport still held was lost at the exit: with more than the stream's window of 1 MB, the peer has to read first.

A peer ends its side of a stream when it has received the last reply. The transport counts the streams opened by peers, and the daemon exits once there is none, or after `limits.write_timeout_ms`. A peer that stays frozen is dropped by the PING timeout before. `closing connections` and `connections closed` log the count as `peer_streams`.

--- a/crates/harness/tests/departure/closing.rs
+++ b/crates/harness/tests/departure/closing.rs
@@ -7,6 +7,7 @@
 use std::time::Instant;
 
 use harness::caller::Draft;
+use harness::caller::renew;
 use harness::cluster;
 use harness::cluster::Cluster;
 use nix::sys::signal::Signal;
@@ -27,6 +28,10 @@
 const DRAIN_DELAY: Duration = Duration::from_millis(500);
 /// Limit on the time in which callers have to receive the rest of their responses.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(4);
+/// Enough for some keys to belong to each of two daemons.
+const RENEWALS: usize = 6;
+/// Time after which the service answers.
+const SERVICE_TIME: Duration = Duration::from_millis(1500);
 /// Too slow for the response to be received in time.
 const SLOW_READ_BYTES: usize = 3000;
 const SLOW_READ_INTERVAL: Duration = Duration::from_millis(100);
@@ -116,6 +121,37 @@
     check_exit(&mut cluster)
 }
 
+#[test]
+fn answers_of_a_stopping_daemon_reach_the_daemon_that_forwarded_the_calls() -> io::Result<()> {
+    let mut cluster = deployment(2)?;
+    let slow = json!({ "slow_ms": SERVICE_TIME.as_millis() as u64 });
+    cluster::set_switches(&cluster.services[0].address, &slow)?;
+    let address = cluster.daemons[0].callers.clone();
+    let callers: Vec<_> = (0..RENEWALS)
+        .map(|number| {
+            let address = address.clone();
+            let body = "x".repeat(LARGE_BODY_BYTES / 2);
+            thread::spawn(move || renew(&address, &format!("renewal-{number}"), &body))
+        })
+        .collect();
+    cluster::wait_for("the calls", || calls(&cluster).is_ok_and(|it| it == RENEWALS))?;
+
+    cluster.daemons[1].process.signal(Signal::SIGTERM)?;
+    cluster.daemons[0].process.signal(Signal::SIGSTOP)?;
+    thread::sleep(SERVICE_TIME * 3 / 2);
+    cluster.daemons[0].process.signal(Signal::SIGCONT)?;
+
+    for caller in callers {
+        let response = caller.join().map_err(|_| io::Error::other("a caller panicked"))??;
+        let body: String = response.body.to_string().chars().take(300).collect();
+        assert_eq!(response.status, 200, "{body}");
+    }
+    let status = cluster.daemons[1].process.wait(EXIT_TIMEOUT)?;
+    assert!(status.is_some_and(|it| it.success()), "exited with {status:?}");
+    assert_eq!(calls(&cluster)?, RENEWALS, "a call was sent twice");
+    Ok(())
+}
+
 #[test]
 fn a_caller_that_never_reads_delays_the_exit_up_to_the_write_timeout() -> io::Result<()> {
     check_slow_caller(|_| {})
@@ -184,6 +220,11 @@
     cluster::get(&cluster.services[0].address, "/fake/record")
 }
 
+/// Returns the number of calls that the service has received.
+fn calls(cluster: &Cluster) -> io::Result<usize> {
+    cluster::get(&cluster.services[0].address, "/fake/arrived")
+}
+
 fn stop(cluster: &Cluster) -> io::Result<()> {
     cluster.daemons[0].process.signal(Signal::SIGTERM)
 }
--- a/crates/lentilhook/src/daemon/departure.rs
+++ b/crates/lentilhook/src/daemon/departure.rs
@@ -4,6 +4,7 @@
 use std::time::Instant;
 
 use gateway::server::Readiness;
+use peer::transport::Transport;
 use stakker::Actor;
 use stakker::CX;
 use stakker::Ret;
@@ -58,6 +59,8 @@
     pub fleet: Actor<Fleet>,
     /// Releases the placement lease.
     pub placement: Actor<Placement>,
+    /// Delivers replies to the daemons that forwarded calls here.
+    pub transport: Transport,
 }
 
 impl Departures {
@@ -135,9 +138,11 @@
         self.await_connections(cx, deadline);
     }
 
-    /// Stops the runtime once all connections are closed or the deadline has passed.
+    /// Stops the runtime once callers and peers have received their replies or the deadline has
+    /// passed.
     fn await_connections(&mut self, cx: CX![], deadline: Instant) {
-        let is_closed = self.servers.iter().all(Server::is_closed);
+        let is_closed = self.servers.iter().all(Server::is_closed)
+            && self.subsystems.transport.incoming_streams() == 0;
         if !is_closed && cx.now() < deadline {
             after!(CLOSE_POLL_INTERVAL, [cx], await_connections(deadline));
             return;
@@ -156,6 +161,7 @@
                 connections = progress.connections,
                 requests = progress.requests,
                 unsent_bytes = progress.unsent_bytes,
+                peer_streams = self.subsystems.transport.incoming_streams(),
             });
         }
     }
--- a/crates/lentilhook/src/daemon/mod.rs
+++ b/crates/lentilhook/src/daemon/mod.rs
@@ -142,6 +142,7 @@
         shards: actors.shards.clone(),
         fleet: actors.fleet.clone(),
         placement: actors.placement.clone(),
+        transport: transport.clone(),
     };
     let chart = charts.drain.clone();
     let close_timeout = limits(settings).write_timeout;
--- a/crates/peer/src/connection.rs
+++ b/crates/peer/src/connection.rs
@@ -130,12 +130,13 @@
     }
 }
 
-/// Accepts connections from peers indefinitely.
+/// Accepts connections from peers indefinitely. Counts their streams in `total`.
 pub async fn accept(
     listener: TcpListener,
     secret: Arc<str>,
     sink: Sink,
     incoming: UnboundedSender<Incoming>,
+    total: Activity,
 ) {
     loop {
         let Ok((socket, _)) = listener.accept().await else {
@@ -143,7 +144,8 @@
             continue;
         };
         let _ = socket.set_nodelay(true);
-        tokio::spawn(serve(socket, secret.clone(), sink.clone(), incoming.clone()));
+        let (secret, sink) = (secret.clone(), sink.clone());
+        tokio::spawn(serve(socket, secret, sink, incoming.clone(), total.clone()));
     }
 }
 
@@ -152,6 +154,7 @@
     secret: Arc<str>,
     sink: Sink,
     incoming: UnboundedSender<Incoming>,
+    total: Activity,
 ) {
     let authenticated =
         timeout(CONNECT_TIMEOUT, authentication::accept(&mut socket, &secret)).await;
@@ -168,11 +171,11 @@
     let activity = Activity::default();
     let accept_streams = async {
         while let Some(Ok((request, respond))) = connection.accept().await {
-            let open_stream = activity.open();
+            let open_streams = (activity.open(), total.open());
             let task = stream::incoming(request, respond, sink.clone(), incoming.clone());
             tokio::spawn(async move {
                 task.await;
-                drop(open_stream);
+                drop(open_streams);
             });
         }
     };
--- a/crates/peer/src/transport.rs
+++ b/crates/peer/src/transport.rs
@@ -15,6 +15,7 @@
 use crate::connection;
 use crate::connection::Connections;
 use crate::stream;
+use crate::watch::Activity;
 use crate::wire::Frame;
 
 /// Identifies a stream on this daemon. Streams with even numbers are opened by this
@@ -103,6 +104,7 @@
     /// Address on which peer connections are accepted.
     pub address: SocketAddr,
     commands: UnboundedSender<Command>,
+    incoming: Activity,
 }
 
 impl Transport {
@@ -119,8 +121,16 @@
         let runtime = Builder::new_current_thread().enable_all().build().map_err(bind_error)?;
         let (commands, receiver) = unbounded_channel();
         let secret: Arc<str> = secret.into();
-        thread::spawn(move || runtime.block_on(run(listener, secret, sink, receiver)));
-        Ok(Transport { address: local_address, commands })
+        let incoming = Activity::default();
+        let running = run(listener, secret, sink, receiver, incoming.clone());
+        thread::spawn(move || runtime.block_on(running));
+        Ok(Transport { address: local_address, commands, incoming })
+    }
+
+    /// Returns the number of streams opened by peers on which one side has not ended. A peer ends
+    /// its side once it has received the reply.
+    pub fn incoming_streams(&self) -> usize {
+        self.incoming.count()
     }
 
     /// Submits a command. Failures are reported as events.
@@ -134,11 +144,13 @@
     secret: Arc<str>,
     sink: Sink,
     mut commands: UnboundedReceiver<Command>,
+    incoming: Activity,
 ) {
     let Ok(listener) = TcpListener::from_std(listener) else { return };
     let (incoming_sender, mut incoming_streams) = unbounded_channel();
-    let accept = connection::accept(listener, secret.clone(), sink.clone(), incoming_sender);
-    tokio::spawn(accept);
+    let accepting =
+        connection::accept(listener, secret.clone(), sink.clone(), incoming_sender, incoming);
+    tokio::spawn(accepting);
     let connections = Connections::new(secret);
     let mut streams: HashMap<StreamId, UnboundedSender<Frame>> = HashMap::new();
     loop {
--- a/crates/peer/src/watch.rs
+++ b/crates/peer/src/watch.rs
@@ -20,7 +20,7 @@
 /// counts as idle.
 const IDLE_CHECKS: u32 = 5;
 
-/// Counter of the streams open on a connection.
+/// Counter of open streams.
 #[derive(Clone, Debug, Default)]
 pub struct Activity(Arc<AtomicUsize>);
 
@@ -44,9 +44,14 @@
         OpenStream(Arc::clone(&self.0))
     }
 
+    /// Returns the number of open streams.
+    pub fn count(&self) -> usize {
+        self.0.load(Ordering::Acquire)
+    }
+
     /// Whether no stream is open.
     pub fn is_idle(&self) -> bool {
-        self.0.load(Ordering::Acquire) == 0
+        self.count() == 0
     }
 }
 
