Log the inputs of decisions on retries and quotas

A line `retry budget` now has service, result, what this daemon spent and may spend, how many daemons share the limit, how many were heard and the daemon's age; `over quota` says who shares. Counters for both decisions, gauges for daemons known and heard. One line a retry at most, next to the existing `placed again` or `refused`. Budget::take_retry returns the figures with the decision; its tests read the field. No decision changes.

The quota and retry code of the broker moves to broker/limits.rs.

--- a/crates/front/src/broker/gossip.rs
+++ b/crates/front/src/broker/gossip.rs
@@ -98,6 +98,8 @@
             self.context.streams.send(address, &message);
         }
         self.report_interruptions(now);
+        metrics::set_state("daemons_heard", self.peers.live(now).count() as i64);
+        metrics::set_state("daemons_known", self.peers.count() as i64);
     }
 
     /// Reports what was learned of single interruptions to the daemons that count those
--- a/crates/front/src/broker/mod.rs
+++ b/crates/front/src/broker/mod.rs
@@ -3,6 +3,7 @@
 mod crashes;
 mod gossip;
 mod leader;
+mod limits;
 mod requests;
 
 use std::cell::Cell;
@@ -108,6 +109,7 @@
     context: Context,
     rng: SmallRng,
     stage: Stage,
+    started_at: Instant,
     table: Rc<Table>,
     pool: Pool,
     suspects: Suspects,
@@ -174,6 +176,7 @@
         Some(Broker {
             rng: SmallRng::seed_from_u64(context.seed),
             stage: Stage::Running,
+            started_at: now,
             table: Rc::default(),
             pool: Pool::default(),
             suspects: Suspects::new(crashes::LIMIT),
--- a/crates/front/src/broker/requests.rs
+++ b/crates/front/src/broker/requests.rs
@@ -11,8 +11,6 @@
 use balance::endpoint::Instance;
 use balance::health;
 use balance::load::Load;
-use quota::retry;
-use quota::retry::Budget;
 use relay::admission::Arrival;
 use relay::admission::Message;
 use relay::admission::Outcome;
@@ -104,7 +102,7 @@
 
 /// Cause of a refusal, for logs and metrics.
 #[derive(Clone, Copy, Debug)]
-enum Cause {
+pub(super) enum Cause {
     NoConfiguration,
     NoRoute,
     UnknownKey,
@@ -196,33 +194,6 @@
         Ok((plan, target))
     }
 
-    /// Charges a request to its workspace's quota and returns the units charged.
-    fn charge_quota(
-        &mut self,
-        found: &Match<'_>,
-        attributes: &Attributes,
-        now: Instant,
-    ) -> Result<f64, Refusal> {
-        let Some(workspace) = found.workspace else { return Ok(0.0) };
-        let Some(quota) = workspace.quota else { return Ok(0.0) };
-        let Some(bucket) = self.buckets.get_mut(&workspace.name) else { return Ok(0.0) };
-        let units = quota.unit.count(attributes.tokens());
-        match bucket.take(units, now) {
-            Ok(()) => Ok(units),
-            Err(wait) => {
-                spdlog::info!("over quota", kv: {
-                    request = attributes.id.as_str(),
-                    workspace = workspace.name.as_str(),
-                    units = units.round() as i64,
-                    left = bucket.level().round() as i64,
-                    rate = quota.rate.round() as i64,
-                    config = self.table.config.version,
-                });
-                Err(refuse(&attributes.id, Cause::Quota, 429, Some(wait)))
-            }
-        }
-    }
-
     fn retry(&mut self, ticket: u64, outcome: Outcome, now: Instant) -> Result<Target, Refusal> {
         self.release_endpoint(ticket, outcome, now);
         let Some(pending) = self.requests.get_mut(&ticket) else {
@@ -248,9 +219,8 @@
         if attempts_left == 0 {
             return Err(refuse(&id, Cause::Attempts, status, delay_if_not_run(DECLINED_DELAY)));
         }
-        let daemons = self.peers.live(now).count() + 1;
         // An attempt that never reached its endpoint doesn't count as a retry.
-        if outcome != Outcome::Unreachable && !self.budget(&service).take_retry(daemons, now) {
+        if outcome != Outcome::Unreachable && !self.take_retry(&id, &service, now) {
             return Err(refuse(&id, Cause::RetryBudget, status, delay_if_not_run(DECLINED_DELAY)));
         }
         let choice = self.choose(&service, &attributes, &tried, now);
@@ -408,22 +378,6 @@
         let member = self.pool.member(id)?;
         Some(Target { id: id.to_owned(), address: member.endpoint.address })
     }
-
-    fn budget(&mut self, service: &str) -> &mut Budget {
-        let bounds = &self.context.settings.bounds;
-        let limit = retry::Limit {
-            ratio: bounds.retry_ratio,
-            extra: bounds.retry_extra,
-            window: bounds.retry_window,
-        };
-        self.budgets.entry(service.to_owned()).or_insert_with(|| Budget::new(limit))
-    }
-
-    fn refund(&mut self, workspace: Option<&str>, units: f64) {
-        if let Some(bucket) = workspace.and_then(|it| self.buckets.get_mut(it)) {
-            bucket.refund(units);
-        }
-    }
 }
 
 fn plan(ticket: u64, found: &Match<'_>, strips_key: bool) -> Plan {
@@ -440,7 +394,12 @@
 }
 
 /// Logs and counts a refusal.
-fn refuse(id: &str, cause: Cause, status: u16, retry_after: Option<Duration>) -> Refusal {
+pub(super) fn refuse(
+    id: &str,
+    cause: Cause,
+    status: u16,
+    retry_after: Option<Duration>,
+) -> Refusal {
     metrics::count("refused", cause.name());
     spdlog::info!("refused", kv: {
         request = id,
--- a/crates/quota/src/retry.rs
+++ b/crates/quota/src/retry.rs
@@ -22,6 +22,18 @@
 /// time, and the requests of a burst drop out of it before their retries.
 const SAFETY_FACTOR: f64 = 0.7;
 
+/// Decision on a retry, with the figures that it depends on.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Decision {
+    /// Whether the retry may be sent.
+    pub is_granted: bool,
+    /// Retries that this daemon has sent within the window, including this one if it
+    /// is granted.
+    pub spent: usize,
+    /// Retries that this daemon may send within the window.
+    pub allowed: f64,
+}
+
 /// Requests and retries that a daemon has sent within the window.
 #[derive(Clone, Debug)]
 pub struct Budget {
@@ -43,16 +55,16 @@
     }
 
     /// Takes a retry from the budget if this daemon's share of the limit, split
-    /// evenly between `daemons`, allows it. Returns whether it did.
-    pub fn take_retry(&mut self, daemons: usize, now: Instant) -> bool {
+    /// evenly between `daemons`, allows it.
+    pub fn take_retry(&mut self, daemons: usize, now: Instant) -> Decision {
         self.evict_expired(now);
         let extra_share = self.limit.extra / daemons.max(1) as f64;
         let allowed = SAFETY_FACTOR * (self.limit.ratio * self.requests.len() as f64 + extra_share);
-        if self.retries.len() as f64 + 1.0 > allowed {
-            return false;
+        let is_granted = self.retries.len() as f64 + 1.0 <= allowed;
+        if is_granted {
+            self.retries.push_back(now);
         }
-        self.retries.push_back(now);
-        true
+        Decision { is_granted, spent: self.retries.len(), allowed }
     }
 
     fn evict_expired(&mut self, now: Instant) {
--- a/crates/quota/src/workspace.rs
+++ b/crates/quota/src/workspace.rs
@@ -120,6 +120,11 @@
         self.level
     }
 
+    /// Returns the number of daemons that share the limit, as far as known.
+    pub fn daemons(&self) -> usize {
+        self.peers.len() + 1
+    }
+
     /// Returns the units that this daemon has admitted since its start.
     pub fn admitted(&self) -> f64 {
         self.admitted
--- a/crates/quota/tests/retry.rs
+++ b/crates/quota/tests/retry.rs
@@ -16,7 +16,7 @@
         for _ in 0..daemons {
             let mut budget = Budget::new(LIMIT);
             (0..requests).for_each(|_| budget.count_request(now));
-            while budget.take_retry(daemons, now) {
+            while budget.take_retry(daemons, now).is_granted {
                 retries += 1;
             }
         }
@@ -36,10 +36,10 @@
 fn requests_and_retries_outside_the_window_are_evicted() {
     let start = Instant::now();
     let mut budget = Budget::new(LIMIT);
-    while budget.take_retry(1, start) {}
+    while budget.take_retry(1, start).is_granted {}
 
     let later = start + LIMIT.window + Duration::from_millis(1);
 
-    assert!(!budget.take_retry(1, start + LIMIT.window));
-    assert!(budget.take_retry(1, later));
+    assert!(!budget.take_retry(1, start + LIMIT.window).is_granted);
+    assert!(budget.take_retry(1, later).is_granted);
 }
