Keep retries within the budget while daemons restart

A daemon that had just started counted no retries, took the whole fixed part of the limit at once and divided it by the daemons that it had heard so far, at first only itself; the same daemon did so again after each start. A daemon that was cut off divided by fewer and fewer.

Now a daemon that started within the window uses a smaller fraction of the limit: daemons of which nothing is unknown share 0.7 of it, as before, those that started within the window share 0.25, so both together stay below it. The fixed part is gained with the time since the start, and the ratio only from requests that the daemon itself received, so a series of starts gains nothing. Digests tell each daemon's age, so a daemon that restarts alone gets its whole share as soon as it has heard the others. The fixed part is divided by the addresses that may have a daemon: rows, peers heard or mentioned for 30 s, and the seeds for the first 30 s. Rows of daemons that are gone count once for 30 s. Each daemon reads the table of daemons at least once, also if it is no reader. At the first start of the whole system (`bootstrap`) nothing was spent before.

--- a/crates/front/src/broker/gossip.rs
+++ b/crates/front/src/broker/gossip.rs
@@ -81,7 +81,7 @@
         let usage_report = self.usage_report();
         if let Some(holder) = holder.filter(|it| *it != own_address) {
             let full = Digest { usage_report: Some(usage_report.clone()), ..digest.clone() };
-            let message = Message::Digest { digest: full, peers: peers.clone() };
+            let message = Message::Digest { digest: Box::new(full), peers: peers.clone() };
             self.context.streams.send(holder, &message);
         }
         // While this daemon stops, each round carries the report: a later lease holder
@@ -93,7 +93,7 @@
             self.usage_reported_at = now;
         }
         digest.usage_report = sends_report.then_some(usage_report);
-        let message = Message::Digest { digest, peers };
+        let message = Message::Digest { digest: Box::new(digest), peers };
         for address in addresses {
             self.context.streams.send(address, &message);
         }
@@ -142,6 +142,7 @@
     }
 
     pub(super) fn discover_daemons(&mut self, rows: &[Row], now: Instant) {
+        self.has_read_daemons = true;
         for row in rows {
             let address = row.key.split_once('/').and_then(|(_, it)| it.parse().ok());
             if let Some(address) = address
@@ -160,7 +161,7 @@
                         self.peers.discover(&id, address, now);
                     }
                 }
-                self.merge_digest(digest, now);
+                self.merge_digest(*digest, now);
             }
             Message::Pull { to, config_version, roster_version } => {
                 let config = &self.table.config;
@@ -287,6 +288,7 @@
             instance_id: self.context.instance_id.clone(),
             address: self.context.settings.peers,
             sequence: self.sequence,
+            age_ms: u64::try_from(self.age(now).as_millis()).unwrap_or(u64::MAX),
             now_ms,
             config_version: self.table.config.version,
             roster_version: self.pool.roster_version,
--- a/crates/front/src/broker/limits.rs
+++ b/crates/front/src/broker/limits.rs
@@ -1,7 +1,10 @@
 //! Limits shared by all daemons: workspace quotas and retry budgets of services.
 
+use std::time::Duration;
 use std::time::Instant;
 
+use membership::digest::RETENTION;
+use quota::fleet::Fleet;
 use quota::retry;
 use quota::retry::Budget;
 use relay::admission::Refusal;
@@ -52,8 +55,8 @@
     /// allows it.
     pub(super) fn take_retry(&mut self, id: &str, service: &str, now: Instant) -> bool {
         let heard = self.peers.live(now).count();
-        let daemons = heard + 1;
-        let decision = self.budget(service).take_retry(daemons, now);
+        let fleet = self.fleet(self.context.settings.bounds.retry_window, now);
+        let decision = self.budget(service).take_retry(&fleet, now);
         let result = if decision.is_granted { "granted" } else { "refused" };
         metrics::count("retry_budget", result);
         spdlog::info!("retry budget", kv: {
@@ -62,7 +65,8 @@
             result = result,
             spent = decision.spent,
             allowed:? = decision.allowed,
-            daemons = daemons,
+            daemons:? = fleet.daemons,
+            recent = fleet.recent,
             heard = heard,
             age_ms = now.saturating_duration_since(self.started_at).as_millis() as u64,
         });
@@ -70,13 +74,42 @@
     }
 
     pub(super) fn budget(&mut self, service: &str) -> &mut Budget {
+        let limit = self.retry_limit();
+        self.budgets.entry(service.to_owned()).or_insert_with(|| Budget::new(limit))
+    }
+
+    pub(super) fn retry_limit(&self) -> retry::Limit {
         let bounds = &self.context.settings.bounds;
-        let limit = retry::Limit {
+        retry::Limit {
             ratio: bounds.retry_ratio,
             extra: bounds.retry_extra,
             window: bounds.retry_window,
-        };
-        self.budgets.entry(service.to_owned()).or_insert_with(|| Budget::new(limit))
+        }
+    }
+
+    /// Returns the daemons that share a limit with this window.
+    fn fleet(&self, window: Duration, now: Instant) -> Fleet {
+        let settings = &self.context.settings;
+        let running_for = now.saturating_duration_since(self.started_at);
+        let mut seeds = settings.seeds.clone();
+        seeds.retain(|it| running_for < RETENTION && *it != settings.peers);
+        let others = self.peers.running(&seeds, window, now);
+        let age = self.age(now);
+        let is_known = self.has_read_daemons || age >= window;
+        Fleet {
+            daemons: is_known.then_some(others.daemons + 1),
+            recent: others.recent + usize::from(age < window),
+            age,
+        }
+    }
+
+    /// Returns the time since the start of this daemon, the maximum if it started
+    /// together with the whole fleet.
+    pub(super) fn age(&self, now: Instant) -> Duration {
+        if self.is_first_start {
+            return Duration::MAX;
+        }
+        now.saturating_duration_since(self.started_at)
     }
 
     pub(super) fn refund(&mut self, workspace: Option<&str>, units: f64) {
--- a/crates/front/src/broker/mod.rs
+++ b/crates/front/src/broker/mod.rs
@@ -110,6 +110,10 @@
     rng: SmallRng,
     stage: Stage,
     started_at: Instant,
+    /// Whether the whole fleet started for the first time together with this daemon.
+    is_first_start: bool,
+    /// Whether this daemon has read the daemon table.
+    has_read_daemons: bool,
     table: Rc<Table>,
     pool: Pool,
     suspects: Suspects,
@@ -177,6 +181,8 @@
             rng: SmallRng::seed_from_u64(context.seed),
             stage: Stage::Running,
             started_at: now,
+            is_first_start: context.settings.is_first_start,
+            has_read_daemons: false,
             table: Rc::default(),
             pool: Pool::default(),
             suspects: Suspects::new(crashes::LIMIT),
--- a/crates/front/src/feeds.rs
+++ b/crates/front/src/feeds.rs
@@ -92,7 +92,8 @@
     }
 }
 
-/// Registers this daemon and reads the daemon table periodically.
+/// Registers this daemon, reads the daemon table once, and periodically while this daemon
+/// is a store reader.
 pub async fn daemons(
     store: SocketAddr,
     own: SocketAddr,
@@ -109,7 +110,6 @@
         sleep(RETRY_DELAY).await;
     }
     loop {
-        wait_until_reader(&mut is_reader).await;
         let pause = match rows::scan(&mut client, DAEMONS).await {
             Ok((rows, _)) => {
                 let _ = events.send(Event::Daemons(rows));
@@ -121,6 +121,9 @@
             }
         };
         sleep(pause).await;
+        if pause == DAEMONS_INTERVAL {
+            wait_until_reader(&mut is_reader).await;
+        }
     }
 }
 
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -92,6 +92,7 @@
     spdlog::info!("started", kv: {
         life = instance_id.as_str(),
         zone = settings.zone.as_str(),
+        is_first_start = settings.is_first_start,
         callers = settings.callers.to_string(),
         metrics = settings.metrics.to_string(),
     });
--- a/crates/membership/src/digest.rs
+++ b/crates/membership/src/digest.rs
@@ -31,6 +31,9 @@
     pub address: SocketAddr,
     /// Sequence number, which increases with each digest of an instance.
     pub sequence: u64,
+    /// Time since its start, in milliseconds. The maximum if it started together with the
+    /// whole fleet.
+    pub age_ms: u64,
     /// The daemon's wall-clock time, in milliseconds since the Unix epoch.
     pub now_ms: i64,
     /// Version of its configuration, 0 for none.
@@ -86,7 +89,7 @@
     /// The sender's digest and the live peers that it knows.
     Digest {
         /// The digest.
-        digest: Digest,
+        digest: Box<Digest>,
         /// Live peers: instance and address.
         peers: Vec<(String, SocketAddr)>,
     },
@@ -122,22 +125,54 @@
     pub discovered_at: Instant,
     /// Its latest digest.
     pub digest: Option<Digest>,
+    /// Whether it was removed before and has not been heard since.
+    is_former: bool,
+}
+
+impl Peer {
+    /// Whether the daemon may be running: it was heard or first mentioned recently.
+    fn may_run(&self, now: Instant) -> bool {
+        match self.received_at {
+            Some(at) => now < at + RETENTION,
+            None => !self.is_former && now < self.discovered_at + RETENTION,
+        }
+    }
+
+    /// Whether the daemon is known to have been running for a time.
+    fn has_run_for(&self, time: Duration, now: Instant) -> bool {
+        let (Some(digest), Some(at)) = (&self.digest, self.received_at) else { return false };
+        let age = Duration::from_millis(digest.age_ms);
+        age.saturating_add(now.saturating_duration_since(at)) >= time
+    }
+}
+
+/// Number of daemons that may be running.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Running {
+    /// All of them.
+    pub daemons: usize,
+    /// Those that are not known to have been running for some time.
+    pub recent: usize,
 }
 
 /// The other daemons.
 #[derive(Clone, Debug, Default)]
 pub struct Peers {
     by_instance: BTreeMap<String, Peer>,
+    /// Removed daemons and when they were removed. The store may mention them for long.
+    former: BTreeMap<String, Instant>,
 }
 
 impl Peers {
     /// Adds a daemon that other daemons or the store mention.
     pub fn discover(&mut self, instance_id: &str, address: SocketAddr, now: Instant) {
+        let is_former = self.former.contains_key(instance_id);
         self.by_instance.entry(instance_id.to_owned()).or_insert(Peer {
             address,
             received_at: None,
             discovered_at: now,
             digest: None,
+            is_former,
         });
     }
 
@@ -149,6 +184,7 @@
             return false;
         }
         peer.received_at = Some(now);
+        peer.is_former = false;
         peer.address = digest.address;
         peer.digest = Some(digest);
         true
@@ -162,6 +198,27 @@
             .filter(move |(_, it)| it.received_at.is_some_and(|at| now < at + timeout))
     }
 
+    /// Returns the number of other daemons that may be running. `mentioned` are further
+    /// addresses at which there may be one. `time` is the time after which a daemon that
+    /// is running isn't recent any more.
+    pub fn running(&self, mentioned: &[SocketAddr], time: Duration, now: Instant) -> Running {
+        let mut has_settled: BTreeMap<SocketAddr, bool> =
+            mentioned.iter().map(|it| (*it, false)).collect();
+        let candidates = self.by_instance.values().filter(|it| it.may_run(now));
+        for peer in candidates.clone() {
+            has_settled.entry(peer.address).or_insert(false);
+        }
+        for (_, peer) in self.live(now).filter(|(_, it)| it.has_run_for(time, now)) {
+            // A later instance at the address has replaced this one.
+            let is_replaced = candidates
+                .clone()
+                .any(|it| it.address == peer.address && peer.received_at < Some(it.discovered_at));
+            has_settled.insert(peer.address, !is_replaced);
+        }
+        let recent = has_settled.values().filter(|it| !**it).count();
+        Running { daemons: has_settled.len(), recent }
+    }
+
     /// Returns the number of known daemons.
     pub fn count(&self) -> usize {
         self.by_instance.len()
@@ -213,8 +270,10 @@
             .filter(|(_, it)| is_expired(it))
             .map(|(instance_id, _)| instance_id.clone())
             .collect();
+        self.former.retain(|_, at| now < *at + RETENTION * 2);
         for instance_id in &expired {
             self.by_instance.remove(instance_id);
+            self.former.insert(instance_id.clone(), now);
         }
         expired
     }
--- a/crates/quota/src/lib.rs
+++ b/crates/quota/src/lib.rs
@@ -2,5 +2,6 @@
 //!
 //! Pure: independent of how counts travel between daemons.
 
+pub mod fleet;
 pub mod retry;
 pub mod workspace;
--- a/crates/quota/src/retry.rs
+++ b/crates/quota/src/retry.rs
@@ -1,12 +1,20 @@
 //! Retry budget of a service.
 //!
-//! Each daemon keeps to its even share of the limit, so that all daemons together
-//! stay within it without communicating.
+//! Each daemon keeps to its share of the limit, so that all daemons together stay within
+//! it without communicating.
+//!
+//! A daemon that has just started doesn't know which retries were sent in its place
+//! before, and has to assume that the limit was used as far as it is shared out. What is
+//! held back is for the daemons that started within the window. However often they start,
+//! they stay within it together: a daemon gains the fixed part of its share only with
+//! time, and the ratio only of requests that it has received itself.
 
 use std::collections::VecDeque;
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::fleet::Fleet;
+
 /// Limit over all daemons in a sliding window.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Limit {
@@ -18,9 +26,12 @@
     pub window: Duration,
 }
 
-/// Fraction of the limit that is used. An observer's window may start at any
+/// Fraction of the limit that is shared out. An observer's window may start at any
 /// time, and the requests of a burst drop out of it before their retries.
-const SAFETY_FACTOR: f64 = 0.7;
+const SHARED_FRACTION: f64 = 0.7;
+/// Fraction of the limit for daemons that started within the window, if all of them did.
+/// Together with [`SHARED_FRACTION`], it stays below one.
+const RECENT_FRACTION: f64 = 0.25;
 
 /// Decision on a retry, with the figures that it depends on.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -54,12 +65,14 @@
         self.requests.push_back(now);
     }
 
-    /// Takes a retry from the budget if this daemon's share of the limit, split
-    /// evenly between `daemons`, allows it.
-    pub fn take_retry(&mut self, daemons: usize, now: Instant) -> Decision {
+    /// Takes a retry from the budget if this daemon's share of the limit allows it.
+    pub fn take_retry(&mut self, fleet: &Fleet, now: Instant) -> Decision {
         self.evict_expired(now);
-        let extra_share = self.limit.extra / daemons.max(1) as f64;
-        let allowed = SAFETY_FACTOR * (self.limit.ratio * self.requests.len() as f64 + extra_share);
+        let window = self.limit.window.as_secs_f64();
+        let gained = (fleet.age.as_secs_f64() / window).min(1.0);
+        let extra = fleet.daemons.map_or(0.0, |it| self.limit.extra / it.max(1) as f64);
+        let share = self.limit.ratio * self.requests.len() as f64 + extra * gained;
+        let allowed = self.fraction(fleet) * share;
         let is_granted = self.retries.len() as f64 + 1.0 <= allowed;
         if is_granted {
             self.retries.push_back(now);
@@ -67,6 +80,16 @@
         Decision { is_granted, spent: self.retries.len(), allowed }
     }
 
+    /// Returns the fraction of its share that this daemon may use.
+    fn fraction(&self, fleet: &Fleet) -> f64 {
+        if fleet.age >= self.limit.window {
+            return SHARED_FRACTION;
+        }
+        let Some(daemons) = fleet.daemons else { return RECENT_FRACTION };
+        let daemons_per_recent = daemons.max(1) as f64 / fleet.recent.max(1) as f64;
+        (RECENT_FRACTION * daemons_per_recent).clamp(RECENT_FRACTION, SHARED_FRACTION)
+    }
+
     fn evict_expired(&mut self, now: Instant) {
         for times in [&mut self.requests, &mut self.retries] {
             while times.front().is_some_and(|it| now - *it > self.limit.window) {
