Keep the count of sent retries over a reload

Seen before, real processes, 64 requests before and after each of three reloads: "172 retries of 101.2 allowed within 10s". A reload now only changes the limits of the budgets.

--- a/crates/front/src/broker/mod.rs
+++ b/crates/front/src/broker/mod.rs
@@ -303,8 +303,8 @@
         current.seeds = settings.seeds;
         current.reports_usage = settings.reports_usage;
         current.orders_endpoints = settings.orders_endpoints;
-        // The next request creates its service's budget with the new bounds.
-        self.budgets.clear();
+        let limit = self.retry_limit();
+        self.budgets.values_mut().for_each(|it| it.set_limit(limit));
         spdlog::info!("settings reloaded", kv: {
             changed = is_changed,
             needs_restart = needs_restart,
--- a/crates/quota/src/retry.rs
+++ b/crates/quota/src/retry.rs
@@ -65,6 +65,11 @@
         self.requests.push_back(now);
     }
 
+    /// Changes the limit. Retries already sent stay counted.
+    pub fn set_limit(&mut self, limit: Limit) {
+        self.limit = limit;
+    }
+
     /// Takes a retry from the budget if this daemon's share of the limit allows it.
     pub fn take_retry(&mut self, fleet: &Fleet, now: Instant) -> Decision {
         self.evict_expired(now);
