--- a/crates/front/src/broker/mod.rs
+++ b/crates/front/src/broker/mod.rs
@@ -3,6 +3,7 @@
 mod crashes;
 mod gossip;
 mod leader;
+mod limits;
 mod requests;
 
 use std::cell::Cell;
@@ -109,6 +110,11 @@
     context: Context,
     rng: SmallRng,
     stage: Stage,
+    started_at: Instant,
+    /// Whether the whole fleet started for the first time together with this daemon.
+    is_first_start: bool,
+    /// Whether this daemon has read the daemon table.
+    has_read_daemons: bool,
     table: Rc<Table>,
     pool: Pool,
     suspects: Suspects,
@@ -176,6 +182,9 @@
         Some(Broker {
             rng: SmallRng::seed_from_u64(context.seed),
             stage: Stage::Running,
+            started_at: now,
+            is_first_start: context.settings.is_first_start,
+            has_read_daemons: false,
             table: Rc::default(),
             pool: Pool::default(),
             suspects: Suspects::new(crashes::LIMIT),
@@ -297,8 +306,8 @@
         current.seeds = settings.seeds;
         current.reports_usage = settings.reports_usage;
         current.orders_endpoints = settings.orders_endpoints;
-        // The next request creates its service's budget with the new bounds.
-        self.budgets.clear();
+        let limit = self.retry_limit();
+        self.budgets.values_mut().for_each(|it| it.set_limit(limit));
         spdlog::info!("settings reloaded", kv: {
             changed = is_changed,
             needs_restart = needs_restart,
