Hand the lease over safely when the store returns from a copy

The row in a copy may name an earlier holder, its version is lower than fencing tokens that were already sent, and the versions since are given out again. The former holder found its own name in the row and acted with a lower token than its successor.

Versions are ordered as positions, era and version in one number, so tokens only rise. When the era rises, a daemon gives the lease up and doesn't acquire it until the grants of earlier eras have ended. An absent row is taken at once only if the store states no era: otherwise the copy may lack it.

The former tests of the lease are unchanged.

--- a/crates/duty/src/lease.rs
+++ b/crates/duty/src/lease.rs
@@ -1,11 +1,13 @@
 //! Lease on the leader tasks: a row of the store that is written by
 //! compare-and-swap.
 //!
-//! The fencing token is the version that the row got when the lease was
-//! acquired. The store's versions keep increasing across holders and restarts.
+//! The fencing token is the position that the row got when the lease was acquired (see
+//! [`store::position`]). Positions keep increasing across holders, restarts and returns of
+//! the store from an older copy.
 
 use std::time::Duration;
 
+use store::position;
 use store::table::ABSENT;
 use store::table::Row;
 
@@ -82,6 +84,10 @@
     read_at: Option<Duration>,
     holder_seen_at: Option<Duration>,
     renewal_failed_at: Option<Duration>,
+    /// Latest era of the store that this daemon knows of.
+    era: Option<u64>,
+    /// When the grants of earlier eras have ended on all daemons.
+    earlier_grants_end_at: Duration,
 }
 
 impl Lease {
@@ -96,6 +102,8 @@
             read_at: None,
             holder_seen_at: None,
             renewal_failed_at: None,
+            era: None,
+            earlier_grants_end_at: Duration::ZERO,
         }
     }
 
@@ -115,6 +123,21 @@
         self.holder_seen_at = self.holder_seen_at.max(Some(at));
     }
 
+    /// Records the era that the store states. When it rises, the store has returned from an older copy,
+    /// whose row may name an earlier holder. This daemon then gives the lease up and doesn't
+    /// acquire it until the grants of earlier eras have ended.
+    pub fn observe_era(&mut self, era: u64, now: Duration) {
+        let before = self.era;
+        self.era = before.max(Some(era));
+        if before.is_none_or(|it| it >= era) {
+            return;
+        }
+        self.state = State::Following;
+        self.seen = None;
+        self.read_at = None;
+        self.earlier_grants_end_at = now + DURATION;
+    }
+
     /// Returns the next action, if any. At most one action is pending at a time.
     pub fn tick(&mut self, now: Duration) -> Option<Action> {
         if self.called_at.is_some() {
@@ -145,6 +168,15 @@
     /// follow, if any.
     pub fn read_completed(&mut self, row: &Row, now: Duration) -> Option<Action> {
         self.called_at = None;
+        let since = match self.seen {
+            Some((version, since)) if version == row.version => since,
+            _ => now,
+        };
+        self.seen = Some((row.version, since));
+        if now < self.earlier_grants_end_at {
+            self.state = State::Following;
+            return None;
+        }
         if row.version != ABSENT && row.value == self.instance_id {
             // An earlier write took effect but its response was lost. The lease
             // has to be renewed before this daemon may act.
@@ -158,13 +190,9 @@
             return Some(Action::Write { version: row.version, value: self.instance_id.clone() });
         }
         self.state = State::Following;
-        let since = match self.seen {
-            Some((version, since)) if version == row.version => since,
-            _ => now,
-        };
-        self.seen = Some((row.version, since));
-        let is_free = row.version == ABSENT || now >= since + DURATION;
-        if !is_free {
+        // Without eras, an absent row was never written, so there are no earlier grants.
+        let is_unused = row.version == ABSENT && self.era.is_none();
+        if !is_unused && now < since + DURATION {
             return None;
         }
         self.state = State::Acquiring;
@@ -180,16 +208,21 @@
     /// Handles a completed write. Returns whether the lease was acquired.
     pub fn write_completed(&mut self, outcome: &Outcome, now: Duration) -> bool {
         let called_at = self.called_at.take().unwrap_or(now);
+        if let Outcome::Committed(version) = outcome {
+            self.observe_era(position::era(*version), now);
+        }
         match (outcome, &self.state) {
             (Outcome::Committed(version), State::Holding { fence, .. }) => {
                 let fence = *fence;
                 self.hold(fence, *version, called_at);
                 false
             }
-            (Outcome::Committed(version), _) => {
+            (Outcome::Committed(version), State::Acquiring) => {
                 self.hold(*version, *version, called_at);
                 true
             }
+            // A new era has begun since the write was sent.
+            (Outcome::Committed(_), State::Following) => false,
             (Outcome::Conflict, _) => {
                 self.state = State::Following;
                 self.read_at = None;
--- a/crates/duty/tests/lease.rs
+++ b/crates/duty/tests/lease.rs
@@ -10,6 +10,7 @@
 use duty::lease::DURATION;
 use duty::lease::Lease;
 use duty::lease::Outcome;
+use store::position;
 use store::table::ABSENT;
 use store::table::Row;
 
@@ -22,12 +23,21 @@
     lease: Lease,
     pending: Option<Action>,
     paused_until: Duration,
+    /// Latest era that one of its clients has seen.
+    era: u64,
 }
 
 struct World {
     now: Duration,
     row: Row,
     version: u64,
+    /// Era of the store; 0 if it states none.
+    era: u64,
+    /// Highest number of a random step; those from 20 on are about eras.
+    last_step: u32,
+    /// States of the store from which it may return: row and version.
+    copies: Vec<(Row, u64)>,
+    restarts: usize,
     daemons: Vec<Daemon>,
     /// Writes that the store applies later: time, expected version and content.
     delayed: Vec<(Duration, u64, String)>,
@@ -55,6 +65,26 @@
     assert!(acted as u64 > 10 * SEEDS, "too few actions were simulated: {acted}");
 }
 
+#[test]
+fn one_daemon_acts_at_a_time_while_the_store_returns_from_copies() {
+    let mut acted = 0;
+    for number in 1..=seeds() {
+        arbtest(|u| {
+            let mut world = World::with_eras();
+
+            while !u.is_empty() {
+                world.step(u)?;
+            }
+
+            world.check();
+            acted += world.acted.len();
+            Ok(())
+        })
+        .seed(number << 32 | ENTROPY_BYTES);
+    }
+    assert!(acted as u64 > 5 * seeds(), "too few actions were simulated: {acted}");
+}
+
 #[test]
 fn the_lease_is_taken_over_after_its_holder_stops() {
     let mut world = World::new();
@@ -67,6 +97,24 @@
     world.check();
 }
 
+#[test]
+fn the_former_holder_in_a_restored_row_does_not_act_beside_the_current_one() {
+    let mut world = World::with_eras();
+    world.run_for(DURATION + Duration::from_secs(1), &[]);
+    let former = world.acted.last().expect("a daemon holds the lease").1;
+    world.copies.push((world.row.clone(), world.version));
+    world.run_for(DURATION + Duration::from_secs(3), &[former]);
+    assert_ne!(world.acted.last().unwrap().1, former);
+
+    (world.row, world.version) = world.copies[0].clone();
+    world.era += 1;
+    world.run_for(DURATION + Duration::from_secs(3), &[]);
+
+    world.check();
+    let (last, ..) = world.acted.last().unwrap();
+    assert!(*last > world.now - Duration::from_secs(1), "no daemon holds the lease");
+}
+
 #[test]
 fn followers_do_not_read_the_row_while_the_holder_is_known() {
     let mut lease = Lease::new("b".to_owned());
@@ -80,17 +128,37 @@
     assert_eq!(reads, 0);
 }
 
+impl Daemon {
+    /// A client of the daemon sees the era that the store states.
+    fn learn_era(&mut self, era: u64, now: Duration) {
+        if era > 0 {
+            self.era = era;
+            self.lease.observe_era(era, now);
+        }
+    }
+}
+
 impl World {
+    /// A store that states its era and returns from older copies in random steps.
+    fn with_eras() -> World {
+        World { era: 1, last_step: 31, ..World::new() }
+    }
+
     fn new() -> World {
         let daemon = |index: usize| Daemon {
             lease: Lease::new(format!("daemon-{index}")),
             pending: None,
             paused_until: Duration::ZERO,
+            era: 0,
         };
         World {
             now: Duration::from_secs(100),
             row: Row { key: "lease".to_owned(), version: ABSENT, value: String::new() },
             version: 1,
+            era: 0,
+            last_step: 19,
+            copies: Vec::new(),
+            restarts: 0,
             daemons: (0..DAEMONS).map(daemon).collect(),
             delayed: Vec::new(),
             acted: Vec::new(),
@@ -103,7 +171,11 @@
         if self.now < self.daemons[index].paused_until {
             return Ok(());
         }
-        match u.int_in_range(0..=19)? {
+        match u.int_in_range(0..=self.last_step)? {
+            20 => self.copies.push((self.row.clone(), self.version)),
+            21 => self.restore(u)?,
+            22 => self.restart(index),
+            23 => self.daemons[index].learn_era(self.era, self.now),
             0 => {
                 let pause = Duration::from_millis(u.int_in_range(100..=7_000)?);
                 self.daemons[index].paused_until = self.now + pause;
@@ -155,36 +227,88 @@
         let Some(action) = self.daemons[index].pending.take() else { return };
         match action {
             Action::Read => {
-                let lease = &mut self.daemons[index].lease;
-                self.daemons[index].pending = match result {
-                    CallResult::Done => lease.read_completed(&self.row, self.now),
+                let row = Row { version: self.position(self.row.version), ..self.row.clone() };
+                let daemon = &mut self.daemons[index];
+                daemon.pending = match result {
+                    CallResult::Done => {
+                        daemon.learn_era(self.era, self.now);
+                        daemon.lease.read_completed(&row, self.now)
+                    }
                     _ => {
-                        lease.read_failed();
+                        daemon.lease.read_failed();
                         None
                     }
                 };
             }
             Action::Write { version, value } => {
-                let outcome = match result {
-                    CallResult::Done => match self.write(version, &value) {
-                        Some(version) => Outcome::Committed(version),
-                        None => Outcome::Conflict,
-                    },
-                    CallResult::Lost => {
-                        self.write(version, &value);
-                        Outcome::Unknown
-                    }
-                    CallResult::Late(delay) => {
-                        self.delayed.push((self.now + delay, version, value));
-                        Outcome::Unknown
-                    }
-                    CallResult::Rejected => Outcome::Rejected,
-                };
+                let outcome = self.call_write(index, version, &value, result);
                 self.daemons[index].lease.write_completed(&outcome, self.now);
             }
         }
     }
 
+    /// Writes the row as the client of the store does. It never sends a version of an earlier
+    /// era, and can't tell the outcome of a write during which a new era began.
+    fn call_write(
+        &mut self,
+        index: usize,
+        position: u64,
+        value: &str,
+        result: CallResult,
+    ) -> Outcome {
+        let is_outdated = position != ABSENT && position::era(position) != self.daemons[index].era;
+        if is_outdated {
+            return Outcome::Conflict;
+        }
+        let version = position::version(position);
+        match result {
+            CallResult::Done => {
+                let written = self.write(version, value);
+                let has_era_begun = self.daemons[index].era != self.era;
+                self.daemons[index].era = self.era;
+                match written {
+                    _ if has_era_begun && position != ABSENT => Outcome::Unknown,
+                    Some(version) => Outcome::Committed(self.position(version)),
+                    None => Outcome::Conflict,
+                }
+            }
+            CallResult::Lost => {
+                self.write(version, value);
+                Outcome::Unknown
+            }
+            CallResult::Late(delay) => {
+                self.delayed.push((self.now + delay, version, value.to_owned()));
+                Outcome::Unknown
+            }
+            CallResult::Rejected => Outcome::Rejected,
+        }
+    }
+
+    fn position(&self, version: u64) -> u64 {
+        if version == ABSENT { ABSENT } else { position::join(self.era, version) }
+    }
+
+    /// The store returns from one of its copies.
+    fn restore(&mut self, u: &mut Unstructured<'_>) -> Result<()> {
+        if !self.copies.is_empty() {
+            let copy = u.choose_index(self.copies.len())?;
+            // Later states never existed in the new era.
+            self.copies.truncate(copy + 1);
+            (self.row, self.version) = self.copies[copy].clone();
+            self.era += 1;
+        }
+        Ok(())
+    }
+
+    /// A daemon is killed and started again.
+    fn restart(&mut self, index: usize) {
+        self.restarts += 1;
+        let daemon = &mut self.daemons[index];
+        daemon.lease = Lease::new(format!("daemon-{index}-{}", self.restarts));
+        daemon.era = 0;
+        daemon.pending = None;
+    }
+
     fn write(&mut self, expected: u64, value: &str) -> Option<u64> {
         if self.row.version != expected {
             return None;
@@ -213,6 +337,11 @@
     }
 }
 
+/// Number of interleavings with eras; `SEEDS` sets another one.
+fn seeds() -> u64 {
+    std::env::var("SEEDS").ok().and_then(|it| it.parse().ok()).unwrap_or(SEEDS)
+}
+
 /// Time after a change of the lease holder in which the previous holder must not
 /// act again.
 const MIN_HANDOVER_TIME: Duration = Duration::from_secs(3);
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod client;
 pub mod memory;
 pub mod objects;
+pub mod position;
 pub mod table;
 pub mod vm;
 
