Follow endpoints when the store returns from a copy

Entries of the new era had lower versions than known ones and were ignored, an endpoint that was removed in the lost seconds was in the copy and taken back, and one that had joined in them was dropped.

With positions, entries of a new era are newer. A removed instance stays removed until its entry changes after the return. Missing entries have the grace period that they have after an outage. Two of the new tests fail on the former pool: the removed endpoint became usable, the missing one unusable at once.

--- a/crates/balance/src/pool.rs
+++ b/crates/balance/src/pool.rs
@@ -5,6 +5,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use store::position;
+
 use crate::endpoint::Change;
 use crate::endpoint::Endpoint;
 use crate::endpoint::Instance;
@@ -18,6 +20,9 @@
 /// the store is reachable again. Live endpoints write their entries again within two
 /// seconds of that.
 pub const EXPIRY_GRACE: Duration = Duration::from_millis(1_500);
+/// How long entries may still be missing after the store was unreachable or has returned
+/// from an older copy.
+pub const SETTLE_TIME: Duration = Duration::from_secs(4);
 /// How long a prompt part is assumed to stay in an engine's cache.
 const CACHE_LIFETIME: Duration = Duration::from_secs(30);
 /// How long removals are remembered; longer than a daemon needs to catch up after a
@@ -104,9 +109,34 @@
 struct Removal {
     /// Store version of the removal.
     version: u64,
+    /// Start time of the removed instance.
+    started_at_ms: u64,
+    /// Store version of the description in a copy from which the store has returned since.
+    restored: Option<u64>,
     at: Instant,
 }
 
+impl Removal {
+    fn new(version: u64, endpoint: &Endpoint, at: Instant) -> Removal {
+        Removal { version, started_at_ms: endpoint.started_at_ms, restored: None, at }
+    }
+
+    /// Whether a description is older than the removal. If the store has returned from an older
+    /// copy, the copy's description counts as older until the endpoint writes it again.
+    fn outdates(&mut self, endpoint: &Endpoint) -> bool {
+        if endpoint.version <= self.version {
+            return true;
+        }
+        let era = position::era(endpoint.version);
+        if era == position::era(self.version) || endpoint.started_at_ms > self.started_at_ms {
+            return false;
+        }
+        let restored = self.restored.filter(|it| position::era(*it) == era);
+        self.restored = restored.or(Some(endpoint.version));
+        restored.is_none_or(|it| endpoint.version <= it)
+    }
+}
+
 /// Outstanding work that another daemon has reported, by endpoint.
 #[derive(Clone, Debug)]
 struct Report {
@@ -128,6 +158,8 @@
     remote_loads: HashMap<String, Load>,
     /// Store version up to which the list is complete.
     pub store_version: u64,
+    /// When the store was last found to have returned from an older copy.
+    returned_at: Option<Instant>,
     /// Store version of the last change that affects routing. Daemons compare
     /// this instead of `store_version`, which advances with every heartbeat of an
     /// endpoint.
@@ -147,7 +179,7 @@
         was_unreachable: bool,
         now: Instant,
     ) -> Vec<(String, Effect)> {
-        self.store_version = self.store_version.max(version);
+        let is_settling = self.advance(version, now) || was_unreachable;
         let mut effects = Vec::new();
         for change in changes {
             match change {
@@ -156,7 +188,7 @@
                     effects.push((id, self.update(endpoint)));
                 }
                 Change::Removed { id, version } => {
-                    let effect = self.remove(&id, version, was_unreachable, now);
+                    let effect = self.remove(&id, version, is_settling, now);
                     effects.push((id, effect));
                 }
             }
@@ -179,12 +211,12 @@
         if roster.version < self.roster_version {
             return Vec::new();
         }
-        self.store_version = self.store_version.max(roster.version);
+        let is_settling = self.advance(roster.version, now) || was_unreachable;
         let listed = |id: &String| roster.endpoints.iter().any(|it| it.id == *id);
         let removed: Vec<String> = self.members.keys().filter(|it| !listed(it)).cloned().collect();
         let mut effects = Vec::new();
         for id in removed {
-            let effect = self.remove(&id, roster.version, was_unreachable, now);
+            let effect = self.remove(&id, roster.version, is_settling, now);
             effects.push((id, effect));
         }
         for endpoint in roster.endpoints {
@@ -286,8 +318,8 @@
             if member.expires_at.is_some_and(|it| now >= it) {
                 member.expires_at = None;
                 let id = member.endpoint.id.clone();
-                self.removals
-                    .insert(id.clone(), Removal { version: member.endpoint.version, at: now });
+                let removal = Removal::new(member.endpoint.version, &member.endpoint, now);
+                self.removals.insert(id.clone(), removal);
                 expired.push((id, Effect::Left));
             }
         }
@@ -300,9 +332,19 @@
         expired
     }
 
+    /// Advances the store version. Returns whether the store has returned from an older copy so
+    /// recently that entries may be missing although their endpoints are live.
+    fn advance(&mut self, version: u64, now: Instant) -> bool {
+        if self.store_version > 0 && position::era(version) > position::era(self.store_version) {
+            self.returned_at = Some(now);
+        }
+        self.store_version = self.store_version.max(version);
+        self.returned_at.is_some_and(|it| now < it + SETTLE_TIME)
+    }
+
     fn update(&mut self, endpoint: Endpoint) -> Effect {
         // Invariant: a description older than its removal has no effect.
-        if self.removals.get(&endpoint.id).is_some_and(|it| endpoint.version <= it.version) {
+        if self.removals.get_mut(&endpoint.id).is_some_and(|it| it.outdates(&endpoint)) {
             return Effect::Unchanged;
         }
         self.removals.remove(&endpoint.id);
@@ -351,7 +393,7 @@
         }
         member.listed = false;
         member.expires_at = None;
-        self.removals.insert(id.to_owned(), Removal { version, at: now });
+        self.removals.insert(id.to_owned(), Removal::new(version, &member.endpoint, now));
         if was_in_use && !member.leaving { Effect::Left } else { Effect::Unchanged }
     }
 }
--- a/crates/balance/tests/pool.rs
+++ b/crates/balance/tests/pool.rs
@@ -6,10 +6,12 @@
 
 use balance::endpoint::Change;
 use balance::endpoint::Endpoint;
+use balance::endpoint::Roster;
 use balance::load::Load;
 use balance::pool::EXPIRY_GRACE;
 use balance::pool::Effect;
 use balance::pool::Pool;
+use store::position;
 
 const REPORT_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -174,6 +176,75 @@
     assert_eq!(pool.load("a"), Load::default());
 }
 
+#[test]
+fn entries_are_followed_after_the_store_returned_from_a_copy() {
+    let now = Instant::now();
+    let mut pool = Pool::default();
+    let before = endpoint("a", 1);
+    pool.replace(
+        roster(1, 900, vec![with_version(before.clone(), position::join(1, 900))]),
+        false,
+        now,
+    );
+
+    let restored = with_version(leaving(before), position::join(2, 850));
+    let effects = pool.replace(roster(2, 860, vec![restored]), false, now);
+
+    assert_eq!(effects, [("a".to_owned(), Effect::Left)]);
+    assert_eq!(pool.roster_version, position::join(2, 860));
+}
+
+#[test]
+fn a_removed_endpoint_that_a_copy_contains_stays_removed_until_it_writes_again() {
+    let now = Instant::now();
+    let mut pool = Pool::default();
+    let gone =
+        |era: u64, version: u64| with_version(endpoint("a", 5), position::join(era, version));
+    pool.replace(roster(1, 900, vec![gone(1, 890)]), false, now);
+    pool.apply(vec![removed("a", position::join(1, 910))], position::join(1, 910), false, now);
+
+    pool.replace(roster(2, 895, vec![gone(2, 890)]), false, now);
+    let is_usable_in_copy = is_usable(&pool, "a", now);
+    pool.replace(roster(3, 893, vec![gone(3, 890)]), false, now);
+    let is_usable_in_next_copy = is_usable(&pool, "a", now);
+    pool.apply(vec![Change::Updated(gone(3, 900))], position::join(3, 900), false, now);
+
+    assert!(!is_usable_in_copy);
+    assert!(!is_usable_in_next_copy);
+    assert!(is_usable(&pool, "a", now), "it has written its entry again");
+}
+
+#[test]
+fn a_new_instance_is_used_at_once_although_a_copy_contains_the_removed_one() {
+    let now = Instant::now();
+    let mut pool = Pool::default();
+    pool.replace(roster(1, 900, vec![with_version(endpoint("a", 5), 890)]), false, now);
+    pool.apply(vec![removed("a", position::join(1, 910))], position::join(1, 910), false, now);
+
+    let reborn = with_version(endpoint("a", 6), position::join(2, 880));
+    pool.replace(roster(2, 895, vec![reborn]), false, now);
+
+    assert!(is_usable(&pool, "a", now));
+}
+
+#[test]
+fn an_endpoint_that_a_copy_lacks_is_used_while_it_writes_its_entry_again() {
+    let now = Instant::now();
+    let mut pool = Pool::default();
+    let joined = with_version(endpoint("a", 5), position::join(1, 890));
+    pool.replace(roster(1, 900, vec![joined]), false, now);
+
+    pool.replace(roster(2, 880, Vec::new()), false, now);
+
+    assert!(is_usable(&pool, "a", now + EXPIRY_GRACE / 2));
+    pool.sweep(REPORT_TIMEOUT, now + EXPIRY_GRACE);
+    assert!(!is_usable(&pool, "a", now + EXPIRY_GRACE));
+}
+
+fn roster(era: u64, version: u64, endpoints: Vec<Endpoint>) -> Roster {
+    Roster { version: position::join(era, version), endpoints }
+}
+
 fn removed(id: &str, version: u64) -> Change {
     Change::Removed { id: id.to_owned(), version }
 }
