Follow the store's era on daemons of the users' platform

Nothing read the era.

The adapter decodes the era once and combines it with versions where they enter; a version of an earlier era is never sent back, and a response of an earlier era is dropped. Feeds start over in a new era. Daemons write their own row, the shared secret and the rejected requests again. The era travels in gossip, since most daemons don't read the store. A new daemon waits two seconds for the secret to be written again before it creates one.

--- a/crates/front/src/broker/gossip.rs
+++ b/crates/front/src/broker/gossip.rs
@@ -81,7 +81,7 @@
         let usage_report = self.usage_report();
         if let Some(holder) = holder.filter(|it| *it != own_address) {
             let full = Digest { usage_report: Some(usage_report.clone()), ..digest.clone() };
-            let message = Message::Digest { digest: full, peers: peers.clone() };
+            let message = Message::Digest { digest: Box::new(full), peers: peers.clone() };
             self.context.streams.send(holder, &message);
         }
         // While this daemon stops, each round carries the report: a later lease holder
@@ -93,7 +93,7 @@
             self.usage_reported_at = now;
         }
         digest.usage_report = sends_report.then_some(usage_report);
-        let message = Message::Digest { digest, peers };
+        let message = Message::Digest { digest: Box::new(digest), peers };
         for address in addresses {
             self.context.streams.send(address, &message);
         }
@@ -158,7 +158,7 @@
                         self.peers.discover(&id, address, now);
                     }
                 }
-                self.merge_digest(digest, now);
+                self.merge_digest(*digest, now);
             }
             Message::Pull { to, config_version, roster_version } => {
                 let config = &self.table.config;
@@ -217,6 +217,9 @@
         {
             self.reads_since = Some(self.reads_since.map_or(since, |it| it.min(since)));
         }
+        if digest.era > 0 {
+            self.context.eras.learn(digest.era);
+        }
         if let Some(holder) = digest.holder {
             self.observe_holder(holder.address, Duration::from_millis(holder.age_ms), now);
         }
@@ -288,6 +291,7 @@
             now_ms,
             config_version: self.table.config.version,
             roster_version: self.pool.roster_version,
+            era: self.context.eras.latest().unwrap_or(0),
             read_age_ms: self.read_age(now).map(|it| it.as_millis() as u64),
             uninterrupted_reads_ms: self.reads_since.map(|it| (now - it).as_millis() as u64),
             holder: self.holder(now),
--- a/crates/front/src/broker/leader.rs
+++ b/crates/front/src/broker/leader.rs
@@ -70,7 +70,10 @@
         }
     }
 
-    pub(super) fn handle_lease_read(&mut self, result: Result<Row, Error>) {
+    pub(super) fn handle_lease_read(&mut self, result: Result<Row, Error>, era: Option<u64>) {
+        if let Some(era) = era {
+            self.lease.observe_era(era, clock::since_boot());
+        }
         match result {
             Ok(row) => {
                 if let Some(action) = self.lease.read_completed(&row, clock::since_boot()) {
--- a/crates/front/src/broker/mod.rs
+++ b/crates/front/src/broker/mod.rs
@@ -1,6 +1,7 @@
 //! The broker actor, which owns the daemon's state and makes all decisions.
 
 mod crashes;
+mod era;
 mod gossip;
 mod leader;
 mod requests;
@@ -17,6 +18,7 @@
 
 use balance::pool::Effect;
 use balance::pool::Pool;
+use balance::pool::SETTLE_TIME;
 use balance::spread::Spread;
 use balance::suspects::Suspects;
 use duty::clock::Clock;
@@ -25,6 +27,7 @@
 use duty::order::Planner;
 use duty::usage::Usage;
 use membership::digest::Peers;
+use platform::era::Eras;
 use platform::feed::Document;
 use platform::settings;
 use platform::settings::Settings;
@@ -63,8 +66,6 @@
 const LARGE_FLEET_GOSSIP_INTERVAL: Duration = Duration::from_millis(250);
 /// Interval between plans of the endpoints to order.
 const PLAN_INTERVAL: Duration = Duration::from_millis(500);
-/// How long entries may still be missing after the store was unreachable.
-const STORE_SETTLE_TIME: Duration = Duration::from_secs(4);
 /// How long after SIGTERM the load balancer still opens connections. It probes once a
 /// second and removes a daemon after two failures.
 const BALANCER_LAG: Duration = Duration::from_millis(2_300);
@@ -92,6 +93,8 @@
     pub ready: watch::Sender<bool>,
     /// Publishes to the feeds whether this daemon is a store reader.
     pub reader: watch::Sender<bool>,
+    /// Eras of the store, as seen by this daemon's clients of it and by other daemons.
+    pub eras: Eras,
     /// Seed of the random number generator.
     pub seed: u64,
 }
@@ -161,6 +164,7 @@
     reads_since: Option<Instant>,
     /// Number of dropped log lines already reported, and the time of the last report.
     reported_drops: (u64, Instant),
+    era: era::View,
     /// Whether the last call of each feed failed.
     store_failures: HashMap<&'static str, bool>,
 }
@@ -208,6 +212,7 @@
             remote_read_at: None,
             reads_since: None,
             reported_drops: (0, now),
+            era: era::View::default(),
             store_failures: HashMap::new(),
             context,
         })
@@ -236,10 +241,12 @@
                 self.handle_effects(effects, "store", now);
             }
             Event::Store { feed, failure } => self.handle_store_call(feed, failure),
+            Event::Era(era) => self.handle_era(era),
+            Event::EraIrregularity(irregularity) => self.handle_era_irregularity(irregularity),
             Event::Daemons(rows) => self.discover_daemons(&rows, now),
             Event::Peer(message) => self.handle_peer_message(*message, now),
             Event::PeerLost { stream, detail } => self.handle_peer_loss(stream, &detail),
-            Event::LeaseRead(result) => self.handle_lease_read(result),
+            Event::LeaseRead { result, era } => self.handle_lease_read(result, era),
             Event::LeaseWritten(result) => self.handle_lease_write(result),
             Event::RejectedRead(row) => self.handle_rejected_read(&row, now),
             Event::RejectedStored { fingerprints, result } => {
@@ -439,6 +446,6 @@
     /// Whether the store was unreachable for all daemons so recently that entries
     /// may have expired unnoticed.
     fn was_store_unreachable(&self, now: Instant) -> bool {
-        self.reads_since.is_none_or(|it| now < it + STORE_SETTLE_TIME)
+        self.reads_since.is_none_or(|it| now < it + SETTLE_TIME)
     }
 }
--- a/crates/front/src/event.rs
+++ b/crates/front/src/event.rs
@@ -9,6 +9,7 @@
 use membership::digest::Message;
 use peer::transport::StreamId;
 use platform::cloud::Outcome;
+use platform::era::Irregularity;
 use platform::feed::Document;
 use platform::settings;
 use platform::settings::Settings;
@@ -40,10 +41,19 @@
         /// Cause of the failure; none if the call succeeded.
         failure: Option<Error>,
     },
+    /// The store stated its era for the first time, or a new era began.
+    Era(u64),
+    /// A response of the store stated an era that could not be used.
+    EraIrregularity(Irregularity),
     /// Rows of the daemon table were read.
     Daemons(Vec<Row>),
     /// A read of the lease row completed.
-    LeaseRead(Result<Row, Error>),
+    LeaseRead {
+        /// Result of the read.
+        result: Result<Row, Error>,
+        /// Latest era of the store; `None` if it has stated none.
+        era: Option<u64>,
+    },
     /// A write of the lease row completed.
     LeaseWritten(Result<Commit, Error>),
     /// The row of rejected requests was read at the start.
--- a/crates/front/src/feeds.rs
+++ b/crates/front/src/feeds.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use platform::era::Eras;
 use platform::exchange::Client;
 use platform::feed;
 use platform::feed::Update;
@@ -34,16 +35,20 @@
 const DAEMONS_INTERVAL: Duration = Duration::from_secs(12);
 /// Delay before retrying a failed call.
 const RETRY_DELAY: Duration = Duration::from_millis(400);
+/// Time in which running daemons write the secret again after the store has returned from a
+/// copy.
+const REWRITE_TIME: Duration = Duration::from_secs(2);
+/// Key of the secret shared by the daemons.
+const SECRET_KEY: &str = "secrets/peers";
 /// Table with one row per daemon, keyed by its address.
 pub const DAEMONS: &str = "daemons";
 
 /// Watches the operators' configuration while this daemon is a store reader.
 pub async fn config(
-    store: SocketAddr,
+    mut client: Client,
     events: UnboundedSender<Event>,
     mut is_reader: watch::Receiver<bool>,
 ) {
-    let mut client = Client::new(store);
     let mut since = None;
     loop {
         if wait_until_reader(&mut is_reader).await {
@@ -65,11 +70,10 @@
 
 /// Watches the endpoints' descriptions while this daemon is a store reader.
 pub async fn endpoints(
-    store: SocketAddr,
+    mut client: Client,
     events: UnboundedSender<Event>,
     mut is_reader: watch::Receiver<bool>,
 ) {
-    let mut client = Client::new(store);
     let mut since = None;
     loop {
         if wait_until_reader(&mut is_reader).await {
@@ -94,29 +98,44 @@
 
 /// Registers this daemon and reads the daemon table periodically.
 pub async fn daemons(
-    store: SocketAddr,
+    mut client: Client,
     own: SocketAddr,
     instance_id: String,
     events: UnboundedSender<Event>,
     mut is_reader: watch::Receiver<bool>,
+    mut returns: Returns,
 ) {
-    let mut client = Client::new(store);
     let key = format!("{DAEMONS}/{own}");
     let put = Put { key, value: instance_id };
     let registration = Transaction { puts: vec![put], ..Transaction::default() };
-    while let Err(error) = rows::commit(&mut client, &registration).await {
-        report_call(&events, "daemons", Some(error));
-        sleep(RETRY_DELAY).await;
+    loop {
+        while let Err(error) = rows::commit(&mut client, &registration).await {
+            report_call(&events, "daemons", Some(error));
+            sleep(RETRY_DELAY).await;
+        }
+        // The copy may lack the row.
+        tokio::select! {
+            () = read_daemons(&mut client, &events, &mut is_reader) => {}
+            () = returns.next() => {}
+        }
     }
+}
+
+/// Reads the daemon table periodically while this daemon is a store reader.
+async fn read_daemons(
+    client: &mut Client,
+    events: &UnboundedSender<Event>,
+    is_reader: &mut watch::Receiver<bool>,
+) {
     loop {
-        wait_until_reader(&mut is_reader).await;
-        let pause = match rows::scan(&mut client, DAEMONS).await {
+        wait_until_reader(is_reader).await;
+        let pause = match rows::scan(client, DAEMONS).await {
             Ok((rows, _)) => {
                 let _ = events.send(Event::Daemons(rows));
                 DAEMONS_INTERVAL
             }
             Err(error) => {
-                report_call(&events, "daemons", Some(error));
+                report_call(events, "daemons", Some(error));
                 RETRY_DELAY
             }
         };
@@ -125,8 +144,7 @@
 }
 
 /// Reads the row of rejected requests once.
-pub async fn rejected(store: SocketAddr, events: UnboundedSender<Event>) {
-    let mut client = Client::new(store);
+pub async fn rejected(mut client: Client, events: UnboundedSender<Event>) {
     loop {
         match rows::read(&mut client, REJECTED_KEY).await {
             Ok(row) => {
@@ -141,11 +159,21 @@
 
 /// Reads the secret shared by the daemons. If there is none, stores `candidate`
 /// as the secret.
-pub async fn secret(store: SocketAddr, candidate: String) -> String {
-    let mut client = Client::new(store);
-    let key = "secrets/peers";
+pub async fn secret(mut client: Client, candidate: String) -> String {
+    let mut has_waited = false;
     loop {
-        match read_or_create(&mut client, key, &candidate).await {
+        let result = match rows::read(&mut client, SECRET_KEY).await {
+            Ok(row) if !row.value.is_empty() => return row.value,
+            // A copy from which the store has returned may lack the secret.
+            Ok(_) if client.era().is_some() && !has_waited => {
+                has_waited = true;
+                sleep(REWRITE_TIME).await;
+                continue;
+            }
+            Ok(_) => read_or_create(&mut client, &candidate).await,
+            Err(error) => Err(error),
+        };
+        match result {
             Ok(secret) => return secret,
             Err(error) => {
                 spdlog::warn!("failed to read the secret of the daemons",
@@ -156,19 +184,69 @@
     }
 }
 
-async fn read_or_create(client: &mut Client, key: &str, candidate: &str) -> Result<String, Error> {
-    let row = rows::read(client, key).await?;
+/// Writes the secret again whenever the store returns from a copy that lacks it.
+pub async fn keep_secret(mut client: Client, secret: String, mut returns: Returns) {
+    loop {
+        returns.next().await;
+        loop {
+            match read_or_create(&mut client, &secret).await {
+                Ok(stored) if stored == secret => break,
+                Ok(_) => {
+                    spdlog::error!("another secret of the daemons is stored; restart this daemon");
+                    break;
+                }
+                Err(error) => {
+                    spdlog::warn!("failed to store the secret of the daemons",
+                        kv: { cause = error.to_string() });
+                    sleep(RETRY_DELAY).await;
+                }
+            }
+        }
+    }
+}
+
+async fn read_or_create(client: &mut Client, candidate: &str) -> Result<String, Error> {
+    let row = rows::read(client, SECRET_KEY).await?;
     if !row.value.is_empty() {
         return Ok(row.value);
     }
     let creation = Transaction {
-        checks: vec![store::table::Check { key: key.to_owned(), version: row.version }],
-        puts: vec![Put { key: key.to_owned(), value: candidate.to_owned() }],
+        checks: vec![store::table::Check { key: SECRET_KEY.to_owned(), version: row.version }],
+        puts: vec![Put { key: SECRET_KEY.to_owned(), value: candidate.to_owned() }],
         deletes: Vec::new(),
     };
     match rows::commit(client, &creation).await? {
         Commit::Done { .. } => Ok(candidate.to_owned()),
-        Commit::Conflict { .. } => Ok(rows::read(client, key).await?.value),
+        Commit::Conflict { .. } => Ok(rows::read(client, SECRET_KEY).await?.value),
+    }
+}
+
+/// Waits for the store to return from older copies.
+#[derive(Debug)]
+pub struct Returns {
+    eras: watch::Receiver<Option<u64>>,
+    era: Option<u64>,
+}
+
+impl Returns {
+    /// Creates a receiver of the returns from now on.
+    pub fn new(eras: &Eras) -> Returns {
+        Returns { eras: eras.subscribe(), era: eras.latest() }
+    }
+
+    /// Waits for the next return. The first era that the store states is none.
+    async fn next(&mut self) {
+        loop {
+            let known = self.era;
+            // Waiting fails only while the daemon shuts down.
+            let Ok(era) = self.eras.wait_for(|it| *it != known).await.map(|it| *it) else {
+                return std::future::pending().await;
+            };
+            self.era = era;
+            if known.is_some() {
+                return;
+            }
+        }
     }
 }
 
--- a/crates/front/src/lease.rs
+++ b/crates/front/src/lease.rs
@@ -1,7 +1,6 @@
 //! The task that makes the leader tasks' calls to the store.
 
 use std::collections::BTreeSet;
-use std::net::SocketAddr;
 
 use duty::lease::Action;
 use duty::usage::Counts;
@@ -47,14 +46,16 @@
 
 /// Makes the calls sequentially.
 pub async fn run(
-    store: SocketAddr,
+    mut client: Client,
     mut jobs: UnboundedReceiver<Job>,
     events: UnboundedSender<Event>,
 ) {
-    let mut client = Client::new(store);
     while let Some(job) = jobs.recv().await {
         let event = match job {
-            Job::Lease(Action::Read) => Event::LeaseRead(rows::read(&mut client, LEASE_KEY).await),
+            Job::Lease(Action::Read) => {
+                let result = rows::read(&mut client, LEASE_KEY).await;
+                Event::LeaseRead { result, era: client.era() }
+            }
             Job::Lease(Action::Write { version, value }) => {
                 let write = Transaction {
                     checks: vec![Check { key: LEASE_KEY.to_owned(), version }],
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -7,6 +7,9 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use platform::era::Eras;
+use platform::era::Irregularity;
+use platform::exchange::Client;
 use platform::settings;
 use platform::settings::Settings;
 use rand::RngExt;
@@ -38,6 +41,7 @@
 use crate::cloud;
 use crate::event::Event;
 use crate::feeds;
+use crate::feeds::Returns;
 use crate::lease;
 use crate::peers::Streams;
 use crate::probe;
@@ -102,6 +106,8 @@
     let (ready, is_ready) = watch::channel(false);
     let (reader, is_reader) = watch::channel(true);
     let limits = Rc::new(Cell::new(Limits::default()));
+    let (irregular, irregularities) = unbounded_channel();
+    let eras = Eras::new(irregular);
     let context = Context {
         settings: settings.clone(),
         instance_id: instance_id.clone(),
@@ -112,21 +118,25 @@
         phase,
         ready,
         reader,
+        eras: eras.clone(),
         seed: rng.random(),
     };
     let mut stakker = Stakker::new(Instant::now());
     let broker = actor!(&mut stakker, Broker::init(context), ret_nop!());
-    spawn_local(feeds::config(settings.store, events.clone(), is_reader.clone()));
-    spawn_local(feeds::endpoints(settings.store, events.clone(), is_reader.clone()));
+    spawn_local(watch_eras(eras.subscribe(), irregularities, events.clone()));
+    let client = || Client::for_store(settings.store, eras.clone());
+    spawn_local(feeds::config(client(), events.clone(), is_reader.clone()));
+    spawn_local(feeds::endpoints(client(), events.clone(), is_reader.clone()));
     spawn_local(feeds::daemons(
-        settings.store,
+        client(),
         settings.peers,
         instance_id,
         events.clone(),
         is_reader,
+        Returns::new(&eras),
     ));
-    spawn_local(feeds::rejected(settings.store, events.clone()));
-    spawn_local(lease::run(settings.store, lease_calls, events.clone()));
+    spawn_local(feeds::rejected(client(), events.clone()));
+    spawn_local(lease::run(client(), lease_calls, events.clone()));
     if let Some(address) = settings.cloud {
         let daemon = settings.daemon.clone();
         spawn_local(cloud::run(address, daemon, cloud_calls, events.clone()));
@@ -138,8 +148,12 @@
     let (secret_sender, secret) = unbounded_channel();
     let candidate: String =
         (0..SECRET_BYTES).map(|_| format!("{:02x}", rng.random::<u8>())).collect();
+    let (secret_client, returns) = (client(), Returns::new(&eras));
+    let keeper = client();
     spawn_local(async move {
-        let _ = secret_sender.send(feeds::secret(settings.store, candidate).await);
+        let secret = feeds::secret(secret_client, candidate).await;
+        let _ = secret_sender.send(secret.clone());
+        feeds::keep_secret(keeper, secret, returns).await;
     });
     run_actor(stakker, &broker, received, secret, &events, &settings).await;
     sleep(LINGER).await;
@@ -201,6 +215,22 @@
     }
 }
 
+/// Reports new eras of the store to the broker, and responses whose era can't be used.
+async fn watch_eras(
+    mut eras: watch::Receiver<Option<u64>>,
+    mut irregularities: UnboundedReceiver<Irregularity>,
+    events: UnboundedSender<Event>,
+) {
+    loop {
+        let event = tokio::select! {
+            Ok(()) = eras.changed() => Event::Era(eras.borrow_and_update().unwrap_or(0)),
+            Some(irregularity) = irregularities.recv() => Event::EraIrregularity(irregularity),
+            else => return,
+        };
+        let _ = events.send(event);
+    }
+}
+
 async fn watch_signals(path: PathBuf, events: UnboundedSender<Event>) {
     let kinds = [SignalKind::terminate(), SignalKind::interrupt(), SignalKind::hangup()];
     let [terminate, interrupt, hangup] = kinds.map(signal);
--- a/crates/membership/src/digest.rs
+++ b/crates/membership/src/digest.rs
@@ -37,6 +37,8 @@
     pub config_version: u64,
     /// Version of the latest change of endpoints that it knows, 0 for none.
     pub roster_version: u64,
+    /// Latest era of the store that it knows, 0 if the store states none.
+    pub era: u64,
     /// Age of the latest read of endpoints by this or any other known daemon, in
     /// milliseconds.
     pub read_age_ms: Option<u64>,
@@ -86,7 +88,7 @@
     /// The sender's digest and the live peers that it knows.
     Digest {
         /// The digest.
-        digest: Digest,
+        digest: Box<Digest>,
         /// Live peers: instance and address.
         peers: Vec<(String, SocketAddr)>,
     },
