--- a/crates/front/src/broker/gossip.rs
+++ b/crates/front/src/broker/gossip.rs
@@ -220,6 +220,9 @@
         {
             self.reads_since = Some(self.reads_since.map_or(since, |it| it.min(since)));
         }
+        if digest.era > 0 {
+            self.context.eras.learn(digest.era);
+        }
         if let Some(holder) = digest.holder {
             self.observe_holder(holder.address, Duration::from_millis(holder.age_ms), now);
         }
@@ -292,6 +295,7 @@
             now_ms,
             config_version: self.table.config.version,
             roster_version: self.pool.roster_version,
+            era: self.context.eras.latest().unwrap_or(0),
             read_age_ms: self.read_age(now).map(|it| it.as_millis() as u64),
             uninterrupted_reads_ms: self.reads_since.map(|it| (now - it).as_millis() as u64),
             holder: self.holder(now),
--- a/crates/membership/src/digest.rs
+++ b/crates/membership/src/digest.rs
@@ -40,6 +40,8 @@
     pub config_version: u64,
     /// Version of the latest change of endpoints that it knows, 0 for none.
     pub roster_version: u64,
+    /// Latest era of the store that it knows, 0 if the store states none.
+    pub era: u64,
     /// Age of the latest read of endpoints by this or any other known daemon, in
     /// milliseconds.
     pub read_age_ms: Option<u64>,
--- a/crates/membership/tests/digest.rs
+++ b/crates/membership/tests/digest.rs
@@ -110,6 +110,7 @@
         now_ms: 0,
         config_version: 0,
         roster_version: 0,
+        era: 0,
         read_age_ms: None,
         uninterrupted_reads_ms: None,
         holder: None,
