Bound the time for which the exit waits for the reader of the log

A daemon whose standard output is a full pipe that nobody reads did not exit after SIGTERM. The logging library writes its queue in an exit handler and waits for it without a limit, so the platform had to kill the daemon. Callers' connections are closed by then.

--- a/crates/lentilhook/src/log.rs
+++ b/crates/lentilhook/src/log.rs
@@ -2,6 +2,9 @@
 
 use std::num::NonZeroUsize;
 use std::sync::Arc;
+use std::sync::mpsc::channel;
+use std::thread;
+use std::time::Duration;
 
 use spdlog::Level;
 use spdlog::LevelFilter;
@@ -55,6 +58,20 @@
     Ok(())
 }
 
+/// Writes the queued log lines and ends logging. Gives up after `timeout` if the reader
+/// of standard output is too slow, since the exit of the process would wait for it.
+pub fn finish(timeout: Duration) {
+    let Ok(silent) = Logger::builder().build() else { return };
+    let logger = spdlog::swap_default_logger(Arc::new(silent));
+    let (done, is_done) = channel();
+    thread::spawn(move || {
+        // Nothing can be logged about a failure any more.
+        logger.sinks().iter().for_each(|it| drop(it.flush_on_exit()));
+        let _ = done.send(());
+    });
+    let _ = is_done.recv_timeout(timeout);
+}
+
 fn handle_error(error: &spdlog::Error, on_drop: fn()) {
     match error {
         spdlog::Error::SendToChannel(..) => on_drop(),
