Answer connections that the kernel has established before the exit

A connection waits in the kernel's queue until the daemon accepts it. The process exited with the listener open: what had arrived there by then, with a request in it, was reset without an answer, and the kernel went on to establish connections until the last moment.

The exit waits for the last exchanges as for all others.

What remains is the moment between the last accept and the close.

--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -22,6 +22,7 @@
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::watch;
 use tokio::task::spawn_local;
+use tokio::task::yield_now;
 use tokio::time::sleep;
 use tokio::time::timeout_at;
 
@@ -64,8 +65,8 @@
     Closing,
     /// Idle connections are closed as well.
     Closed,
-    /// The daemon is about to exit: requests that were not received completely are
-    /// refused.
+    /// The daemon is about to exit: no further connection is accepted, and requests that
+    /// were not received completely are refused.
     Ending,
 }
 
@@ -122,16 +123,36 @@
         Ticket::new(number, self.messages.clone())
     }
 
-    /// Accepts connections until the daemon exits.
+    /// Accepts connections until the daemon is about to exit, including those that the
+    /// kernel has established by then. Later ones are refused by the kernel.
     pub async fn run(self, listener: TcpListener) {
+        let ending = self.ending();
+        tokio::pin!(ending);
         loop {
-            match listener.accept().await {
-                Ok((stream, _)) => drop(spawn_local(serve_connection(self.clone(), stream))),
-                Err(error) => {
-                    spdlog::warn!("failed to accept a connection",
-                        kv: { cause = error.to_string() });
-                    sleep(ACCEPT_PAUSE).await;
-                }
+            let accepted = tokio::select! {
+                accepted = listener.accept() => accepted,
+                () = &mut ending => break,
+            };
+            self.spawn(accepted).await;
+        }
+        // The runtime polls the socket once more.
+        yield_now().await;
+        loop {
+            let accepted = tokio::select! {
+                biased;
+                accepted = listener.accept() => accepted,
+                () = std::future::ready(()) => return,
+            };
+            self.spawn(accepted).await;
+        }
+    }
+
+    async fn spawn(&self, accepted: io::Result<(TcpStream, SocketAddr)>) {
+        match accepted {
+            Ok((stream, _)) => drop(spawn_local(serve_connection(self.clone(), stream))),
+            Err(error) => {
+                spdlog::warn!("failed to accept a connection", kv: { cause = error.to_string() });
+                sleep(ACCEPT_PAUSE).await;
             }
         }
     }
