Start the retry budget of `serve` with one second's refill

What callers and endpoints saw: after a restart, a daemon retried as if no retry had been spent: 32 at once. Daemons that are restarted one after the other while endpoints refuse calls multiply the load that the budget is to bound.

Cause: `policy::retry::Budget` lives in the process and started full. A daemon that starts does not know what was spent before, so it now has only what refills in a second, and saves up to the same burst of 32 as time passes. `upper_bound` counts from the start of the daemon and is smaller by 28.

Ruled out: `serve` has no quota or rate per workspace; the shares of workspaces are weights in each daemon's queue and are not counted. The budget is not divided by daemons.

--- a/crates/harness/tests/faults/main.rs
+++ b/crates/harness/tests/faults/main.rs
@@ -1,5 +1,7 @@
 //! Requests that crash endpoints, and endpoints and daemons that stop responding.
 
+mod restarts;
+
 use std::fs;
 use std::io;
 use std::time::Duration;
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -9,6 +9,8 @@
 const PER_SECOND: f64 = 4.0;
 /// Maximum number of accumulated retries.
 const CAPACITY: f64 = 32.0;
+/// Retries available at the start of a daemon, which does not know how many were spent before.
+const INITIAL: f64 = PER_SECOND;
 
 /// Budget of retries.
 #[derive(Clone, Copy, Debug)]
@@ -19,7 +21,7 @@
 
 impl Default for Budget {
     fn default() -> Budget {
-        Budget { balance: CAPACITY, updated_at: Duration::ZERO }
+        Budget { balance: INITIAL, updated_at: Duration::ZERO }
     }
 }
 
@@ -41,9 +43,9 @@
         true
     }
 
-    /// Returns the maximum number of retries granted over a period with this many
-    /// successes.
+    /// Returns the maximum number of retries granted in the period since the start, with this
+    /// many successes.
     pub fn upper_bound(successes: u32, period: Duration) -> f64 {
-        CAPACITY + f64::from(successes) * PER_SUCCESS + period.as_secs_f64() * PER_SECOND
+        INITIAL + f64::from(successes) * PER_SUCCESS + period.as_secs_f64() * PER_SECOND
     }
 }
--- a/crates/policy/tests/admission.rs
+++ b/crates/policy/tests/admission.rs
@@ -160,6 +160,18 @@
     SEEDS.iter().for_each(|seed| arbtest::arbtest(properties).seed(*seed).run());
 }
 
+#[test]
+fn a_started_daemon_has_few_retries_until_time_has_passed() {
+    let mut started = Budget::default();
+    let mut quiet = Budget::default();
+
+    let at_start = (0..100).filter(|_| started.try_take(Duration::ZERO)).count();
+    let after_a_minute = (0..100).filter(|_| quiet.try_take(Duration::from_secs(60))).count();
+
+    assert_eq!(at_start, 4);
+    assert_eq!(after_a_minute, 32);
+}
+
 fn entry(ticket: u64, class: Class, workspace: &str) -> Entry<'_> {
     Entry { ticket, class, workspace, share: 1, tokens: 100, wait_limit: None }
 }
