Keep workspaces within their quota over late gossip and restarts

Cause: a daemon takes what it has not heard of for unused. Units that come free are seen by all daemons before they hear who took them, so they are admitted once per daemon. A bucket began full after each start, and its daemon took the rate for its own until it heard the others.

Now a daemon admits no more than its even share while less than four fifths of the burst are left; one request may exceed the share. A daemon that starts takes the burst for used until a peer reports what is left, peers that it has not heard for using their even share, and gains nothing before it knows how many daemons there are. It takes units of peers that started later from the level at their first report. A fleet that starts for the first time, and a quota that appears while the daemon runs, begin full as before.

The other tests of workspace.rs keep their checks.

--- a/crates/front/src/broker/gossip.rs
+++ b/crates/front/src/broker/gossip.rs
@@ -60,8 +60,7 @@
         for id in self.peers.remove_expired(now) {
             self.pool.remove_remote_loads(&id);
         }
-        let timeout = self.peers.liveness_timeout();
-        self.buckets.values_mut().for_each(|it| it.set_report_timeout(timeout));
+        self.update_buckets(now);
         let own_address = self.context.settings.peers;
         let holder = self.holder(now).map(|it| it.address);
         let mut addresses = self.peers.gossip_addresses(now);
@@ -151,6 +150,7 @@
                 self.peers.discover(&row.value, address, now);
             }
         }
+        self.update_buckets(now);
     }
 
     pub(super) fn handle_peer_message(&mut self, message: Message, now: Instant) {
@@ -224,11 +224,7 @@
             self.observe_holder(holder.address, Duration::from_millis(holder.age_ms), now);
         }
         self.pool.set_remote_loads(&id, digest.loads.into_iter().collect(), now);
-        for (workspace, admitted) in &digest.admitted {
-            if let Some(bucket) = self.buckets.get_mut(workspace) {
-                bucket.merge_remote(&id, *admitted, now);
-            }
-        }
+        self.merge_quotas(&id, &digest.quotas, Duration::from_millis(digest.age_ms), now);
         if let Some(report) = digest.usage_report {
             self.usage.merge_remote(&id, &report.windows, report.settled);
             self.remote_work_ms.insert(id.clone(), report.work_ms.into_iter().collect());
@@ -297,7 +293,7 @@
             holder: self.holder(now),
             stopping: self.stage != Stage::Running,
             loads: loaded.map(|it| (it.endpoint.id.clone(), it.own_load)).collect(),
-            admitted: self.buckets.iter().map(|(name, it)| (name.clone(), it.admitted())).collect(),
+            quotas: self.quotas(),
             usage_report: None,
             suspects: self.spread.take_gossip(&self.suspects, MAX_SUSPECTS_PER_DIGEST, now),
             leaving: leaving
--- a/crates/front/src/broker/limits.rs
+++ b/crates/front/src/broker/limits.rs
@@ -3,11 +3,17 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use membership::digest::Quota;
 use membership::digest::RETENTION;
 use quota::fleet::Fleet;
 use quota::retry;
 use quota::retry::Budget;
+use quota::workspace;
+use quota::workspace::Bucket;
+use quota::workspace::PEER_EXPIRY;
+use quota::workspace::Report;
 use relay::admission::Refusal;
+use route::config::Workspace;
 use route::request::Attributes;
 use route::table::Match;
 
@@ -40,6 +46,8 @@
                     workspace = workspace.name.as_str(),
                     units = units.round() as i64,
                     left = bucket.level().round() as i64,
+                    share = bucket.share().round() as i64,
+                    is_joining = bucket.known_level().is_none(),
                     rate = quota.rate.round() as i64,
                     config = self.table.config.version,
                     daemons = bucket.daemons(),
@@ -51,6 +59,62 @@
         }
     }
 
+    /// Applies the quotas of a configuration.
+    pub(super) fn set_quotas(&mut self, workspaces: &[Workspace], now: Instant) {
+        // A quota that appears while this daemon runs has not been used before.
+        let is_unused = self.is_first_start || self.table.config.version > 0;
+        for workspace in workspaces {
+            let Some(quota) = workspace.quota else {
+                self.buckets.remove(&workspace.name);
+                continue;
+            };
+            let limit = workspace::Limit { rate: quota.rate, burst: quota.burst };
+            let new = || match is_unused {
+                true => Bucket::new(limit, now),
+                false => Bucket::joining(limit, now),
+            };
+            let bucket = self.buckets.entry(workspace.name.clone()).or_insert_with(new);
+            bucket.set_limit(limit, now);
+        }
+        self.update_buckets(now);
+    }
+
+    /// Tells the buckets how many daemons share the limits.
+    pub(super) fn update_buckets(&mut self, now: Instant) {
+        let timeout = self.peers.liveness_timeout();
+        let daemons = self.fleet(PEER_EXPIRY, now).daemons;
+        for bucket in self.buckets.values_mut() {
+            bucket.set_report_timeout(timeout);
+            bucket.set_daemons(daemons, now);
+        }
+    }
+
+    /// Returns the use of the quotas for the other daemons.
+    pub(super) fn quotas(&self) -> Vec<Quota> {
+        let quotas = self.buckets.iter().map(|(name, it)| Quota {
+            workspace: name.clone(),
+            admitted: it.admitted(),
+            level: it.known_level(),
+        });
+        quotas.collect()
+    }
+
+    /// Merges the use of the quotas as seen by a daemon of this age.
+    pub(super) fn merge_quotas(
+        &mut self,
+        daemon: &str,
+        quotas: &[Quota],
+        age: Duration,
+        now: Instant,
+    ) {
+        for quota in quotas {
+            let report = Report { admitted: quota.admitted, level: quota.level, age };
+            if let Some(bucket) = self.buckets.get_mut(&quota.workspace) {
+                bucket.merge_remote(daemon, &report, now);
+            }
+        }
+    }
+
     /// Takes a retry of a request from its service's budget. Returns whether the budget
     /// allows it.
     pub(super) fn take_retry(&mut self, id: &str, service: &str, now: Instant) -> bool {
--- a/crates/front/src/broker/mod.rs
+++ b/crates/front/src/broker/mod.rs
@@ -389,19 +389,7 @@
         });
         metrics::set_state("configuration", config.version as i64);
         self.context.limits.set(config.limits);
-        for workspace in &config.workspaces {
-            let Some(quota) = workspace.quota else {
-                self.buckets.remove(&workspace.name);
-                continue;
-            };
-            let limit = quota::workspace::Limit { rate: quota.rate, burst: quota.burst };
-            match self.buckets.get_mut(&workspace.name) {
-                Some(bucket) => bucket.set_limit(limit, now),
-                None => {
-                    self.buckets.insert(workspace.name.clone(), Bucket::new(limit, now));
-                }
-            }
-        }
+        self.set_quotas(&config.workspaces, now);
         self.table = Rc::new(Table::new(Arc::new(config)));
         self.has_urgent_changes = true;
     }
--- a/crates/membership/src/digest.rs
+++ b/crates/membership/src/digest.rs
@@ -52,8 +52,8 @@
     pub stopping: bool,
     /// Pending work that it has sent, by endpoint.
     pub loads: Vec<(String, Load)>,
-    /// Units admitted since its start, by workspace.
-    pub admitted: Vec<(String, f64)>,
+    /// Use of the workspaces' quotas.
+    pub quotas: Vec<Quota>,
     /// Usage report for the lease holder.
     pub usage_report: Option<Report>,
     /// Changes of requests that may crash endpoints.
@@ -62,6 +62,17 @@
     pub leaving: Vec<(String, u64)>,
 }
 
+/// Use of a workspace's quota as seen by a daemon.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub struct Quota {
+    /// Name of the workspace.
+    pub workspace: String,
+    /// Units that the daemon has admitted since its start.
+    pub admitted: f64,
+    /// Available units, if it has been running long enough to know.
+    pub level: Option<f64>,
+}
+
 /// The lease holder as last observed.
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
 pub struct Holder {
--- a/crates/membership/tests/digest.rs
+++ b/crates/membership/tests/digest.rs
@@ -115,7 +115,7 @@
         holder: None,
         stopping: false,
         loads: Vec::new(),
-        admitted: Vec::new(),
+        quotas: Vec::new(),
         usage_report: None,
         suspects: Vec::new(),
         leaving: Vec::new(),
--- a/crates/quota/src/workspace.rs
+++ b/crates/quota/src/workspace.rs
@@ -5,6 +5,11 @@
 //! admit at its recent rate. A peer whose reports stop arriving is assumed to use
 //! its even share of rate and burst, so that daemons on both sides of a network
 //! partition stay within the limit together.
+//!
+//! Units that come free are seen by all daemons before they hear which of them took
+//! these units. So each daemon admits no more than its even share while units are
+//! scarce. A daemon that has just started takes the burst for used until a peer reports
+//! what is left of it, and peers for using their even share until it hears them.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -21,6 +26,9 @@
 /// window.
 pub const PEER_EXPIRY: Duration = Duration::from_secs(12);
 
+/// Fraction of the burst below which the units are scarce.
+const SCARCE_FRACTION: f64 = 0.8;
+
 /// A rate limit with a burst.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Limit {
@@ -30,6 +38,17 @@
     pub burst: f64,
 }
 
+/// What a daemon reports about its bucket.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Report {
+    /// Units that it has admitted since its start.
+    pub admitted: f64,
+    /// Available units. `None` if it started too recently to know.
+    pub level: Option<f64>,
+    /// Time since its start.
+    pub age: Duration,
+}
+
 /// The shared bucket as seen by one daemon.
 #[derive(Clone, Debug)]
 pub struct Bucket {
@@ -41,9 +60,22 @@
     filled_at: Instant,
     /// Units that this daemon has admitted since its start.
     admitted: f64,
+    /// Units of this daemon's even share that it has not used. Negative if it used more.
+    share: f64,
+    /// Daemons that share the limit, including this one, if they are known.
+    daemons: Option<usize>,
+    /// Set while it isn't known what was used before the start.
+    joining: Option<Joining>,
     peers: HashMap<String, Peer>,
 }
 
+#[derive(Clone, Copy, Debug)]
+struct Joining {
+    since: Instant,
+    /// Units taken from the level for each daemon that was not heard yet.
+    estimated: f64,
+}
+
 #[derive(Clone, Debug)]
 struct Peer {
     /// Units that the peer has admitted since its start, by its latest report.
@@ -60,18 +92,34 @@
 }
 
 impl Bucket {
-    /// Creates a full bucket.
+    /// Creates a full bucket, for a limit of which nothing was used before.
     pub fn new(limit: Limit, now: Instant) -> Bucket {
         Bucket {
             limit,
+            report_timeout: DEFAULT_REPORT_TIMEOUT,
             level: limit.burst,
             filled_at: now,
-            report_timeout: DEFAULT_REPORT_TIMEOUT,
             admitted: 0.0,
+            share: limit.burst,
+            daemons: None,
+            joining: None,
             peers: HashMap::new(),
         }
     }
 
+    /// Creates the bucket of a daemon that joins others, which may have used all units.
+    pub fn joining(limit: Limit, now: Instant) -> Bucket {
+        let joining = Some(Joining { since: now, estimated: 0.0 });
+        Bucket { level: 0.0, share: 0.0, joining, ..Bucket::new(limit, now) }
+    }
+
+    /// Sets the number of daemons that share the limit, including this one. While it
+    /// isn't known, a bucket that joins others gains no units.
+    pub fn set_daemons(&mut self, daemons: Option<usize>, now: Instant) {
+        self.refill(now);
+        self.daemons = daemons;
+    }
+
     /// Changes the limit. Units already used stay used.
     pub fn set_limit(&mut self, limit: Limit, now: Instant) {
         if self.limit == limit {
@@ -98,12 +146,17 @@
         self.refill(now);
         // A request larger than the burst is admitted from a full bucket.
         let required = units.min(self.limit.burst);
-        if self.level >= required {
+        let is_scarce = self.level < self.limit.burst * SCARCE_FRACTION;
+        let is_share_used = is_scarce && self.share <= 0.0;
+        if self.level >= required && !is_share_used {
             self.level -= units;
+            // A request may exceed the share; all together may exceed it by one request.
+            self.share = (self.share - units).max(-units);
             self.admitted += units;
             return Ok(());
         }
-        let missing = required - self.level;
+        let missing_share = if is_share_used { -self.share * self.daemons() as f64 } else { 0.0 };
+        let missing = missing_share.max(required - self.level);
         let wait = if self.limit.rate > 0.0 { missing / self.limit.rate } else { f64::MAX };
         Err(Duration::from_secs_f64(wait.clamp(0.0, 3_600.0)))
     }
@@ -111,6 +164,7 @@
     /// Refunds units that a request took and didn't use.
     pub fn refund(&mut self, units: f64) {
         self.level = (self.level + units).min(self.limit.burst);
+        self.share = (self.share + units).min(self.limit.burst / self.daemons() as f64);
         self.admitted -= units;
     }
 
@@ -120,9 +174,15 @@
         self.level
     }
 
+    /// Returns the units of this daemon's even share that it has not used. Negative if it
+    /// used more.
+    pub fn share(&self) -> f64 {
+        self.share
+    }
+
     /// Returns the number of daemons that share the limit, as far as known.
     pub fn daemons(&self) -> usize {
-        self.peers.len() + 1
+        self.daemons.unwrap_or(1).max(self.peers.len() + 1)
     }
 
     /// Returns the units that this daemon has admitted since its start.
@@ -130,12 +190,17 @@
         self.admitted
     }
 
-    /// Merges the total that another daemon instance has admitted since its start.
-    pub fn merge_remote(&mut self, daemon: &str, admitted: f64, now: Instant) {
+    /// Returns the level to report to the other daemons, if it is known.
+    pub fn known_level(&self) -> Option<f64> {
+        self.joining.is_none().then_some(self.level)
+    }
+
+    /// Merges the report of another daemon instance.
+    pub fn merge_remote(&mut self, daemon: &str, report: &Report, now: Instant) {
         self.refill(now);
         let mut rate = None;
         if let Some(peer) = self.peers.get(daemon) {
-            let newly_admitted = admitted - peer.admitted;
+            let newly_admitted = report.admitted - peer.admitted;
             self.level += peer.estimated - newly_admitted;
             let elapsed = now.saturating_duration_since(peer.received_at).as_secs_f64();
             let weight = (elapsed / RATE_AVERAGING_TIME.as_secs_f64()).min(1.0);
@@ -145,10 +210,12 @@
             } else {
                 peer.rate
             };
+        } else {
+            self.merge_first(report);
         }
         self.level = self.level.min(self.limit.burst);
         let peer = Peer {
-            admitted,
+            admitted: report.admitted,
             received_at: now,
             rate,
             estimated: 0.0,
@@ -158,14 +225,40 @@
         self.peers.insert(daemon.to_owned(), peer);
     }
 
+    /// Merges the first report of another daemon instance.
+    fn merge_first(&mut self, report: &Report) {
+        match (self.joining, report.level) {
+            (Some(_), Some(level)) => {
+                self.level = level - self.admitted;
+                self.joining = None;
+            }
+            (Some(joining), None) => self.level += joining.estimated - report.admitted,
+            // The units that other instances admitted long ago don't count any more.
+            (None, _) if report.age < PEER_EXPIRY => self.level -= report.admitted,
+            (None, _) => {}
+        }
+    }
+
     /// Adds the units accrued since the last update and takes those that peers are
     /// estimated to have used.
     fn refill(&mut self, now: Instant) {
         let elapsed = now.saturating_duration_since(self.filled_at).as_secs_f64();
         self.filled_at = now;
-        self.level += elapsed * self.limit.rate;
-        let daemons = (self.peers.len() + 1) as f64;
+        let daemons = self.daemons() as f64;
         let even_share = self.limit.rate / daemons;
+        let share_burst = self.limit.burst / daemons;
+        if self.joining.is_none() || self.daemons.is_some() {
+            self.level += elapsed * self.limit.rate;
+            self.share = (self.share + elapsed * even_share).min(share_burst);
+        }
+        if let Some(joining) = &mut self.joining
+            && self.daemons.is_some()
+        {
+            let unheard = daemons - (self.peers.len() + 1) as f64;
+            self.level -= elapsed * even_share * unheard;
+            joining.estimated += elapsed * even_share;
+        }
+        self.joining.take_if(|it| now >= it.since + PEER_EXPIRY);
         for peer in self.peers.values_mut() {
             let until = now.min(peer.received_at + PEER_EXPIRY);
             let is_silent = now >= peer.received_at + self.report_timeout;
@@ -175,7 +268,7 @@
             let mut units = elapsed * rate;
             if is_silent && !peer.burst_taken {
                 peer.burst_taken = true;
-                units += self.limit.burst / daemons;
+                units += share_burst;
             }
             peer.estimated += units;
             peer.estimated_at = peer.estimated_at.max(until);
--- a/crates/quota/tests/workspace.rs
+++ b/crates/quota/tests/workspace.rs
@@ -6,6 +6,7 @@
 
 use quota::workspace::Bucket;
 use quota::workspace::Limit;
+use quota::workspace::Report;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -145,7 +146,7 @@
         for _ in 0..7 {
             let receiver = rng.random_range(0..buckets.len());
             if receiver != sender {
-                buckets[receiver].merge_remote(&sender.to_string(), *total, now);
+                buckets[receiver].merge_remote(&sender.to_string(), &report(*total), now);
             }
         }
     }
@@ -177,8 +178,13 @@
     for (receiver, bucket) in buckets.iter_mut().enumerate().skip(partitioned) {
         for (sender, total) in totals.iter().enumerate().skip(partitioned) {
             if sender != receiver {
-                bucket.merge_remote(&sender.to_string(), *total, now);
+                bucket.merge_remote(&sender.to_string(), &report(*total), now);
             }
         }
     }
 }
+
+/// Returns the report of a daemon that has been running for a long time.
+fn report(admitted: f64) -> Report {
+    Report { admitted, level: None, age: Duration::MAX }
+}
