Refuse requests that may outlast a daemon which is out of rotation

What callers saw: a request that reached a stopping daemon 5.5 s after SIGTERM was admitted, as most requests of its route are short, and cut 2.1 s later, when the daemon exited.

Cause: an estimate of the duration bounds most requests of a route, not each one. While the load balancer still sends callers to the daemon, it serves most of them better than a refusal. Later, callers reach it only by kept connections or in a zone where few daemons are ready, and another daemon serves them at once.

From then on, only requests whose time limit ends before the exit are admitted. The test of the decision refuses more than before: its two cases after the balancer's lag that relied on the estimate are replaced by two that refuse, and two just before it.

--- a/crates/front/src/drain.rs
+++ b/crates/front/src/drain.rs
@@ -101,12 +101,14 @@
     /// removed the daemon, or longer while few daemons of the zone are ready, on kept
     /// connections, and with bodies that arrive slowly. A request that is cut is lost, and
     /// one that is refused is served by another daemon a moment later. So only those are
-    /// admitted that can be expected to end before the daemon exits: by their time limit,
-    /// or by the time that few requests of their route exceed.
+    /// admitted whose time limit ends before the daemon exits, and those that can be expected
+    /// to end before it while the load balancer still sends callers to this daemon.
     pub fn admits(&self, request: Remaining, grace: Duration, now: Instant) -> bool {
         let exit_at = self.since + grace.saturating_sub(KILL_MARGIN + DELIVERY_TIME);
         let left = exit_at.saturating_duration_since(now);
-        request.limit <= left || request.expected.is_some_and(|it| it <= left)
+        let is_in_rotation = now < self.since + BALANCER_LAG;
+        let is_expected_to_end = request.expected.is_some_and(|it| it <= left);
+        request.limit <= left || is_in_rotation && is_expected_to_end
     }
 
     /// Whether to report what the daemon waits for.
--- a/crates/front/tests/drain.rs
+++ b/crates/front/tests/drain.rs
@@ -74,8 +74,10 @@
     check(0, 30_000, Some(3_000), true);
     check(4_000, 3_400, None, true);
     check(4_000, 8_000, None, false);
-    check(4_000, 8_000, Some(3_400), true);
-    check(4_000, 8_000, Some(3_401), false);
+    check(2_250, 8_000, Some(5_150), true);
+    check(2_250, 8_000, Some(5_151), false);
+    check(2_300, 8_000, Some(100), false);
+    check(4_000, 8_000, Some(100), false);
     check(4_000, 1_000, Some(5_000), true);
     check(7_500, 8_000, Some(1), false);
 }
