Print the daemons' logs when the frozen daemon does not come back

The entry in KNOWN-RED.txt stays: the cause is not traced.

Read and not found: timers after a freeze, incarnations, suspicions that arrive late, rows and VM list.

--- a/crates/harness/tests/membership/main.rs
+++ b/crates/harness/tests/membership/main.rs
@@ -106,6 +106,16 @@
 #[test]
 fn a_frozen_daemon_is_found_and_comes_back() -> io::Result<()> {
     let cluster = deployment(Duration::from_millis(200), 4)?;
+
+    let result = freeze_and_resume(&cluster);
+
+    if result.is_err() {
+        println!("{}", cluster.logs()?);
+    }
+    result
+}
+
+fn freeze_and_resume(cluster: &Cluster) -> io::Result<()> {
     let (paused, others) = (&cluster.daemons[3], &cluster.daemons[..3]);
 
     paused.process.signal(Signal::SIGSTOP)?;
