Keep the end of a response when its connection ends with an error

The connection was closed at once if the HTTP library ended it with an error, for example after malformed bytes behind a request: unread bytes then reset it, and the caller lost the end of the response before. The lingering close now follows every end of a connection whose last response was sent. An aborted response is still cut off, so that it doesn't look complete.

--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -16,6 +16,7 @@
 use hyper_util::rt::TokioTimer;
 use route::config::Limits;
 use socket2::SockRef;
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
@@ -204,22 +205,21 @@
         }
     };
     progress.set_cause(cause(&ended));
-    if ended.is_ok() {
-        let socket = connection.into_parts().io.into_inner();
-        linger(&socket, &progress).await;
-    }
+    linger(connection.into_parts().io.into_inner(), &progress).await;
 }
 
-/// Keeps a connection that was closed for writing until the caller has closed it as
-/// well. Closing it while bytes from the caller are unread would reset the connection,
-/// which discards the end of a response that the caller has not received.
-async fn linger(socket: &Socket, progress: &Progress) {
+/// Closes a connection for writing and keeps it until the caller has closed it as well.
+/// Closing it while bytes from the caller are unread would reset the connection, which
+/// discards the end of a response that the caller has not received.
+async fn linger(mut socket: Socket, progress: &Progress) {
     let Some(sent_at) = progress.sent_at() else { return };
     if matches!(progress.stage(), Stage::Running | Stage::Sending) {
-        // The caller has disconnected.
+        // The caller has disconnected, or the response must not look complete.
         return;
     }
     progress.close();
+    // The library has closed it already, unless the connection ended with an error.
+    let _ = socket.shutdown().await;
     // The caller may keep the connection open for as long as it likes.
     let _ = timeout_at(sent_at + LINGER_TIME, socket.discard()).await;
 }
