Share a workspace's units out only as far as daemons may use them unheard

Units are now scarce while fewer are left than the others use since they were heard, at their even shares; for a silent daemon, up to the time after which its share is taken from the level. On large fleets this is four fifths of the burst as before.

New tests, both seen to fail with the former threshold: a_daemon_may_use_more_than_its_share_of_units_that_the_others_leave (40 rejections of 60) and a_daemon_that_is_never_heard_takes_its_share_and_no_more (2 of 3).

--- a/crates/quota/src/workspace.rs
+++ b/crates/quota/src/workspace.rs
@@ -7,8 +7,8 @@
 //! partition stay within the limit together.
 //!
 //! Units that come free are seen by all daemons before they hear which of them took
-//! these units. So each daemon admits no more than its even share while units are
-//! scarce. A daemon that has just started takes the burst for used until a peer reports
+//! these units. So each daemon admits no more than its even share while fewer units are
+//! left than the others may have taken unheard. A daemon that has just started takes the burst for used until a peer reports
 //! what is left of it, and peers for using their even share until it hears them.
 
 use std::collections::HashMap;
@@ -26,8 +26,9 @@
 /// window.
 pub const PEER_EXPIRY: Duration = Duration::from_secs(12);
 
-/// Fraction of the burst below which the units are scarce.
-const SCARCE_FRACTION: f64 = 0.8;
+/// Maximum fraction of the burst that counts as scarce, however late daemons hear of each
+/// other.
+const MAX_SCARCE_FRACTION: f64 = 0.8;
 
 /// A rate limit with a burst.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -146,7 +147,7 @@
         self.refill(now);
         // A request larger than the burst is admitted from a full bucket.
         let required = units.min(self.limit.burst);
-        let is_scarce = self.level < self.limit.burst * SCARCE_FRACTION;
+        let is_scarce = self.level < self.scarce_level(now);
         let is_share_used = is_scarce && self.share <= 0.0;
         if self.level >= required && !is_share_used {
             self.level -= units;
@@ -161,6 +162,19 @@
         Err(Duration::from_secs_f64(wait.clamp(0.0, 3_600.0)))
     }
 
+    /// Returns the level below which units are scarce: what the others use since they were
+    /// heard if all use their even shares. Of a silent one, these are taken from the level.
+    fn scarce_level(&self, now: Instant) -> f64 {
+        let since =
+            |at: Instant| now.saturating_duration_since(at).min(self.report_timeout).as_secs_f64();
+        let heard: f64 = self.peers.values().map(|it| since(it.received_at)).sum();
+        let unheard = self.daemons() - 1 - self.peers.len();
+        let joining = self.joining.map_or(0.0, |it| since(it.since) * unheard as f64);
+        let even_share = self.limit.rate / self.daemons() as f64;
+        let unknown = even_share * (heard + joining);
+        unknown.min(self.limit.burst * MAX_SCARCE_FRACTION)
+    }
+
     /// Refunds units that a request took and didn't use.
     pub fn refund(&mut self, units: f64) {
         self.level = (self.level + units).min(self.limit.burst);
--- a/crates/quota/tests/joining.rs
+++ b/crates/quota/tests/joining.rs
@@ -119,6 +119,24 @@
     assert!((bucket.level() - 1.5).abs() < 1e-6, "{}", bucket.level());
 }
 
+/// Guards against rejections because of an address of the store at which no daemon runs.
+#[test]
+fn a_daemon_that_is_never_heard_takes_its_share_and_no_more() {
+    let start = Instant::now();
+    let mut bucket = Bucket::joining(LIMIT, start);
+    bucket.set_daemons(Some(8), start);
+    let report = Report { admitted: 0.0, level: None, age: Duration::ZERO };
+    let mut now = start;
+    while now < start + Duration::from_secs(4) {
+        now += Duration::from_millis(100);
+        (0..6).for_each(|it| bucket.merge_remote(&it.to_string(), &report, now));
+    }
+
+    let taken = (0..3).filter(|_| bucket.take(200.0, now).is_ok()).count();
+
+    assert_eq!(taken, 3, "{}", bucket.level());
+}
+
 #[test]
 fn a_bucket_that_joins_takes_over_the_level_of_a_peer() {
     let check = |level: Option<f64>, expected: f64| {
--- a/crates/quota/tests/workspace.rs
+++ b/crates/quota/tests/workspace.rs
@@ -100,6 +100,28 @@
     assert_eq!(rejected, 0, "of {requests}");
 }
 
+/// Guards against rejections by the one daemon that receives a workspace's requests,
+/// while the others were heard a moment ago.
+#[test]
+fn a_daemon_may_use_more_than_its_share_of_units_that_the_others_leave() {
+    let start = Instant::now();
+    let mut bucket = Bucket::new(LIMIT, start);
+    let mut rejected = 0;
+
+    for step in 0..200u32 {
+        let now = start + Duration::from_millis(100) * step;
+        for peer in 0..7 {
+            bucket.merge_remote(&peer.to_string(), &report(0.0), now);
+        }
+        // Three quarters of the limit, in requests of a quarter of the burst.
+        for _ in 0..if step % 10 == 5 { 3 } else { 0 } {
+            rejected += u32::from(bucket.take(250.0, now).is_err());
+        }
+    }
+
+    assert_eq!(rejected, 0);
+}
+
 /// Guards against an overrun seen on a deployment grown to 63 daemons: 8.63 million
 /// tokens were admitted in a window that allowed 8.12 million. All daemons count
 /// the same units as available until they receive each other's totals.
