Count units of restarted daemons once in a level that is taken over

A daemon that restarted took over a peer's level and then subtracted the totals of all other daemons that had started within 12 s, which this level contained.

A first report is now subtracted only if its daemon started after the time from which on the level is complete. Seen before: the new test a_level_taken_over_contains_the_units_of_the_other_daemons gave -400 instead of 500. The test of peers that started later is stricter: it also checks one that started before the bucket.

--- a/crates/quota/src/workspace.rs
+++ b/crates/quota/src/workspace.rs
@@ -67,6 +67,8 @@
     daemons: Option<usize>,
     /// Set while it isn't known what was used before the start.
     joining: Option<Joining>,
+    /// Since when the level contains what other daemons admitted.
+    complete_since: Instant,
     peers: HashMap<String, Peer>,
 }
 
@@ -104,6 +106,7 @@
             share: limit.burst,
             daemons: None,
             joining: None,
+            complete_since: now,
             peers: HashMap::new(),
         }
     }
@@ -225,7 +228,7 @@
                 peer.rate
             };
         } else {
-            self.merge_first(report);
+            self.merge_first(report, now);
         }
         self.level = self.level.min(self.limit.burst);
         let peer = Peer {
@@ -240,15 +243,18 @@
     }
 
     /// Merges the first report of another daemon instance.
-    fn merge_first(&mut self, report: &Report) {
+    fn merge_first(&mut self, report: &Report, now: Instant) {
         match (self.joining, report.level) {
             (Some(_), Some(level)) => {
                 self.level = level - self.admitted;
                 self.joining = None;
+                self.complete_since = now;
             }
             (Some(joining), None) => self.level += joining.estimated - report.admitted,
-            // The units that other instances admitted long ago don't count any more.
-            (None, _) if report.age < PEER_EXPIRY => self.level -= report.admitted,
+            // The level contains what earlier instances admitted, or it was refilled since.
+            (None, _) if report.age < now.saturating_duration_since(self.complete_since) => {
+                self.level -= report.admitted;
+            }
             (None, _) => {}
         }
     }
--- a/crates/quota/tests/joining.rs
+++ b/crates/quota/tests/joining.rs
@@ -5,7 +5,6 @@
 
 use quota::workspace::Bucket;
 use quota::workspace::Limit;
-use quota::workspace::PEER_EXPIRY;
 use quota::workspace::Report;
 use rand::RngExt;
 use rand::SeedableRng;
@@ -158,8 +157,9 @@
 #[test]
 fn the_units_of_a_peer_that_started_later_are_taken_from_the_level() {
     let check = |age: Duration, expected: f64| {
-        let now = Instant::now();
-        let mut bucket = Bucket::new(LIMIT, now);
+        let start = Instant::now();
+        let mut bucket = Bucket::new(LIMIT, start);
+        let now = start + Duration::from_secs(5);
 
         bucket.merge_remote("peer", &Report { admitted: 300.0, level: None, age }, now);
 
@@ -167,7 +167,23 @@
     };
 
     check(Duration::from_secs(1), 700.0);
-    check(PEER_EXPIRY, 1_000.0);
+    check(Duration::from_secs(6), 1_000.0);
+    check(Duration::MAX, 1_000.0);
+}
+
+/// Guards against units that were counted twice in a rolling restart: the level of one
+/// peer contains those of the others that started shortly before.
+#[test]
+fn a_level_taken_over_contains_the_units_of_the_other_daemons() {
+    let now = Instant::now();
+    let mut bucket = Bucket::joining(LIMIT, now);
+    bucket.set_daemons(Some(3), now);
+    let age = Duration::from_secs(3);
+
+    bucket.merge_remote("a", &Report { admitted: 900.0, level: Some(500.0), age }, now);
+    bucket.merge_remote("b", &Report { admitted: 900.0, level: Some(510.0), age }, now);
+
+    assert_eq!(bucket.level(), 500.0);
 }
 
 /// What was admitted, and when.
