Let the set-up of a connection between daemons outlive the stream that waits for it

What was seen: a daemon whose peers respond slowly, as after a freeze on a busy machine, does not reach any of them: each stream gave its connection up after 1 s, and the next one began anew. A stream that failed so also removed the peer's connection from the pool, although another stream had just opened a good one.

One set-up per peer continues for up to 8 s and serves later streams; a stream still fails after 1 s, so that calls go elsewhere as early as before. The acceptor waits as long. Only the connection that failed is removed from the pool.

--- a/crates/peer/src/connection.rs
+++ b/crates/peer/src/connection.rs
@@ -1,6 +1,7 @@
 //! Connections to and from peers, monitored by PING frames.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -24,8 +25,13 @@
 use crate::watch::OpenStream;
 use crate::watch::monitor;
 
-/// Timeout for connection setup. Also the delay after a failed accept.
+/// Time for which a stream waits for its connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Timeout for connection setup. It continues for later streams after a stream has given up, so
+/// that a peer that is slow to respond is reached at all.
+const SETUP_TIMEOUT: Duration = Duration::from_secs(8);
+/// Delay after a failed accept.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_secs(1);
 /// Time between removing an idle connection and closing it, in which a stream that
 /// obtained the connection just before can still open.
 const CLOSE_GRACE: Duration = Duration::from_secs(1);
@@ -42,6 +48,8 @@
 pub struct Connections {
     secret: Arc<str>,
     connections: Arc<Mutex<HashMap<SocketAddr, Connection>>>,
+    /// Peers to which a connection is being set up that outlives its stream.
+    setups: Arc<Mutex<HashSet<SocketAddr>>>,
 }
 
 /// An open connection.
@@ -62,7 +70,7 @@
 impl Connections {
     /// Creates an empty pool. Peers must prove that they know `secret`.
     pub fn new(secret: Arc<str>) -> Connections {
-        Connections { secret, connections: Arc::default() }
+        Connections { secret, connections: Arc::default(), setups: Arc::default() }
     }
 
     /// Returns the connection to a peer and opens one if there is none. Fails if the
@@ -76,8 +84,21 @@
                 return Ok(Ready { sender, stream });
             }
         }
-        let connected = timeout(CONNECT_TIMEOUT, self.connect(peer)).await;
-        connected.map_err(|_| format!("connecting to {peer} timed out"))?
+        let timed_out = || format!("connecting to {peer} timed out");
+        if !self.lock_setups().insert(peer) {
+            let connected = timeout(CONNECT_TIMEOUT, self.connect(peer)).await;
+            return connected.map_err(|_| timed_out())?;
+        }
+        let connections = self.clone();
+        let setup = tokio::spawn(async move {
+            let connected = timeout(SETUP_TIMEOUT, connections.connect(peer)).await;
+            connections.lock_setups().remove(&peer);
+            connected
+        });
+        match timeout(CONNECT_TIMEOUT, setup).await {
+            Ok(Ok(Ok(connected))) => connected,
+            _ => Err(timed_out()),
+        }
     }
 
     /// Removes the connection to a peer from the pool.
@@ -85,6 +106,14 @@
         self.lock().remove(&peer);
     }
 
+    /// Removes a connection unless a newer one has replaced it.
+    fn remove_if(&self, peer: SocketAddr, activity: &Activity) {
+        let mut connections = self.lock();
+        if connections.get(&peer).is_some_and(|it| it.activity.is_same(activity)) {
+            connections.remove(&peer);
+        }
+    }
+
     async fn connect(&self, peer: SocketAddr) -> Result<Ready, String> {
         let mut socket = TcpStream::connect(peer).await.map_err(|it| it.to_string())?;
         let _ = socket.set_nodelay(true);
@@ -106,7 +135,7 @@
                 _ = connection => {}
                 () = connections.monitor(peer, pings, &activity) => {}
             }
-            connections.remove(peer);
+            connections.remove_if(peer, &activity);
         });
         let sender = sender.ready().await.map_err(|it| it.to_string())?;
         Ok(Ready { sender, stream })
@@ -117,7 +146,7 @@
         let Some(mut pings) = pings else { return };
         while monitor(&mut pings, activity).await == Cause::Idle {
             // No new stream can obtain the connection now; one that just did keeps it open.
-            self.remove(peer);
+            self.remove_if(peer, activity);
             sleep(CLOSE_GRACE).await;
             if activity.is_idle() {
                 return;
@@ -128,6 +157,10 @@
     fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<SocketAddr, Connection>> {
         self.connections.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
     }
+
+    fn lock_setups(&self) -> std::sync::MutexGuard<'_, HashSet<SocketAddr>> {
+        self.setups.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+    }
 }
 
 /// Accepts connections from peers indefinitely. Counts their streams in `total`.
@@ -140,7 +173,7 @@
 ) {
     loop {
         let Ok((socket, _)) = listener.accept().await else {
-            sleep(CONNECT_TIMEOUT).await;
+            sleep(ACCEPT_RETRY_DELAY).await;
             continue;
         };
         let _ = socket.set_nodelay(true);
@@ -156,8 +189,7 @@
     incoming: UnboundedSender<Incoming>,
     total: Activity,
 ) {
-    let authenticated =
-        timeout(CONNECT_TIMEOUT, authentication::accept(&mut socket, &secret)).await;
+    let authenticated = timeout(SETUP_TIMEOUT, authentication::accept(&mut socket, &secret)).await;
     if !matches!(authenticated, Ok(Ok(()))) {
         return;
     }
@@ -166,7 +198,7 @@
         .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
         .max_concurrent_streams(MAX_STREAMS_PER_CONNECTION)
         .handshake(socket);
-    let Ok(Ok(mut connection)) = timeout(CONNECT_TIMEOUT, handshake).await else { return };
+    let Ok(Ok(mut connection)) = timeout(SETUP_TIMEOUT, handshake).await else { return };
     let Some(mut pings) = connection.ping_pong() else { return };
     let activity = Activity::default();
     let accept_streams = async {
--- a/crates/peer/src/stream.rs
+++ b/crates/peer/src/stream.rs
@@ -48,7 +48,6 @@
     let Opened { response, out, open_stream: _open_stream } = match opened {
         Ok(opened) => opened,
         Err(detail) => {
-            connections.remove(peer);
             sink(Event::Failed { stream, sent: false, detail });
             return;
         }
@@ -94,7 +93,10 @@
         .uri(format!("http://{peer}/"))
         .body(())
         .map_err(|it| it.to_string())?;
-    let (response, out) = sender.send_request(request, false).map_err(|it| it.to_string())?;
+    let (response, out) = sender.send_request(request, false).map_err(|it| {
+        connections.remove(peer);
+        it.to_string()
+    })?;
     Ok(Opened { response, out, open_stream: stream })
 }
 
--- a/crates/peer/src/watch.rs
+++ b/crates/peer/src/watch.rs
@@ -49,6 +49,11 @@
         self.0.load(Ordering::Acquire)
     }
 
+    /// Whether this is the counter of the same connection.
+    pub fn is_same(&self, other: &Activity) -> bool {
+        Arc::ptr_eq(&self.0, &other.0)
+    }
+
     /// Whether no stream is open.
     pub fn is_idle(&self) -> bool {
         self.count() == 0
