Answer requests received behind a response that did not announce the close

What callers saw: a caller that had sent its next request while a stream was still running got no answer to it when the daemon stopped, though it had been received seconds before.

Cause: from 2.3 s after SIGTERM, the connection was closed after its current response, even if the head of that response, sent before SIGTERM, had not announced the close.

Now a connection without an announcement is closed when it carries no request any more; if the next request is there already, its response announces the close.

Run: serving::stopping, soak.

--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::convert::Infallible;
+use std::future::poll_fn;
 use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
@@ -198,10 +199,15 @@
     let ended = match ended {
         Some(ended) => ended,
         None => {
-            if closes_itself(&progress) {
-                Pin::new(&mut connection).graceful_shutdown();
-            }
-            (&mut connection).await
+            poll_fn(|cx| {
+                let ended = Pin::new(&mut connection).poll(cx);
+                if ended.is_pending() && is_unused(&progress) {
+                    Pin::new(&mut connection).graceful_shutdown();
+                    return Pin::new(&mut connection).poll(cx);
+                }
+                ended
+            })
+            .await
         }
     };
     progress.set_cause(cause(&ended));
@@ -224,15 +230,10 @@
     let _ = timeout_at(sent_at + LINGER_TIME, socket.discard()).await;
 }
 
-/// Whether a connection is closed when it is idle or after the current response.
-/// Otherwise, its next response closes it.
-fn closes_itself(progress: &Progress) -> bool {
-    match progress.stage() {
-        // The caller is about to send its first request.
-        Stage::Idle => progress.sent_at().is_some(),
-        Stage::Head | Stage::Body => false,
-        Stage::Running | Stage::Sending | Stage::Closing => true,
-    }
+/// Whether no request is in progress on a connection that has carried one. On a connection
+/// without one, the caller is about to send its first request, whose response closes it.
+fn is_unused(progress: &Progress) -> bool {
+    progress.stage() == Stage::Idle && progress.sent_at().is_some()
 }
 
 /// Returns the cause of the end of a connection, in case an exchange was in progress.
