Subtract only what a peer used since the start from a joining bucket

A daemon that restarted while the others were still joining, within 12 s of a restart of all, subtracted all that they had admitted since their starts. It now subtracts the part of the peer's total that falls into its own time.

--- a/crates/quota/src/workspace.rs
+++ b/crates/quota/src/workspace.rs
@@ -244,17 +244,21 @@
 
     /// Merges the first report of another daemon instance.
     fn merge_first(&mut self, report: &Report, now: Instant) {
+        let own_age = now.saturating_duration_since(self.complete_since);
         match (self.joining, report.level) {
             (Some(_), Some(level)) => {
                 self.level = level - self.admitted;
                 self.joining = None;
                 self.complete_since = now;
             }
-            (Some(joining), None) => self.level += joining.estimated - report.admitted,
-            // The level contains what earlier instances admitted, or it was refilled since.
-            (None, _) if report.age < now.saturating_duration_since(self.complete_since) => {
-                self.level -= report.admitted;
+            (Some(joining), None) => {
+                // A daemon that started earlier has used a part since this one started.
+                let part = own_age.as_secs_f64() / report.age.max(own_age).as_secs_f64();
+                let admitted = if own_age.is_zero() { 0.0 } else { report.admitted * part };
+                self.level += joining.estimated - admitted;
             }
+            // The level contains what earlier instances admitted, or it was refilled since.
+            (None, _) if report.age < own_age => self.level -= report.admitted,
             (None, _) => {}
         }
     }
