--- a/crates/store/src/position.rs
+++ b/crates/store/src/position.rs
@@ -9,7 +9,7 @@
 /// Largest version that a position can hold.
 const MAX_VERSION: u64 = (1 << VERSION_BITS) - 1;
 /// Largest era that a position can hold.
-const MAX_ERA: u64 = u64::MAX >> VERSION_BITS;
+pub const MAX_ERA: u64 = u64::MAX >> VERSION_BITS;
 
 /// Returns the position of a version within an era.
 pub fn join(era: u64, version: u64) -> u64 {
