--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -51,8 +51,7 @@
 const MAX_IDLE_WAIT: Duration = Duration::from_secs(5);
 /// Interval at which expired idle connections to endpoints are closed.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(250);
-/// How long the process waits before it exits, so that the last responses reach
-/// their callers.
+/// How long the process waits before it exits, so that the last gossip round is sent.
 const LINGER: Duration = Duration::from_millis(50);
 /// Number of events handled before timers run.
 const EVENT_BATCH: usize = 64;
