Share the loop of the lease's random tests, and name a constant plainly

The two random tests of the lease differed in the world and the number of seeds only. LAST_CALL becomes REFUSAL_LEAD.

--- a/crates/duty/tests/lease.rs
+++ b/crates/duty/tests/lease.rs
@@ -47,41 +47,15 @@
 
 #[test]
 fn one_daemon_acts_at_a_time_with_increasing_fences() {
-    let mut acted = 0;
-    for number in 1..=SEEDS {
-        arbtest(|u| {
-            let mut world = World::new();
-
-            while !u.is_empty() {
-                world.step(u)?;
-            }
+    let acted = play(World::new, SEEDS);
 
-            world.check();
-            acted += world.acted.len();
-            Ok(())
-        })
-        .seed(number << 32 | ENTROPY_BYTES);
-    }
     assert!(acted as u64 > 10 * SEEDS, "too few actions were simulated: {acted}");
 }
 
 #[test]
 fn one_daemon_acts_at_a_time_while_the_store_returns_from_copies() {
-    let mut acted = 0;
-    for number in 1..=seeds() {
-        arbtest(|u| {
-            let mut world = World::with_eras();
+    let acted = play(World::with_eras, seeds());
 
-            while !u.is_empty() {
-                world.step(u)?;
-            }
-
-            world.check();
-            acted += world.acted.len();
-            Ok(())
-        })
-        .seed(number << 32 | ENTROPY_BYTES);
-    }
     assert!(acted as u64 > 5 * seeds(), "too few actions were simulated: {acted}");
 }
 
@@ -337,6 +311,25 @@
     }
 }
 
+/// Plays a random interleaving for each seed and checks it. Returns the number of actions of
+/// lease holders.
+fn play(world: impl Fn() -> World, seeds: u64) -> usize {
+    let mut acted = 0;
+    for number in 1..=seeds {
+        arbtest(|u| {
+            let mut world = world();
+            while !u.is_empty() {
+                world.step(u)?;
+            }
+            world.check();
+            acted += world.acted.len();
+            Ok(())
+        })
+        .seed(number << 32 | ENTROPY_BYTES);
+    }
+    acted
+}
+
 /// Number of interleavings with eras; `SEEDS` sets another one.
 fn seeds() -> u64 {
     std::env::var("SEEDS").ok().and_then(|it| it.parse().ok()).unwrap_or(SEEDS)
--- a/crates/front/src/drain.rs
+++ b/crates/front/src/drain.rs
@@ -12,7 +12,7 @@
 const KILL_MARGIN: Duration = Duration::from_millis(400);
 /// How long before such an exit incomplete requests are refused, so that the response
 /// reaches their callers.
-const LAST_CALL: Duration = Duration::from_millis(500);
+const REFUSAL_LEAD: Duration = Duration::from_millis(500);
 /// How long a phase lasts at least before the next one, so that connections follow it.
 const SETTLE_TIME: Duration = Duration::from_millis(50);
 /// Time for which the end of a response may take to reach its caller.
@@ -80,12 +80,12 @@
         if elapsed >= limit {
             return Step::Exit(Cause::GraceOver);
         }
-        let is_last_call = elapsed + LAST_CALL >= limit;
-        if elapsed < BALANCER_LAG && !is_last_call {
+        let is_exit_near = elapsed + REFUSAL_LEAD >= limit;
+        if elapsed < BALANCER_LAG && !is_exit_near {
             return Step::Continue(Phase::Closing);
         }
         let has_settled = elapsed >= BALANCER_LAG + SETTLE_TIME;
-        if self.ending_since.is_none() && (is_last_call || open == 0 && has_settled) {
+        if self.ending_since.is_none() && (is_exit_near || open == 0 && has_settled) {
             self.ending_since = Some(now);
         }
         let Some(ending_since) = self.ending_since else { return Step::Continue(Phase::Closed) };
