--- a/crates/quota/src/workspace.rs
+++ b/crates/quota/src/workspace.rs
@@ -8,8 +8,9 @@
 //!
 //! Units that come free are seen by all daemons before they hear which of them took
 //! these units. So each daemon admits no more than its even share while fewer units are
-//! left than the others may have taken unheard. A daemon that has just started takes the burst for used until a peer reports
-//! what is left of it, and peers for using their even share until it hears them.
+//! left than the others may have taken unheard. A daemon that has just started takes the
+//! burst for used until a peer reports what is left of it, and peers for using their even
+//! share until it hears them.
 
 use std::collections::HashMap;
 use std::time::Duration;
