--- a/crates/front/src/broker/crashes.rs
+++ b/crates/front/src/broker/crashes.rs
@@ -14,6 +14,7 @@
 use route::config::Workspace;
 
 use super::Broker;
+use super::requests::Pending;
 use crate::metrics;
 
 /// Limit of three crashes. Two may be due to other requests.
@@ -103,12 +104,15 @@
 
     fn record_interruption(&mut self, ticket: u64, outcome: Outcome, now: Instant) {
         let Some(pending) = self.requests.get(&ticket) else { return };
-        let Some(member) = self.pool.member(&pending.endpoint) else { return };
-        let is_silent = now >= pending.sent_at + MIN_SILENCE
-            && member.responded_at.is_none_or(|it| it < pending.sent_at);
-        // An endpoint that announced its end also breaks off requests that it can't finish.
-        // A timeout or the caller also ends attempts at an endpoint that is only slow.
-        if member.leaving || (outcome != Outcome::Broken && !is_silent) {
+        if let Some(reason) = self.reason_not_to_count(pending, outcome, now) {
+            metrics::count("crash", "not_counted");
+            spdlog::info!("interruption not counted", kv: {
+                request = pending.attributes.id.as_str(),
+                after = outcome.name(),
+                endpoint = pending.endpoint.as_str(),
+                fingerprint = hex(pending.fingerprint),
+                reason = reason,
+            });
             return;
         }
         let interruption = Interruption {
@@ -127,6 +131,27 @@
         self.interruptions.push_back(interruption);
     }
 
+    /// Returns why an interrupted attempt says nothing about its request, or `None` if it
+    /// counts.
+    fn reason_not_to_count(
+        &self,
+        pending: &Pending,
+        outcome: Outcome,
+        now: Instant,
+    ) -> Option<&'static str> {
+        let Some(member) = self.pool.member(&pending.endpoint) else {
+            return Some("endpoint_gone");
+        };
+        // An endpoint that announced its end also breaks off requests that it can't finish.
+        if member.leaving {
+            return Some("endpoint_leaving");
+        }
+        // A timeout or the caller also ends attempts at an endpoint that is only slow.
+        let is_silent = now >= pending.sent_at + MIN_SILENCE
+            && member.responded_at.is_none_or(|it| it < pending.sent_at);
+        (outcome != Outcome::Broken && !is_silent).then_some("endpoint_responds")
+    }
+
     fn record(&mut self, interruption: &Interruption, evidence: Evidence, now: Instant) {
         let Interruption { fingerprint, instance, .. } = *interruption;
         if !self.suspects.record(fingerprint, instance, evidence, now) {
