Let a response without a length clear no suspected request

A request that crashes endpoints was forgotten if its endpoint's connection ended like a complete response: without a length or chunks, the end of the connection is the end of the response, and a crash looks the same. Class: evidence that the accused can remove. Such a response is still delivered, but its outcome is served_to_close, which clears nothing.

--- a/crates/explain/src/cause.rs
+++ b/crates/explain/src/cause.rs
@@ -80,7 +80,7 @@
 fn outcome(last: &Record) -> String {
     let endpoint = last.text("endpoint").filter(|it| !it.is_empty()).unwrap_or("no endpoint");
     match last.text("ended").unwrap_or_default() {
-        "served" => format!("served by {endpoint}"),
+        "served" | "served_to_close" => format!("served by {endpoint}"),
         "failed" => format!("{endpoint} processed the request and returned an error"),
         "broken" => format!(
             "the connection to {endpoint} broke after the request was sent; the request may have \
--- a/crates/front/src/broker/crashes.rs
+++ b/crates/front/src/broker/crashes.rs
@@ -83,7 +83,7 @@
         let (fingerprint, instance) = (pending.fingerprint, pending.instance);
         let id = pending.attributes.id.as_str();
         match outcome {
-            Outcome::Served | Outcome::Failed | Outcome::Declined => {
+            Outcome::Served | Outcome::ServedToClose | Outcome::Failed | Outcome::Declined => {
                 let is_cleared =
                     outcome == Outcome::Served && self.suspects.record_service(fingerprint);
                 if is_cleared {
--- a/crates/front/src/broker/requests.rs
+++ b/crates/front/src/broker/requests.rs
@@ -336,7 +336,7 @@
             self.refund(pending.workspace.as_deref(), pending.units);
         }
         let took = now.saturating_duration_since(pending.arrived_at);
-        if outcome == Outcome::Served {
+        if outcome.is_served() {
             self.durations.record(&pending.route, took);
         }
         metrics::count("over", outcome.name());
@@ -396,7 +396,7 @@
         }
         let Some(pending) = self.requests.get(&ticket) else { return };
         let health_outcome = match outcome {
-            Outcome::Served => Some(health::Outcome::Success),
+            Outcome::Served | Outcome::ServedToClose => Some(health::Outcome::Success),
             Outcome::Failed | Outcome::Broken => Some(health::Outcome::Failure),
             Outcome::Unreachable | Outcome::Misdirected => Some(health::Outcome::Unreachable),
             Outcome::Declined => Some(health::Outcome::Overloaded),
--- a/crates/relay/src/admission.rs
+++ b/crates/relay/src/admission.rs
@@ -70,6 +70,9 @@
 pub enum Outcome {
     /// The endpoint responded completely and successfully.
     Served,
+    /// Like [`Outcome::Served`], but only the end of the connection marks the end of the
+    /// response, so the endpoint may have crashed.
+    ServedToClose,
     /// The endpoint responded with an error of its own.
     Failed,
     /// The exchange broke after the request was sent; the request may have run.
@@ -87,10 +90,22 @@
 }
 
 impl Outcome {
+    /// Returns the outcome of a successful response that was received completely.
+    /// `is_framed` says whether its head tells how the body ends.
+    pub fn served(is_framed: bool) -> Outcome {
+        if is_framed { Outcome::Served } else { Outcome::ServedToClose }
+    }
+
+    /// Whether the caller got a complete and successful response.
+    pub fn is_served(self) -> bool {
+        matches!(self, Outcome::Served | Outcome::ServedToClose)
+    }
+
     /// Returns the name used in logs and metrics.
     pub fn name(self) -> &'static str {
         match self {
             Outcome::Served => "served",
+            Outcome::ServedToClose => "served_to_close",
             Outcome::Failed => "failed",
             Outcome::Broken => "broken",
             Outcome::Unreachable => "unreachable",
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -174,6 +174,7 @@
 ) -> Result<Response<Payload>, Outcome> {
     let is_success = head.status.is_success();
     let is_server_error = head.status.is_server_error();
+    let is_framed = head.attributes.is_framed;
     if is_success {
         ticket.report_started();
     }
@@ -188,7 +189,7 @@
             }
         };
     }
-    let outcome = if is_server_error { Outcome::Failed } else { Outcome::Served };
+    let outcome = if is_server_error { Outcome::Failed } else { Outcome::served(is_framed) };
     ticket.set_result(outcome, response.status().as_u16());
     Ok(response)
 }
@@ -206,15 +207,14 @@
     let retried = match attempt::send(server.pool(), call, plan, &target, ticket, None).await {
         Ok(head) if head.status.is_success() && !plan.is_stream => {
             ticket.report_started();
-            buffered::collect(server.pool(), call, &target.id, head).await
+            let is_framed = head.attributes.is_framed;
+            let collected = buffered::collect(server.pool(), call, &target.id, head).await;
+            collected.map(|it| (Outcome::served(is_framed), it))
         }
         Ok(_) => Err(Outcome::Failed),
         Err(outcome) => Err(outcome),
     };
-    let (outcome, response) = match retried {
-        Ok(response) => (Outcome::Served, response),
-        Err(outcome) => (outcome, failure),
-    };
+    let (outcome, response) = retried.unwrap_or_else(|outcome| (outcome, failure));
     ticket.set_result(outcome, response.status().as_u16());
     Ok(response)
 }
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -126,7 +126,7 @@
     fn complete(mut self, source: Source, status: u16) {
         let Source { endpoint, head, .. } = source;
         self.pool.release(&endpoint.id, head.connection, head.attributes.keep_alive);
-        self.ticket.set_result(Outcome::Served, status);
+        self.ticket.set_result(Outcome::served(head.attributes.is_framed), status);
     }
 
     async fn abort(mut self, outcome: Outcome, status: u16) {
