Know a request that crashes endpoints by its content alone

A request that crashed three endpoints was sent on after the configuration had renamed its workspace, or by callers of another workspace: the workspace's name was part of its fingerprint, so it was counted anew. Class: evidence kept under an identity that others can change. An endpoint is crashed by content, whoever sends it; content that is served under any workspace is cleared. serve's fingerprint has no caller in it. The placed line names the fingerprint.

--- a/crates/front/src/broker/crashes.rs
+++ b/crates/front/src/broker/crashes.rs
@@ -6,12 +6,10 @@
 use std::time::Instant;
 
 use balance::endpoint::Instance;
-use balance::suspects;
 use balance::suspects::CRASH_POINTS;
 use balance::suspects::Evidence;
 use balance::suspects::Limit;
 use relay::admission::Outcome;
-use route::config::Workspace;
 
 use super::Broker;
 use super::requests::Pending;
@@ -194,13 +192,6 @@
     }
 }
 
-/// Returns the fingerprint of a request's content and caller. A caller is known by its
-/// workspace, as its API key may be replaced.
-pub(super) fn fingerprint(content: u128, workspace: Option<&Workspace>) -> u128 {
-    let name = workspace.map_or("", |it| it.name.as_str());
-    suspects::fingerprint(&[&content.to_be_bytes(), name.as_bytes()])
-}
-
 /// Formats a fingerprint for logs.
 pub(super) fn hex(fingerprint: u128) -> String {
     format!("{fingerprint:032x}")
--- a/crates/front/src/broker/requests.rs
+++ b/crates/front/src/broker/requests.rs
@@ -24,7 +24,7 @@
 
 use super::Broker;
 use super::Stage;
-use super::crashes;
+use super::crashes::hex;
 use crate::drain::Remaining;
 use crate::metrics;
 
@@ -181,7 +181,6 @@
             Err(Rejection::NoRoute) => return Err(refuse(&id, Cause::NoRoute, 404, None)),
             Err(Rejection::UnknownKey) => return Err(refuse(&id, Cause::UnknownKey, 401, None)),
         };
-        let fingerprint = crashes::fingerprint(fingerprint, found.workspace);
         if self.is_suspect(&id, fingerprint, now) {
             return Err(refuse(&id, Cause::Suspect, 503, Some(SUSPECT_DELAY)));
         }
@@ -205,6 +204,7 @@
             request = id,
             route = found.route.name.as_str(),
             workspace = found.workspace.map_or("", |it| it.name.as_str()),
+            fingerprint = hex(fingerprint),
             units = units.round() as i64,
             endpoint = choice.id.as_str(),
             predicted_ms = choice.predicted.as_millis() as u64,
--- a/crates/relay/src/admission.rs
+++ b/crates/relay/src/admission.rs
@@ -19,7 +19,8 @@
     pub path: String,
     /// Attributes decoded from the request head.
     pub attributes: Attributes,
-    /// Fingerprint of path, query and body.
+    /// Fingerprint of path, query and body. The caller is no part of it, as the operators may
+    /// rename workspaces and replace keys.
     pub fingerprint: u128,
     /// Time since its head was received.
     pub waited: Duration,
