Store rejected requests again without a change

After the store had returned from a copy without stating a new era, the row of rejected requests was gone and stayed so: the lease holder compared them with what it had written, not with what the store holds. A restart of all daemons then admitted them. Class: evidence kept where others can empty it. The holder now writes the row every 2 s while there are any, and never before it has read it.

--- a/crates/front/src/broker/leader.rs
+++ b/crates/front/src/broker/leader.rs
@@ -26,6 +26,9 @@
 
 /// Maximum number of rejected requests that are stored, so that they fit in a row.
 const MAX_STORED_REJECTED: usize = 64;
+/// Interval at which they are stored again without a change. The store may have returned
+/// from a copy that lacks them, and may not say so.
+const REJECTED_REWRITE_INTERVAL: Duration = Duration::from_secs(2);
 /// Minimum remaining lease time for starting a call.
 const LEASE_MARGIN: Duration = Duration::from_millis(400);
 
@@ -181,14 +184,17 @@
         }
     }
 
-    /// Stores the requests that crash endpoints if they have changed.
+    /// Stores the requests that crash endpoints if they have changed, and periodically.
     fn store_rejected(&mut self, now: Instant) {
-        if self.leader_calls.stores_rejected || now < self.stored_rejected_at + PLAN_INTERVAL {
+        let is_busy = self.leader_calls.stores_rejected;
+        if is_busy || !self.has_read_rejected || now < self.stored_rejected_at + PLAN_INTERVAL {
             return;
         }
         let rejected = self.suspects.rejected(MAX_STORED_REJECTED, now);
         let fingerprints: BTreeSet<u128> = rejected.iter().map(|it| it.fingerprint).collect();
-        if fingerprints == self.stored_rejected {
+        let is_due =
+            !rejected.is_empty() && now >= self.stored_rejected_at + REJECTED_REWRITE_INTERVAL;
+        if fingerprints == self.stored_rejected && !is_due {
             return;
         }
         self.stored_rejected_at = now;
@@ -205,7 +211,9 @@
         self.leader_calls.stores_rejected = false;
         match result {
             Ok(_) => {
-                spdlog::info!("rejected requests stored", kv: { count = fingerprints.len() });
+                if self.stored_rejected != fingerprints {
+                    spdlog::info!("rejected requests stored", kv: { count = fingerprints.len() });
+                }
                 self.stored_rejected = fingerprints;
             }
             Err(error) => {
@@ -218,6 +226,7 @@
 
     /// Learns from a daemon that may have ended which requests crash endpoints.
     pub(super) fn handle_rejected_read(&mut self, row: &Row, now: Instant) {
+        self.has_read_rejected = true;
         let now_ms = self.clock.now_ms(clock::since_boot());
         let reports = match rejected::decode(&row.value, now_ms) {
             Ok(reports) => reports,
--- a/crates/front/src/broker/mod.rs
+++ b/crates/front/src/broker/mod.rs
@@ -129,7 +129,9 @@
     /// Attempts without a complete response, until it is known whether the endpoint
     /// crashed.
     interruptions: VecDeque<crashes::Interruption>,
-    /// Requests in the store row of rejected requests, as last read or written.
+    /// Whether the store row of rejected requests was read, so that it may be replaced.
+    has_read_rejected: bool,
+    /// Requests in that row, as last read or written.
     stored_rejected: BTreeSet<u128>,
     /// When that row was last written.
     stored_rejected_at: Instant,
@@ -199,6 +201,7 @@
             suspects: Suspects::new(crashes::LIMIT),
             spread: Spread::default(),
             interruptions: VecDeque::new(),
+            has_read_rejected: false,
             stored_rejected: BTreeSet::new(),
             stored_rejected_at: now,
             buckets: HashMap::new(),
