Count interruptions at endpoints that are gone or have restarted

An attempt that ended after its endpoint's entry had vanished counted for nothing, and one whose endpoint had restarted under its id was judged by what the later instance did: a response of it, or its leaving, excused the crash of the former. The decision is now a function of its own in balance, testable without a network. With the former rule the test fails for vanished endpoints.

--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod choose;
 pub mod endpoint;
 pub mod health;
+pub mod interruption;
 pub mod load;
 pub mod model;
 pub mod pool;
--- a/crates/front/src/broker/crashes.rs
+++ b/crates/front/src/broker/crashes.rs
@@ -6,13 +6,15 @@
 use std::time::Instant;
 
 use balance::endpoint::Instance;
+use balance::interruption;
+use balance::interruption::Attempt;
+use balance::interruption::End;
 use balance::suspects::CRASH_POINTS;
 use balance::suspects::Evidence;
 use balance::suspects::Limit;
 use relay::admission::Outcome;
 
 use super::Broker;
-use super::requests::Pending;
 use crate::metrics;
 
 /// Limit of three crashes. Two may be due to other requests.
@@ -22,9 +24,6 @@
 const CRASH_DETECTION_TIME: Duration = Duration::from_secs(10);
 /// Maximum number of interrupted attempts that wait for signs of a crash.
 const MAX_INTERRUPTIONS: usize = 4_096;
-/// Minimum time without any response from an endpoint for an attempt to count as
-/// interrupted that a timeout or the caller has ended.
-const MIN_SILENCE: Duration = Duration::from_secs(1);
 
 /// An attempt that ended without a complete response.
 #[derive(Debug)]
@@ -102,14 +101,17 @@
 
     fn record_interruption(&mut self, ticket: u64, outcome: Outcome, now: Instant) {
         let Some(pending) = self.requests.get(&ticket) else { return };
-        if let Some(reason) = self.reason_not_to_count(pending, outcome, now) {
+        let end = if outcome == Outcome::Broken { End::Broken } else { End::GivenUp };
+        let attempt = Attempt { instance: pending.instance, end, sent_at: pending.sent_at };
+        let member = self.pool.member(&pending.endpoint);
+        if let Some(reason) = interruption::reason_not_to_count(&attempt, member, now) {
             metrics::count("crash", "not_counted");
             spdlog::info!("interruption not counted", kv: {
                 request = pending.attributes.id.as_str(),
                 after = outcome.name(),
                 endpoint = pending.endpoint.as_str(),
                 fingerprint = hex(pending.fingerprint),
-                reason = reason,
+                reason = reason.name(),
             });
             return;
         }
@@ -129,27 +131,6 @@
         self.interruptions.push_back(interruption);
     }
 
-    /// Returns why an interrupted attempt says nothing about its request, or `None` if it
-    /// counts.
-    fn reason_not_to_count(
-        &self,
-        pending: &Pending,
-        outcome: Outcome,
-        now: Instant,
-    ) -> Option<&'static str> {
-        let Some(member) = self.pool.member(&pending.endpoint) else {
-            return Some("endpoint_gone");
-        };
-        // An endpoint that announced its end also breaks off requests that it can't finish.
-        if member.leaving {
-            return Some("endpoint_leaving");
-        }
-        // A timeout or the caller also ends attempts at an endpoint that is only slow.
-        let is_silent = now >= pending.sent_at + MIN_SILENCE
-            && member.responded_at.is_none_or(|it| it < pending.sent_at);
-        (outcome != Outcome::Broken && !is_silent).then_some("endpoint_responds")
-    }
-
     fn record(&mut self, interruption: &Interruption, evidence: Evidence, now: Instant) {
         let Interruption { fingerprint, instance, .. } = *interruption;
         if !self.suspects.record(fingerprint, instance, evidence, now) {
