--- a/crates/front/src/broker/requests.rs
+++ b/crates/front/src/broker/requests.rs
@@ -19,6 +19,7 @@
 use relay::admission::Target;
 use route::config::Kind;
 use route::request::Attributes;
+use route::request::Part;
 use route::table::Match;
 use route::table::Rejection;
 
@@ -35,6 +36,8 @@
 const DECLINED_DELAY: Duration = Duration::from_millis(300);
 /// Retry delay for a request that crashes endpoints.
 const SUSPECT_DELAY: Duration = Duration::from_secs(30);
+/// Maximum number of a prompt's parts in a log line.
+const MAX_LOGGED_PARTS: usize = 8;
 /// Share of an engine's step time that one output token of a request takes, with
 /// batches of sixteen.
 const STEP_SHARE: f64 = 1.0 / 16.0;
@@ -209,6 +212,7 @@
             endpoint = choice.id.as_str(),
             predicted_ms = choice.predicted.as_millis() as u64,
             unread = choice.total_prefill_tokens,
+            parts = part_ids(&attributes.parts),
             config = table.config.version,
             endpoints = self.pool.store_version,
         });
@@ -454,6 +458,13 @@
     }
 }
 
+/// Formats the ids of a prompt's first parts for logs.
+pub(super) fn part_ids(parts: &[Part]) -> String {
+    let ids: Vec<String> =
+        parts.iter().take(MAX_LOGGED_PARTS).map(|it| format!("{:x}", it.id)).collect();
+    ids.join(",")
+}
+
 /// Logs and counts a refusal.
 pub(super) fn refuse(
     id: &str,
