Deliver the events that were received before a stream broke off

Callers of a stream that broke off in an event, or was reset, could get none of the events before it: the HTTP library discards what it has not written when a body fails, and events that arrived together with the end were still unwritten. A failed body now lets it write once before the error.

--- a/crates/relay/src/body.rs
+++ b/crates/relay/src/body.rs
@@ -51,6 +51,8 @@
     receiver: Receiver<io::Result<Bytes>>,
     /// Number of bytes that wait.
     queued: Rc<Cell<u64>>,
+    /// Error that ends the body once the chunks before it are written.
+    error: Option<io::Error>,
 }
 
 /// Sends the chunks of a streamed body.
@@ -64,10 +66,32 @@
 pub fn channel(capacity: usize) -> (ChunkSender, Payload) {
     let (sender, receiver) = tokio::sync::mpsc::channel(capacity);
     let queued = Rc::<Cell<u64>>::default();
-    let chunks = Chunks { receiver, queued: queued.clone() };
+    let chunks = Chunks { receiver, queued: queued.clone(), error: None };
     (ChunkSender { sender, queued }, Payload::Streamed(chunks))
 }
 
+impl Chunks {
+    fn poll_frame(&mut self, cx: &mut Context<'_>) -> Poll<Option<io::Result<Frame<Bytes>>>> {
+        if let Some(error) = self.error.take() {
+            return Poll::Ready(Some(Err(error)));
+        }
+        match ready!(self.receiver.poll_recv(cx)) {
+            Some(Ok(bytes)) => {
+                self.queued.set(self.queued.get() - bytes.len() as u64);
+                Poll::Ready(Some(Ok(Frame::data(bytes))))
+            }
+            Some(Err(error)) => {
+                // The HTTP library discards what it has not written when a body fails. It
+                // writes when a body has nothing to add.
+                self.error = Some(error);
+                cx.waker().wake_by_ref();
+                Poll::Pending
+            }
+            None => Poll::Ready(None),
+        }
+    }
+}
+
 impl ChunkSender {
     /// Sends a chunk, or an error that aborts the connection. Fails if the body was
     /// dropped.
@@ -97,13 +121,7 @@
             Payload::Buffered(body) => Pin::new(body)
                 .poll_frame(cx)
                 .map(|it| it.map(|it| it.map_err(|never: Infallible| match never {}))),
-            Payload::Streamed(chunks) => {
-                let chunk = ready!(chunks.receiver.poll_recv(cx));
-                if let Some(Ok(bytes)) = &chunk {
-                    chunks.queued.set(chunks.queued.get() - bytes.len() as u64);
-                }
-                Poll::Ready(chunk.map(|it| it.map(Frame::data)))
-            }
+            Payload::Streamed(chunks) => chunks.poll_frame(cx),
         }
     }
 
