Hold crashes against a request although a rejected part explains them

A request that crashes endpoints could be tried again after 8 s instead of 120 s: its other parts, which no endpoint had served, were over their limit as well and explained its crashes. Only parts that were served are explained now. Found by reading; the test fails without the change. Also leaves an endpoint's health alone if nothing was sent to it because the request was rejected while a connection was opened.

--- a/crates/balance/src/suspects.rs
+++ b/crates/balance/src/suspects.rs
@@ -311,7 +311,8 @@
     fn points(&self, subject: Subject, suspect: &Suspect) -> u32 {
         let limit = self.limit(subject, suspect);
         let all = suspect.points(limit.min_interval, |_| true);
-        if all < limit.points || is_unserved_part(subject, suspect) {
+        let may_be_explained = matches!(subject, Subject::Part(_)) && suspect.was_served;
+        if all < limit.points || !may_be_explained {
             return all;
         }
         suspect.points(limit.min_interval, |it| !self.is_explained(it, &[]))
--- a/crates/balance/tests/parts/main.rs
+++ b/crates/balance/tests/parts/main.rs
@@ -159,6 +159,20 @@
     assert_eq!(rejected, [true, false]);
 }
 
+#[test]
+fn crashes_that_a_rejected_part_explains_count_against_a_request() {
+    let now = Instant::now();
+    let mut suspects = crashed(&[0, 1, 2], now);
+    let request = Subject::Request(1);
+    for second in 0..3 {
+        let at = now + Duration::from_secs(second);
+        suspects.record(request, Instance(second), Evidence::Interrupted, at);
+    }
+
+    let after = now + Duration::from_secs(60);
+    assert!(suspects.is_rejected(&[request, PART], after));
+}
+
 #[test]
 fn an_interruption_is_attributed_to_the_part_that_is_already_rejected() {
     let now = Instant::now();
--- a/crates/front/src/broker/crashes.rs
+++ b/crates/front/src/broker/crashes.rs
@@ -101,6 +101,11 @@
         Some((cause, delay.clamp(MIN_DELAY, MAX_DELAY)))
     }
 
+    /// Whether an admitted request must not be sent any more.
+    pub(super) fn is_rejected(&self, pending: &Pending, now: Instant) -> bool {
+        !pending.is_trial && self.suspects.is_rejected(&pending.subjects, now)
+    }
+
     /// Returns why a request that waits for its next attempt must not reach an endpoint.
     pub(super) fn cause_to_end(
         &self,
@@ -116,12 +121,11 @@
         if self.suspects.is_rejected(&pending.subjects, now) {
             return self.cause_to_reject(id, &pending.subjects, now);
         }
-        let is_doubtful =
-            |it: &&Subject| matches!(it, Subject::Part(_)) && self.suspects.is_doubtful(**it);
         if !may_have_crashed || has_progressed(pending, now) {
             return None;
         }
-        let doubtful = pending.subjects.iter().find(is_doubtful)?;
+        let mut parts = pending.subjects.iter().filter(|it| matches!(it, Subject::Part(_)));
+        let doubtful = parts.find(|it| self.suspects.is_doubtful(**it))?;
         spdlog::info!("prompt part may crash endpoints", kv: {
             request = id,
             subject = doubtful.to_string(),
@@ -130,8 +134,8 @@
         Some((Cause::SuspectPart, MIN_DELAY))
     }
 
-    /// Whether a request with these subjects may be sent, as far as one of them is concerned. Once a rejection has ended, one
-    /// daemon after the other may try the subject again.
+    /// Whether a request with these subjects may be sent, as far as one of them is concerned.
+    /// Once a rejection has ended, one daemon after the other may try the subject again.
     fn may_send(&self, subject: Subject, subjects: &[Subject], now: Instant) -> bool {
         match self.suspects.verdict(subject, subjects, now) {
             Verdict::Admitted => true,
--- a/crates/front/src/broker/requests.rs
+++ b/crates/front/src/broker/requests.rs
@@ -259,7 +259,7 @@
     /// Whether a request may still be sent to the endpoint to which it was assigned.
     fn confirm(&self, ticket: u64, now: Instant) -> bool {
         let Some(pending) = self.requests.get(&ticket) else { return false };
-        if !pending.is_trial && self.suspects.is_rejected(&pending.subjects, now) {
+        if self.is_rejected(pending, now) {
             metrics::count("crash", "rejected_before_send");
             spdlog::info!("request rejected before it was sent",
                 kv: { request = pending.attributes.id.as_str() });
@@ -391,6 +391,8 @@
         let health_outcome = match outcome {
             Outcome::Served | Outcome::ServedToClose => Some(health::Outcome::Success),
             Outcome::Failed | Outcome::Broken => Some(health::Outcome::Failure),
+            // Nothing was sent, since the request was rejected meanwhile.
+            Outcome::Unreachable if self.is_rejected(pending, now) => None,
             Outcome::Unreachable | Outcome::Misdirected => Some(health::Outcome::Unreachable),
             Outcome::Declined => Some(health::Outcome::Overloaded),
             Outcome::TimedOut => (!pending.has_started).then_some(health::Outcome::Failure),
--- a/crates/lentilhook/src/daemon/dispatch/fingerprints.rs
+++ b/crates/lentilhook/src/daemon/dispatch/fingerprints.rs
@@ -175,8 +175,8 @@
         }
     }
 
-    /// Whether a job with these subjects may be sent, as far as one of them is concerned. Once a rejection has ended, one daemon
-    /// after the other may try the subject again.
+    /// Whether a job with these subjects may be sent, as far as one of them is concerned. Once
+    /// a rejection has ended, one daemon after the other may try the subject again.
     fn may_send(&self, subject: Subject, subjects: &[Subject], now: Instant) -> bool {
         match self.suspects.verdict(subject, subjects, now) {
             Verdict::Admitted => true,
