--- a/crates/balance/src/suspects.rs
+++ b/crates/balance/src/suspects.rs
@@ -22,6 +22,7 @@
 use crate::endpoint::Instance;
 use crate::services::Recent;
 use crate::subject::Subject;
+use crate::suspect::CRASH_POINTS;
 use crate::suspect::Evidence;
 use crate::suspect::Limit;
 use crate::suspect::Suspect;
@@ -29,6 +30,18 @@
 
 /// Number of crashed instances from which on all daemons are told of a subject.
 const REPEATED: usize = 2;
+/// Limit of parts to which no endpoint is known to have responded.
+const PART_LIMIT: Limit = Limit {
+    points: 3 * CRASH_POINTS,
+    rejection_time: Duration::from_secs(8),
+    growth: 3,
+    min_interval: EVENT_TIME,
+};
+/// Limit of parts to which an endpoint has responded at some time. It is higher, since every
+/// sound part of a crashing request is interrupted as often as the part that crashes.
+const SERVED_PART_LIMIT: Limit = Limit { points: 5 * CRASH_POINTS, ..PART_LIMIT };
+/// Time within which the ends of many endpoints may be a single event.
+const EVENT_TIME: Duration = Duration::from_millis(400);
 /// How long a subject is remembered after its last interruption.
 const RETENTION: Duration = Duration::from_secs(1_800);
 /// Like [`RETENTION`], for a subject with a single interruption while memory is short.
@@ -65,21 +78,10 @@
     pub tried_age_ms: Option<u64>,
 }
 
-/// Limits by kind of subject.
-#[derive(Clone, Copy, Debug)]
-pub struct Limits {
-    /// Limit of requests.
-    pub request: Limit,
-    /// Limit of parts to which no endpoint is known to have responded.
-    pub part: Limit,
-    /// Limit of parts to which an endpoint has responded at some time.
-    pub served_part: Limit,
-}
-
 /// Interrupted requests and parts.
 #[derive(Clone, Debug)]
 pub struct Suspects {
-    limits: Limits,
+    request_limit: Limit,
     by_subject: HashMap<Subject, Suspect>,
     /// Subjects that were interrupted at an instance from which nothing has been heard
     /// since.
@@ -88,10 +90,10 @@
 }
 
 impl Suspects {
-    /// Creates an empty set.
-    pub fn new(limits: Limits) -> Suspects {
+    /// Creates an empty set with the limit of requests.
+    pub fn new(request_limit: Limit) -> Suspects {
         Suspects {
-            limits,
+            request_limit,
             by_subject: HashMap::new(),
             by_instance: HashMap::new(),
             served_parts: Recent::default(),
@@ -288,9 +290,9 @@
 
     fn limit(&self, subject: Subject, suspect: &Suspect) -> &Limit {
         match subject {
-            Subject::Request(_) => &self.limits.request,
-            Subject::Part(_) if suspect.was_served => &self.limits.served_part,
-            Subject::Part(_) => &self.limits.part,
+            Subject::Request(_) => &self.request_limit,
+            Subject::Part(_) if suspect.was_served => &SERVED_PART_LIMIT,
+            Subject::Part(_) => &PART_LIMIT,
         }
     }
 
--- a/crates/balance/tests/parts/main.rs
+++ b/crates/balance/tests/parts/main.rs
@@ -11,7 +11,6 @@
 use balance::suspect::Evidence;
 use balance::suspect::Limit;
 use balance::suspect::Verdict;
-use balance::suspects::Limits;
 use balance::suspects::Suspects;
 use rand::RngExt;
 use rand::SeedableRng;
@@ -39,25 +38,12 @@
 /// Another part.
 const OTHER: Subject = Subject::Part(8);
 
-const LIMITS: Limits = Limits {
-    request: Limit {
-        points: 3 * CRASH_POINTS,
-        rejection_time: Duration::from_secs(120),
-        growth: 2,
-        min_interval: Duration::ZERO,
-    },
-    part: Limit {
-        points: 3 * CRASH_POINTS,
-        rejection_time: Duration::from_secs(8),
-        growth: 3,
-        min_interval: Duration::from_millis(400),
-    },
-    served_part: Limit {
-        points: 5 * CRASH_POINTS,
-        rejection_time: Duration::from_secs(8),
-        growth: 3,
-        min_interval: Duration::from_millis(400),
-    },
+/// Limit of requests, as that of forwarding daemons.
+const REQUEST_LIMIT: Limit = Limit {
+    points: 3 * CRASH_POINTS,
+    rejection_time: Duration::from_secs(120),
+    growth: 2,
+    min_interval: Duration::ZERO,
 };
 
 #[test]
@@ -92,7 +78,7 @@
 fn a_part_is_rejected_after_crashes_at_different_moments() {
     let check = |crashes_ms: &[u64], expected: bool| {
         let now = Instant::now();
-        let mut suspects = Suspects::new(LIMITS);
+        let mut suspects = Suspects::new(REQUEST_LIMIT);
 
         for (instance, ms) in crashes_ms.iter().enumerate() {
             let at = now + Duration::from_millis(*ms);
@@ -132,7 +118,7 @@
 fn a_response_that_this_daemon_completed_clears_crashes_that_it_hears_of_later() {
     let now = Instant::now();
     let later = now + Duration::from_secs(4);
-    let mut suspects = Suspects::new(LIMITS);
+    let mut suspects = Suspects::new(REQUEST_LIMIT);
     suspects.record_service(PART, now + Duration::from_secs(3));
     let report = crashed(&[0, 1, 2], now).report(PART, later).unwrap();
 
@@ -246,7 +232,7 @@
 
 /// Returns suspects with crashes of a part at these seconds, each of another instance.
 fn crashed(seconds: &[u64], now: Instant) -> Suspects {
-    let mut suspects = Suspects::new(LIMITS);
+    let mut suspects = Suspects::new(REQUEST_LIMIT);
     for second in seconds {
         let at = now + Duration::from_secs(*second);
         suspects.record(PART, Instance(*second), Evidence::Interrupted, at);
--- a/crates/balance/tests/parts/world.rs
+++ b/crates/balance/tests/parts/world.rs
@@ -16,7 +16,7 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
-use crate::LIMITS;
+use crate::REQUEST_LIMIT;
 
 /// Part of requests that crash endpoints.
 pub const DEADLY: u64 = 1;
@@ -139,7 +139,7 @@
 
 impl Daemon {
     fn new() -> Daemon {
-        Daemon { suspects: Suspects::new(LIMITS), spread: Spread::default() }
+        Daemon { suspects: Suspects::new(REQUEST_LIMIT), spread: Spread::default() }
     }
 }
 
--- a/crates/balance/tests/suspects.rs
+++ b/crates/balance/tests/suspects.rs
@@ -12,7 +12,6 @@
 use balance::suspect::CRASH_POINTS;
 use balance::suspect::Evidence;
 use balance::suspect::Limit;
-use balance::suspects::Limits;
 use balance::suspects::Report;
 use balance::suspects::Suspects;
 
@@ -275,13 +274,12 @@
 }
 
 fn new_suspects() -> Suspects {
-    let limit = Limit {
+    Suspects::new(Limit {
         points: CRASH_LIMIT as u32 * CRASH_POINTS,
         rejection_time: Duration::from_secs(120),
         growth: 2,
         min_interval: Duration::ZERO,
-    };
-    Suspects::new(Limits { request: limit, part: limit, served_part: limit })
+    })
 }
 
 /// Returns suspects with a request interrupted at this number of instances.
--- a/crates/front/src/broker/crashes.rs
+++ b/crates/front/src/broker/crashes.rs
@@ -16,7 +16,6 @@
 use balance::suspect::Evidence;
 use balance::suspect::Limit;
 use balance::suspect::Verdict;
-use balance::suspects::Limits;
 use relay::admission::Outcome;
 
 use super::Broker;
@@ -24,31 +23,13 @@
 use super::requests::Pending;
 use crate::metrics;
 
-/// Limits of crashes, of which some may be due to other requests. Every sound part that a
-/// crashing request contains is interrupted as often as the part that crashes, so parts that
-/// were served before have a higher limit, and a rejected part is tried again soon at first.
-pub(super) const LIMITS: Limits = Limits {
-    request: Limit {
-        points: 3 * CRASH_POINTS,
-        rejection_time: Duration::from_secs(120),
-        growth: 2,
-        min_interval: Duration::ZERO,
-    },
-    part: Limit {
-        points: 3 * CRASH_POINTS,
-        rejection_time: Duration::from_secs(8),
-        growth: 3,
-        min_interval: EVENT_TIME,
-    },
-    served_part: Limit {
-        points: 5 * CRASH_POINTS,
-        rejection_time: Duration::from_secs(8),
-        growth: 3,
-        min_interval: EVENT_TIME,
-    },
+/// Limit of crashes of a request, of which two may be due to other requests.
+pub(super) const REQUEST_LIMIT: Limit = Limit {
+    points: 3 * CRASH_POINTS,
+    rejection_time: Duration::from_secs(120),
+    growth: 2,
+    min_interval: Duration::ZERO,
 };
-/// Time within which the ends of many endpoints may be a single event.
-const EVENT_TIME: Duration = Duration::from_millis(400);
 /// Time from the first byte of a response from which on its request is less likely the cause
 /// of a crash.
 const MIN_PROGRESS: Duration = Duration::from_millis(250);
--- a/crates/front/src/broker/mod.rs
+++ b/crates/front/src/broker/mod.rs
@@ -203,7 +203,7 @@
             has_read_daemons: false,
             table: Rc::default(),
             pool: Pool::default(),
-            suspects: Suspects::new(crashes::LIMITS),
+            suspects: Suspects::new(crashes::REQUEST_LIMIT),
             unconfirmed: Unconfirmed::default(),
             spread: Spread::default(),
             interruptions: VecDeque::new(),
--- a/crates/front/src/broker/requests.rs
+++ b/crates/front/src/broker/requests.rs
@@ -450,7 +450,7 @@
 }
 
 /// Formats the ids of a prompt's first parts for logs.
-pub(super) fn part_ids(parts: &[Part]) -> String {
+fn part_ids(parts: &[Part]) -> String {
     let ids: Vec<String> =
         parts.iter().take(MAX_LOGGED_PARTS).map(|it| format!("{:x}", it.id)).collect();
     ids.join(",")
--- a/crates/lentilhook/src/daemon/dispatch/fingerprints.rs
+++ b/crates/lentilhook/src/daemon/dispatch/fingerprints.rs
@@ -16,7 +16,6 @@
 use balance::suspect::Evidence;
 use balance::suspect::Limit;
 use balance::suspect::Verdict;
-use balance::suspects::Limits;
 use balance::suspects::Report;
 use ledger::record::Step;
 use membership::update::State;
@@ -33,30 +32,14 @@
 use crate::daemon::dispatch::job::Stage;
 use crate::daemon::dispatch::problems;
 
-/// Limits of crashes. An endpoint is known to have crashed when it no longer listens, so two
-/// are enough for a request. Sound messages are interrupted as often as the one that crashes.
-pub(super) const LIMITS: Limits = Limits {
-    request: Limit {
-        points: 2 * CRASH_POINTS,
-        rejection_time: Duration::from_secs(900),
-        growth: 2,
-        min_interval: Duration::ZERO,
-    },
-    part: Limit {
-        points: 3 * CRASH_POINTS,
-        rejection_time: Duration::from_secs(8),
-        growth: 3,
-        min_interval: EVENT_TIME,
-    },
-    served_part: Limit {
-        points: 5 * CRASH_POINTS,
-        rejection_time: Duration::from_secs(8),
-        growth: 3,
-        min_interval: EVENT_TIME,
-    },
+/// Limit of crashes of a request: an endpoint is known to have crashed when it no longer
+/// listens.
+pub(super) const REQUEST_LIMIT: Limit = Limit {
+    points: 2 * CRASH_POINTS,
+    rejection_time: Duration::from_secs(900),
+    growth: 2,
+    min_interval: Duration::ZERO,
 };
-/// Time within which the ends of many endpoints may be a single event.
-const EVENT_TIME: Duration = Duration::from_millis(400);
 /// Maximum number of subjects sent to a daemon that has joined.
 const MAX_REPORTS: usize = 64;
 
--- a/crates/lentilhook/src/daemon/dispatch/mod.rs
+++ b/crates/lentilhook/src/daemon/dispatch/mod.rs
@@ -162,7 +162,7 @@
             by_attempt: HashMap::new(),
             relays: HashMap::new(),
             recovery: Recovery::new(cx),
-            suspects: Suspects::new(fingerprints::LIMITS),
+            suspects: Suspects::new(fingerprints::REQUEST_LIMIT),
             crashes: BTreeMap::new(),
             is_round_scheduled: false,
             lookups: HashMap::new(),
