List that many crashes within a second readmit a prompt part

A failing test without a network shows a cause: only the 16 latest crashes of a part are kept, whatever their moments.

--- a/crates/balance/tests/parts/main.rs
+++ b/crates/balance/tests/parts/main.rs
@@ -95,6 +95,20 @@
     check(&[0, 1_000, 2_000], true);
 }
 
+/// Guards against dropping the moments that brought a part over its limit.
+#[test]
+fn many_crashes_in_a_short_time_do_not_readmit_a_part() {
+    let now = Instant::now();
+    let mut suspects = Suspects::new(REQUEST_LIMIT);
+
+    for instance in 0..60 {
+        let at = now + Duration::from_millis(25) * instance;
+        suspects.record(PART, Instance(instance.into()), Evidence::Interrupted, at);
+    }
+
+    assert!(suspects.is_rejected(&[PART], now + Duration::from_secs(2)));
+}
+
 #[test]
 fn a_response_clears_the_crashes_before_it_and_raises_the_limit() {
     let now = Instant::now();
