--- a/crates/balance/src/endpoint.rs
+++ b/crates/balance/src/endpoint.rs
@@ -17,6 +17,8 @@
     pub address: SocketAddr,
     /// Availability zone.
     pub zone: String,
+    /// Version of its software. Streams of two versions don't fit together.
+    pub software: String,
     /// Maximum number of requests that run concurrently.
     pub slots: u32,
     /// Whether the endpoint is shutting down and takes no new requests.
--- a/crates/balance/tests/choose.rs
+++ b/crates/balance/tests/choose.rs
@@ -139,6 +139,7 @@
         service: "pool".to_owned(),
         address: "127.0.0.1:80".parse().unwrap(),
         zone: "a".to_owned(),
+        software: "v1".to_owned(),
         slots: 64,
         leaving: false,
         reclaimable: false,
--- a/crates/balance/tests/interruption.rs
+++ b/crates/balance/tests/interruption.rs
@@ -67,6 +67,7 @@
         service: "pool".into(),
         address: ([127, 0, 0, 1], 80).into(),
         zone: "z".into(),
+        software: "v1".into(),
         slots: 1,
         leaving: false,
         reclaimable: false,
--- a/crates/balance/tests/pool.rs
+++ b/crates/balance/tests/pool.rs
@@ -352,6 +352,7 @@
         service: "pool".to_owned(),
         address: "127.0.0.1:80".parse().unwrap(),
         zone: "a".to_owned(),
+        software: "v1".to_owned(),
         slots: 4,
         leaving: false,
         reclaimable: false,
--- a/crates/front/src/broker/mod.rs
+++ b/crates/front/src/broker/mod.rs
@@ -459,6 +459,7 @@
                 effect:? = effect,
                 source = source,
                 version = self.pool.store_version,
+                software = member.map_or("", |it| &it.endpoint.software),
                 entry = member.map_or(0, |it| it.endpoint.version),
                 grace_ms = grace.as_millis() as u64,
             });
--- a/crates/front/src/broker/requests.rs
+++ b/crates/front/src/broker/requests.rs
@@ -63,6 +63,8 @@
     pub(super) endpoint: String,
     pub(super) address: SocketAddr,
     pub(super) instance: Instance,
+    /// Software version of the current endpoint.
+    software: String,
     load: Load,
     /// Prompt tokens that the endpoint computes before the request's first token: those
     /// already queued and those of this request.
@@ -105,6 +107,7 @@
             endpoint: String::new(),
             address: SocketAddr::from(([0, 0, 0, 0], 0)),
             instance: Instance(0),
+            software: String::new(),
             load: Load::default(),
             prefill_tokens: 0,
             predicted: Duration::ZERO,
@@ -189,6 +192,9 @@
             fingerprint = Subject::Request(fingerprint).to_string(),
             units = units.round() as i64,
             endpoint = choice.id.as_str(),
+            software = self.software(&choice.id),
+            resumes = attributes.resumes.as_deref().unwrap_or(""),
+            last_event = attributes.last_event.as_deref().unwrap_or(""),
             predicted_ms = choice.predicted.as_millis() as u64,
             unread = choice.total_prefill_tokens,
             parts = part_ids(&attributes.parts),
@@ -250,6 +256,7 @@
             request = id,
             after = outcome.name(),
             endpoint = choice.id.as_str(),
+            software = self.software(&choice.id),
             predicted_ms = choice.predicted.as_millis() as u64,
         });
         self.place(ticket, choice, now);
@@ -308,6 +315,7 @@
         spdlog::info!("began", kv: {
             request = pending.attributes.id.as_str(),
             endpoint = pending.endpoint.as_str(),
+            software = pending.software.as_str(),
             waited_ms = waited.as_millis() as u64,
             predicted_ms = pending.predicted.as_millis() as u64,
         });
@@ -361,6 +369,7 @@
         pending.endpoint = choice.id;
         pending.address = member.endpoint.address;
         pending.instance = member.instance;
+        pending.software.clone_from(&member.endpoint.software);
         pending.load = choice.load;
         pending.prefill_tokens = choice.total_prefill_tokens;
         pending.predicted = choice.predicted;
@@ -424,6 +433,11 @@
         choose::choose(&self.pool, &query, now, &mut self.rng)
     }
 
+    /// Returns the software version of an endpoint for logs.
+    fn software(&self, id: &str) -> &str {
+        self.pool.member(id).map_or("", |it| &it.endpoint.software)
+    }
+
     fn target(&self, id: &str) -> Option<Target> {
         let member = self.pool.member(id)?;
         let is_limited = self.endpoint_limits.rate(id).is_some();
--- a/crates/route/src/request.rs
+++ b/crates/route/src/request.rs
@@ -17,6 +17,8 @@
     pub parts: Vec<Part>,
     /// Number of the last event received by a caller that resumes a stream.
     pub last_event: Option<String>,
+    /// Identity of the attempt that brought the first event of a resumed stream.
+    pub resumes: Option<String>,
 }
 
 impl Attributes {
