Let streams go on only at the software version that began them

Callers saw streams with events of two software versions of a service.

Cause: nothing in a daemon knew software versions. The retry of a broken stream asked for any endpoint of the service, and a daemon at which a caller takes a stream up knew nothing of the stream. The class is an answer put together from sources that don't fit, because the identity of the source (service) was wider than what the parts of the answer depend on.

- The version is that of the endpoint's entry when the request was placed, and is fixed with the first event.
From then on only that version will do (balance::software::Requirement).
If it doesn't serve, the response ends at once, before the retry budget is charged.
- Over tries (balance::origin): each daemon tells those that remember a stream, all of a fleet of up to eight and three by rendezvous hash of a larger one, with the next round of gossip.
A daemon that doesn't know a stream asks up to seven or five of them, for at most 300 ms.
The key holds workspace, route and id.
Daemons that start are told by two others.
- As long as one version alone has served for longer than a stream can be taken up (balance::software::History), nothing has to be known.
The lease holder keeps that history in a row, for a kill of all daemons.
- What is not known is rejected: 503, not run, with a retry delay.
So are resumptions that name no attempt while several versions serve.
- An endpoint that restarts under its id with another version casts doubt on the streams that began there since.

--- a/crates/balance/src/choose.rs
+++ b/crates/balance/src/choose.rs
@@ -18,6 +18,7 @@
 use crate::load::Load;
 use crate::pool::Member;
 use crate::pool::Pool;
+use crate::software::Requirement;
 
 /// Cost factor added at a failure rate of 1.
 const FAILURE_WEIGHT: f64 = 30.0;
@@ -39,6 +40,8 @@
     pub engine: Option<&'a Engine>,
     /// Attributes of the request.
     pub attributes: &'a Attributes,
+    /// Software version that it needs.
+    pub requirement: &'a Requirement,
     /// Endpoints that were already tried and are skipped.
     pub tried: &'a [String],
     /// Endpoints that take no further request of this daemon now.
@@ -66,6 +69,7 @@
     let is_candidate = |it: &&Member| {
         it.endpoint.service == query.service
             && it.is_usable(now)
+            && query.requirement.admits(&it.endpoint.software)
             && !query.tried.contains(&it.endpoint.id)
             && !query.exhausted.contains(&it.endpoint.id.as_str())
     };
--- /dev/null
+++ b/crates/balance/src/origin.rs
@@ -0,0 +1,195 @@
+//! At which software version streams began, for callers that take them up again.
+
+use std::collections::HashMap;
+use std::collections::VecDeque;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use bincode::Decode;
+use bincode::Encode;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::endpoint::Instance;
+use crate::subject::fingerprint;
+
+/// Maximum number of streams that are remembered.
+const MAX_STREAMS: usize = 16_384;
+/// Maximum difference between the clocks of an endpoint and a daemon.
+pub const MAX_CLOCK_SKEW: Duration = Duration::from_secs(1);
+
+/// Identifies a stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Encode, Decode)]
+pub struct Key(pub u128);
+
+impl Key {
+    /// Returns the key of the stream whose first event was brought by the request with this
+    /// id. It contains the workspace, so that callers can't refer to streams of others.
+    pub fn of(workspace: Option<&str>, route: &str, request: &str) -> Key {
+        let workspace = workspace.map_or(Vec::new(), |it| format!("={it}").into_bytes());
+        Key(fingerprint(&[&workspace, route.as_bytes(), request.as_bytes()]))
+    }
+
+    /// Returns the rank of a daemon among those that remember the stream.
+    pub fn rank(self, daemon: &str) -> u64 {
+        xxh3_64(format!("{:032x} {daemon}", self.0).as_bytes())
+    }
+}
+
+/// Where a stream began.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct Origin {
+    /// Service name.
+    pub service: String,
+    /// Software version; `None` if it is in doubt.
+    pub software: Option<String>,
+    /// Instance of the endpoint, as known when the stream began.
+    pub instance: Instance,
+}
+
+/// What daemons tell each other of a stream.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub struct Notice {
+    /// The stream.
+    pub key: Key,
+    /// Where it began.
+    pub origin: Origin,
+    /// Time since then, in milliseconds.
+    pub age_ms: u64,
+    /// Time for which it has to be remembered from now on, in milliseconds.
+    pub lifetime_ms: u64,
+}
+
+/// How a daemon knows of a stream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Source {
+    /// It began there.
+    Own,
+    /// From the daemon with this instance id.
+    Peer(Rc<str>),
+}
+
+/// A stream that is remembered.
+#[derive(Clone, Debug)]
+pub struct Entry {
+    /// Where it began.
+    pub origin: Origin,
+    /// From whom that is known.
+    pub source: Source,
+    began_at: Instant,
+    expires_at: Instant,
+}
+
+/// Streams that began recently, here or at other daemons.
+#[derive(Clone, Debug, Default)]
+pub struct Origins {
+    by_key: HashMap<Key, Entry>,
+    /// Streams in the order in which they became known.
+    order: VecDeque<Key>,
+    /// Streams that other daemons have to be told of.
+    untold: Vec<Key>,
+}
+
+impl Origins {
+    /// Records that a stream began, or went on after its caller took it up, at an endpoint.
+    pub fn record(&mut self, key: Key, origin: Origin, lifetime: Duration, now: Instant) {
+        let entry =
+            Entry { origin, source: Source::Own, began_at: now, expires_at: now + lifetime };
+        if self.insert(key, entry) && self.untold.len() < MAX_STREAMS {
+            self.untold.push(key);
+        }
+    }
+
+    /// Merges what another daemon knows of a stream.
+    pub fn merge_remote(&mut self, notice: &Notice, daemon: &Rc<str>, now: Instant) {
+        let age = Duration::from_millis(notice.age_ms);
+        let entry = Entry {
+            origin: notice.origin.clone(),
+            source: Source::Peer(Rc::clone(daemon)),
+            began_at: now.checked_sub(age).unwrap_or(now),
+            expires_at: now + Duration::from_millis(notice.lifetime_ms),
+        };
+        self.insert(notice.key, entry);
+    }
+
+    /// Returns what is known of a stream.
+    pub fn get(&self, key: Key, now: Instant) -> Option<&Entry> {
+        self.by_key.get(&key).filter(|it| now < it.expires_at)
+    }
+
+    /// Casts doubt on the version of streams at an instance of an endpoint that has turned
+    /// out to have been replaced at `replaced_at` or somewhat earlier, by another version.
+    /// Returns their number.
+    pub fn doubt(&mut self, instance: Instance, replaced_at: Instant) -> usize {
+        let mut count = 0;
+        for (key, entry) in &mut self.by_key {
+            let is_affected = entry.began_at + MAX_CLOCK_SKEW >= replaced_at;
+            if entry.origin.instance == instance && is_affected {
+                entry.origin.software = None;
+                self.untold.push(*key);
+                count += 1;
+            }
+        }
+        count
+    }
+
+    /// Returns up to `limit` streams that other daemons have to be told of.
+    pub fn take_untold(&mut self, limit: usize, now: Instant) -> Vec<Notice> {
+        let keys: Vec<Key> = self.untold.drain(..self.untold.len().min(limit)).collect();
+        keys.into_iter().filter_map(|it| self.notice(it, now)).collect()
+    }
+
+    /// Returns up to `limit` streams, those that became known last, for a daemon that knows
+    /// none.
+    pub fn latest(&self, limit: usize, now: Instant) -> Vec<Notice> {
+        let keys = self.order.iter().rev().take(limit);
+        keys.filter_map(|it| self.notice(*it, now)).collect()
+    }
+
+    /// Returns what other daemons have to know of a stream.
+    pub fn notice(&self, key: Key, now: Instant) -> Option<Notice> {
+        let entry = self.get(key, now)?;
+        let millis = |it: Duration| it.as_millis() as u64;
+        Some(Notice {
+            key,
+            origin: entry.origin.clone(),
+            age_ms: millis(now.saturating_duration_since(entry.began_at)),
+            lifetime_ms: millis(entry.expires_at.saturating_duration_since(now)),
+        })
+    }
+
+    /// Forgets streams that can't be taken up any more.
+    pub fn remove_expired(&mut self, now: Instant) {
+        let by_key = &mut self.by_key;
+        by_key.retain(|_, it| now < it.expires_at);
+        self.order.retain(|it| by_key.contains_key(it));
+    }
+
+    /// Returns the number of streams.
+    pub fn count(&self) -> usize {
+        self.by_key.len()
+    }
+
+    /// Adds an entry or merges it with what is known. Returns whether it is new.
+    fn insert(&mut self, key: Key, entry: Entry) -> bool {
+        if let Some(known) = self.by_key.get_mut(&key) {
+            // Two versions under one id, for example if a caller has used the id twice.
+            if known.origin.service != entry.origin.service
+                || known.origin.software != entry.origin.software
+            {
+                known.origin.software = None;
+            }
+            let is_later = entry.expires_at > known.expires_at;
+            known.expires_at = known.expires_at.max(entry.expires_at);
+            return is_later;
+        }
+        if self.by_key.len() >= MAX_STREAMS
+            && let Some(oldest) = self.order.pop_front()
+        {
+            self.by_key.remove(&oldest);
+        }
+        self.order.push_back(key);
+        self.by_key.insert(key, entry);
+        true
+    }
+}
--- a/crates/balance/src/pool.rs
+++ b/crates/balance/src/pool.rs
@@ -32,6 +32,8 @@
     pub endpoint: Endpoint,
     /// The instance that it describes.
     pub instance: Instance,
+    /// The instance whose description this one has replaced, and its software version.
+    pub replaced: Option<(Instance, String)>,
     /// Whether the list contains its entry.
     pub listed: bool,
     /// Whether the endpoint is known to be leaving, from its description or from
@@ -56,6 +58,7 @@
         let leaving = endpoint.leaving;
         Member {
             instance: endpoint.instance(),
+            replaced: None,
             endpoint,
             listed: true,
             leaving,
@@ -350,11 +353,12 @@
         }
         let is_new_instance = endpoint.started_at_ms > member.endpoint.started_at_ms
             || endpoint.address != member.endpoint.address
-            || endpoint.service != member.endpoint.service;
+            || endpoint.service != member.endpoint.service
+            || endpoint.software != member.endpoint.software;
         if is_new_instance {
             let own_load = member.own_load;
-            *member = Member::new(endpoint);
-            member.own_load = own_load;
+            let replaced = Some((member.instance, member.endpoint.software.clone()));
+            *member = Member { own_load, replaced, ..Member::new(endpoint) };
             return if member.leaving { Effect::Left } else { Effect::Joined };
         }
         let was_usable = !member.leaving && member.listed;
--- a/crates/balance/tests/choose.rs
+++ b/crates/balance/tests/choose.rs
@@ -11,6 +11,7 @@
 use balance::endpoint::Endpoint;
 use balance::health::Outcome;
 use balance::pool::Pool;
+use balance::software::Requirement;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use route::config::Engine;
@@ -89,6 +90,7 @@
         service: "pool",
         engine: None,
         attributes: &attributes,
+        requirement: &Requirement::Any,
         tried: &[],
         exhausted: &[],
     };
@@ -119,7 +121,14 @@
 }
 
 fn query<'a>(attributes: &'a Attributes, tried: &'a [String]) -> Query<'a> {
-    Query { service: "pool", engine: Some(&ENGINE), attributes, tried, exhausted: &[] }
+    Query {
+        service: "pool",
+        engine: Some(&ENGINE),
+        attributes,
+        tried,
+        requirement: &Requirement::Any,
+        exhausted: &[],
+    }
 }
 
 fn prompt(part: u64, session: u64) -> Attributes {
--- a/crates/explain/src/cause.rs
+++ b/crates/explain/src/cause.rs
@@ -46,6 +46,14 @@
             "the usable endpoints had named request limits, and this daemon could not send to any \
              of them then; check the `endpoint limit` lines for rates and senders"
         }
+        "no_software" => {
+            "no usable endpoint had the software version that began the stream; the `requires` \
+             of the lines before names it, and the `endpoint` lines show which versions served"
+        }
+        "unknown_origin" => {
+            "the caller took up a stream whose software version neither this daemon nor those \
+             that it asked knew, while several versions had served; see the line before"
+        }
         "no_configuration" => "the daemon had no active configuration yet",
         "no_route" => "no route matched the host and path in the active configuration",
         "unknown_key" => "no workspace has the caller's key in the active configuration",
--- a/crates/front/src/broker/endpoint_limits.rs
+++ b/crates/front/src/broker/endpoint_limits.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use balance::software::Requirement;
 use membership::digest::Peer;
 use quota::endpoint::Notice;
 use quota::endpoint::Statement;
@@ -10,6 +11,7 @@
 
 use super::Broker;
 use super::Stage;
+use super::origins::NO_SOFTWARE_DELAY;
 use super::refusal::Cause;
 use super::requests::NO_ENDPOINT_DELAY;
 use crate::metrics;
@@ -71,16 +73,21 @@
     pub(super) fn explain_no_endpoint(
         &self,
         service: &str,
+        requirement: &Requirement,
         tried: &[String],
         now: Instant,
     ) -> (Cause, Duration) {
-        let usable = self.pool.members().filter(|it| {
+        let of_service = self.pool.members().filter(|it| {
             it.endpoint.service == service && it.is_usable(now) && !tried.contains(&it.endpoint.id)
         });
+        let usable = of_service.filter(|it| requirement.admits(&it.endpoint.software));
         let limited: Vec<&str> = usable
             .map(|it| it.endpoint.id.as_str())
             .filter(|it| self.endpoint_limits.rate(it).is_some())
             .collect();
+        if limited.is_empty() && *requirement != Requirement::Any {
+            return (Cause::NoSoftware, NO_SOFTWARE_DELAY);
+        }
         if limited.is_empty() {
             return (Cause::NoEndpoint, NO_ENDPOINT_DELAY);
         }
--- a/crates/front/src/broker/era.rs
+++ b/crates/front/src/broker/era.rs
@@ -28,8 +28,9 @@
         self.lease.observe_era(era, clock::since_boot());
         if before.is_some() {
             metrics::count("store_era", "began");
-            // The copy may lack the row.
+            // The copy may lack the rows.
             self.stored_rejected.clear();
+            self.stored_history.outdate();
         }
     }
 
--- a/crates/front/src/broker/gossip.rs
+++ b/crates/front/src/broker/gossip.rs
@@ -81,11 +81,13 @@
         addresses.truncate(FANOUT);
         peers.shuffle(&mut self.rng);
         peers.truncate(FANOUT);
+        let mut streams = self.untold_streams(now);
         let mut digest = self.digest(now);
         let usage_report = self.usage_report();
         if let Some(holder) = holder.filter(|it| *it != own_address) {
             let full = Digest { usage_report: Some(usage_report.clone()), ..digest.clone() };
-            let message = Message::Digest { digest: Box::new(full), peers: peers.clone() };
+            let origins = streams.remove(&holder).unwrap_or_default();
+            let message = Message::Digest { digest: Box::new(full), peers: peers.clone(), origins };
             self.context.streams.send(holder, &message);
         }
         // While this daemon stops, each round carries the report: a later lease holder
@@ -97,10 +99,15 @@
             self.usage_reported_at = now;
         }
         digest.usage_report = sends_report.then_some(usage_report);
-        let message = Message::Digest { digest: Box::new(digest), peers };
+        let digest = Box::new(digest);
         for address in addresses {
+            let origins = streams.remove(&address).unwrap_or_default();
+            let message = Message::Digest { digest: digest.clone(), peers: peers.clone(), origins };
             self.context.streams.send(address, &message);
         }
+        for (address, streams) in streams {
+            self.tell_streams(address, streams);
+        }
         self.report_interruptions(now);
         metrics::set_state("daemons_heard", self.peers.live(now).count() as i64);
         metrics::set_state("daemons_known", self.peers.count() as i64);
@@ -160,14 +167,25 @@
 
     pub(super) fn handle_peer_message(&mut self, message: Message, now: Instant) {
         match message {
-            Message::Digest { digest, peers } => {
+            Message::Digest { digest, peers, origins } => {
                 for (id, address) in peers {
                     if id != self.context.instance_id {
                         self.peers.discover(&id, address, now);
                     }
                 }
+                self.merge_streams(&digest.instance_id, &origins, now);
                 self.merge_digest(*digest, now);
             }
+            Message::Origins { daemon, streams, history } => {
+                self.merge_streams(&daemon, &streams, now);
+                if let Some(history) = history {
+                    self.merge_history(&history, now);
+                }
+            }
+            Message::OriginQuery { to, key } => self.reply_to_query(to, key, now),
+            Message::OriginReply { daemon, key, known } => {
+                self.handle_query_reply(&daemon, key, known.as_ref(), now);
+            }
             Message::Pull { to, config_version, roster_version } => {
                 let config = &self.table.config;
                 let newer_config =
@@ -215,6 +233,7 @@
             let address = digest.address.to_string();
             spdlog::info!("daemon heard", kv: { daemon = id.as_str(), address = address });
             self.spread.push_again(&self.suspects, MAX_SUSPECTS_PER_DIGEST);
+            self.tell_new_daemon(&id, digest.address, now);
         }
         if let Some(read_at) =
             digest.read_age_ms.and_then(|it| now.checked_sub(Duration::from_millis(it)))
--- a/crates/front/src/broker/leader.rs
+++ b/crates/front/src/broker/leader.rs
@@ -62,6 +62,7 @@
         self.update_leadership(grant);
         let Some(grant) = grant else { return };
         self.store_rejected(now);
+        self.store_history(now);
         if self.context.settings.cloud.is_none() {
             return;
         }
@@ -322,7 +323,7 @@
         capacity
     }
 
-    fn call_store(&self, job: lease::Job) {
+    pub(super) fn call_store(&self, job: lease::Job) {
         // Sending fails only while the daemon shuts down.
         let _ = self.context.lease_jobs.send(job);
     }
--- a/crates/front/src/broker/mod.rs
+++ b/crates/front/src/broker/mod.rs
@@ -4,8 +4,10 @@
 mod endpoint_limits;
 mod era;
 mod gossip;
+mod history;
 mod leader;
 mod limits;
+mod origins;
 mod refusal;
 mod requests;
 
@@ -19,10 +21,14 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use balance::origin::Key;
+use balance::origin::Origins;
 use balance::pool::Effect;
 use balance::pool::Pool;
 use balance::services::Unconfirmed;
 use balance::settling::Settling;
+use balance::software::Coverage;
+use balance::software::History;
 use balance::spread::Spread;
 use balance::subject::Subject;
 use balance::suspects::Suspects;
@@ -143,6 +149,16 @@
     buckets: HashMap<String, Bucket>,
     budgets: HashMap<String, Budget>,
     endpoint_limits: endpoint::Limits,
+    /// At which software version streams began.
+    origins: Origins,
+    origins_swept_at: Instant,
+    /// Questions to other daemons about streams that callers take up.
+    queries: HashMap<Key, origins::Query>,
+    /// Software versions that have served.
+    history: History,
+    stored_history: history::Stored,
+    /// When routes got other back ends.
+    rerouted: HashMap<String, Instant>,
     requests: HashMap<u64, Pending>,
     durations: Durations,
     next_ticket: u64,
@@ -213,6 +229,15 @@
             buckets: HashMap::new(),
             budgets: HashMap::new(),
             endpoint_limits: endpoint::Limits::default(),
+            origins: Origins::default(),
+            origins_swept_at: now,
+            queries: HashMap::new(),
+            history: History::new(match context.settings.is_first_start {
+                true => Coverage::Whole,
+                false => Coverage::Since(now),
+            }),
+            stored_history: history::Stored::new(now),
+            rerouted: HashMap::new(),
             requests: HashMap::new(),
             durations: Durations::default(),
             next_ticket: 0,
@@ -278,6 +303,8 @@
             Event::RejectedStored { subjects, result } => {
                 self.handle_rejected_stored(subjects, result);
             }
+            Event::VersionsRead(row) => self.handle_versions_read(&row, now),
+            Event::VersionsStored(result) => self.handle_versions_stored(result),
             Event::UsageRecorded { window, counts, result } => {
                 self.handle_usage_record(window, counts, result);
             }
@@ -340,6 +367,7 @@
         let now = cx.now();
         self.context.ready.send_replace(self.is_ready());
         self.record_progress(now);
+        self.sweep_origins(now);
         let is_urgent = self.has_urgent_changes || self.spread.has_news();
         if is_urgent || now >= self.gossiped_at + self.gossip_interval() {
             self.gossip(now);
@@ -429,6 +457,7 @@
         self.context.limits.set(config.limits);
         self.durations.retain(|route| config.routes.iter().any(|it| it.name == route));
         self.set_quotas(&config.workspaces, now);
+        self.note_rerouted(&config.routes, now);
         self.table = Rc::new(Table::new(Arc::new(config)));
         self.has_urgent_changes = true;
     }
@@ -444,7 +473,11 @@
         if effects.iter().any(|(_, effect)| *effect == Effect::Joined) {
             self.list_grew_at = Some(now);
         }
+        if !effects.is_empty() && self.history.observe(&self.pool, now) {
+            self.stored_history.outdate();
+        }
         for (id, effect) in effects {
+            self.doubt_software(&id, now);
             match effect {
                 Effect::Joined => self.handle_joined(&id, now),
                 Effect::Left => self.handle_left(&id),
--- /dev/null
+++ b/crates/front/src/broker/origins.rs
@@ -0,0 +1,355 @@
+//! Software versions of streams that callers take up again, of which other daemons may know.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use balance::origin;
+use balance::origin::Key;
+use balance::origin::Origin;
+use balance::origin::Source;
+use balance::software;
+use balance::software::Requirement;
+use membership::digest::Message;
+use relay::admission::Arrival;
+use relay::admission::Decision;
+use relay::admission::Refusal;
+use route::config::Kind;
+use route::config::Route;
+use route::request::Attributes;
+use route::table::Match;
+use tokio::sync::oneshot;
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::Broker;
+use super::refusal::Cause;
+use super::refusal::refuse;
+use super::requests::Pending;
+use crate::clock;
+use crate::metrics;
+
+/// Retry delay for callers whose stream has no endpoint of its software version; endpoints
+/// that crashed are back after some seconds.
+pub(super) const NO_SOFTWARE_DELAY: Duration = Duration::from_secs(1);
+/// Time after a stream broke off in which its caller may take it up again.
+const TAKE_UP_TIME: Duration = Duration::from_secs(10);
+/// How long an arrival waits for other daemons that may know its stream.
+const QUERY_TIMEOUT: Duration = Duration::from_millis(300);
+/// Maximum number of streams of which other daemons are asked at the same time.
+const MAX_QUERIES: usize = 1_024;
+/// Number of daemons that remember a stream in a large fleet.
+const REMEMBERING: usize = 3;
+/// Number of daemons that are asked in a large fleet; more than remember a stream, as some of
+/// these may have ended.
+const QUERIED: usize = 5;
+/// Number of daemons that tell a new one what it has to know.
+const TELLERS: usize = 2;
+/// Maximum number of streams that a new daemon is told of.
+const MAX_TOLD: usize = 4_096;
+/// Maximum number of streams in a message.
+const MAX_STREAMS_PER_MESSAGE: usize = 512;
+
+/// An arrival that waits until it is known where its stream began.
+#[derive(Debug)]
+struct Waiting {
+    arrival: Arrival,
+    reply: oneshot::Sender<Decision>,
+    since: Instant,
+}
+
+/// A question to other daemons.
+#[derive(Debug)]
+pub(super) struct Query {
+    waiting: Vec<Waiting>,
+    /// Number of daemons that have not replied.
+    unanswered: usize,
+    until: Instant,
+}
+
+impl Broker {
+    /// Handles a new request. If it takes up a stream that this daemon doesn't know, asks
+    /// other daemons first.
+    pub(super) fn handle_arrival(
+        &mut self,
+        arrival: Arrival,
+        reply: oneshot::Sender<Decision>,
+        now: Instant,
+    ) {
+        let Some(key) = self.unknown_stream(&arrival, now) else {
+            return self.decide(arrival, reply, now);
+        };
+        let daemons = self.peers.remembering(key, QUERIED, now);
+        if daemons.is_empty() || self.queries.len() >= MAX_QUERIES {
+            return self.decide(arrival, reply, now);
+        }
+        let waiting = Waiting { arrival, reply, since: now };
+        if let Some(query) = self.queries.get_mut(&key) {
+            return query.waiting.push(waiting);
+        }
+        metrics::count("origin", "asked");
+        let message = Message::OriginQuery { to: self.context.settings.peers, key };
+        for daemon in &daemons {
+            self.context.streams.send(*daemon, &message);
+        }
+        let (unanswered, until) = (daemons.len(), now + QUERY_TIMEOUT);
+        self.queries.insert(key, Query { waiting: vec![waiting], unanswered, until });
+    }
+
+    /// Returns which software version a request needs, and how that is known; a refusal if
+    /// it takes up a stream and that is not known.
+    pub(super) fn requirement(
+        &self,
+        found: &Match<'_>,
+        attributes: &Attributes,
+        now: Instant,
+    ) -> Result<(Requirement, &'static str), Refusal> {
+        if !takes_up(found, attributes) {
+            return Ok((Requirement::Any, ""));
+        }
+        let key = stream_key(found, attributes);
+        let known = key.and_then(|it| self.origins.get(it, now));
+        let version = match known {
+            Some(entry) if entry.origin.service == found.service => {
+                let source = match &entry.source {
+                    Source::Own => "own",
+                    Source::Peer(_) => "peer",
+                };
+                entry.origin.software.as_deref().map(|it| (it, source))
+            }
+            Some(_) => None,
+            None => self.sole_version(found, now).map(|it| (it, "sole_version")),
+        };
+        if let Some((software, source)) = version {
+            metrics::count("origin", source);
+            return Ok((Requirement::Exactly(software.to_owned()), source));
+        }
+        let from = match known.map(|it| &it.source) {
+            Some(Source::Peer(daemon)) => daemon,
+            Some(Source::Own) => self.context.instance_id.as_str(),
+            None => "",
+        };
+        spdlog::info!("software version of the stream not known", kv: {
+            request = attributes.id.as_str(),
+            resumes = attributes.resumes.as_deref().unwrap_or(""),
+            in_doubt = known.is_some(),
+            from = from,
+            streams = self.origins.count(),
+        });
+        let delay = Some(NO_SOFTWARE_DELAY);
+        Err(refuse(&attributes.id, Cause::UnknownOrigin, 503, delay))
+    }
+
+    /// Records at which software version a stream has begun, so that it goes on only there.
+    pub(super) fn bind_to_software(&mut self, ticket: u64, now: Instant) {
+        let Some(pending) = self.requests.get_mut(&ticket) else { return };
+        if !pending.is_stream {
+            return;
+        }
+        if pending.requirement == Requirement::Any {
+            pending.requirement = Requirement::Exactly(pending.software.clone());
+        }
+        let Some(key) = pending.stream else { return };
+        let origin = Origin {
+            service: pending.service.clone(),
+            software: Some(pending.software.clone()),
+            instance: pending.instance,
+        };
+        let lifetime = pending.limit + TAKE_UP_TIME;
+        self.origins.record(key, origin, lifetime, now);
+    }
+
+    /// Casts doubt on the version of streams at the former instance of an endpoint, if it
+    /// had restarted with another one before its entry said so.
+    pub(super) fn doubt_software(&mut self, id: &str, now: Instant) {
+        let Some(member) = self.pool.member_mut(id) else { return };
+        let Some((instance, software)) = member.replaced.take() else { return };
+        if software == member.endpoint.software {
+            return;
+        }
+        let started_at_ms = i64::try_from(member.endpoint.started_at_ms).unwrap_or(i64::MAX);
+        let age_ms = self.clock.now_ms(clock::since_boot()).saturating_sub(started_at_ms).max(0);
+        let replaced_at =
+            now.checked_sub(Duration::from_millis(age_ms as u64)).unwrap_or(self.started_at);
+        let doubted = self.origins.doubt(instance, replaced_at);
+        let is_affected = |it: &&mut Pending| {
+            it.is_stream
+                && it.instance == instance
+                && it.sent_at + origin::MAX_CLOCK_SKEW >= replaced_at
+        };
+        for pending in self.requests.values_mut().filter(is_affected) {
+            pending.requirement = Requirement::Unknown;
+        }
+        spdlog::info!("endpoint restarted with another software version", kv: {
+            endpoint = id,
+            before = software,
+            age_ms = age_ms,
+            streams_in_doubt = doubted,
+        });
+    }
+
+    /// Returns the streams that other daemons have to be told of, by address.
+    pub(super) fn untold_streams(
+        &mut self,
+        now: Instant,
+    ) -> HashMap<SocketAddr, Vec<origin::Notice>> {
+        let mut by_address: HashMap<SocketAddr, Vec<origin::Notice>> = HashMap::new();
+        if self.peers.live(now).next().is_none() {
+            return by_address;
+        }
+        for notice in self.origins.take_untold(MAX_STREAMS_PER_MESSAGE, now) {
+            for address in self.peers.remembering(notice.key, REMEMBERING, now) {
+                by_address.entry(address).or_default().push(notice.clone());
+            }
+        }
+        by_address
+    }
+
+    pub(super) fn tell_streams(&mut self, to: SocketAddr, streams: Vec<origin::Notice>) {
+        let daemon = self.context.instance_id.clone();
+        self.context.streams.send(to, &Message::Origins { daemon, streams, history: None });
+    }
+
+    /// Tells a daemon that was not heard before what it has to know.
+    pub(super) fn tell_new_daemon(&mut self, id: &str, to: SocketAddr, now: Instant) {
+        let rank = |daemon: &str| xxh3_64(format!("{id} {daemon}").as_bytes());
+        let own = rank(&self.context.instance_id);
+        let others = self.peers.live(now).filter(|(it, _)| *it != id);
+        let (mut count, mut preceding) = (0, 0);
+        for (other, _) in others {
+            count += 1;
+            preceding += usize::from(rank(other) < own);
+        }
+        if preceding >= TELLERS {
+            return;
+        }
+        let is_small = count < membership::digest::FANOUT;
+        let streams = self.origins.latest(if is_small { MAX_TOLD } else { 0 }, now);
+        let (daemon, history) = (self.context.instance_id.clone(), Some(self.history.notice(now)));
+        self.context.streams.send(to, &Message::Origins { daemon, streams, history });
+    }
+
+    pub(super) fn merge_streams(&mut self, daemon: &str, streams: &[origin::Notice], now: Instant) {
+        if streams.is_empty() {
+            return;
+        }
+        let daemon: Rc<str> = Rc::from(daemon);
+        for notice in streams {
+            self.origins.merge_remote(notice, &daemon, now);
+        }
+    }
+
+    pub(super) fn merge_history(&mut self, notice: &software::Notice, now: Instant) {
+        self.history.merge_remote(notice, now);
+    }
+
+    pub(super) fn reply_to_query(&mut self, to: SocketAddr, key: Key, now: Instant) {
+        let daemon = self.context.instance_id.clone();
+        let known = self.origins.notice(key, now);
+        self.context.streams.send(to, &Message::OriginReply { daemon, key, known });
+    }
+
+    pub(super) fn handle_query_reply(
+        &mut self,
+        daemon: &str,
+        key: Key,
+        known: Option<&origin::Notice>,
+        now: Instant,
+    ) {
+        let Some(query) = self.queries.get_mut(&key) else { return };
+        query.unanswered = query.unanswered.saturating_sub(1);
+        if known.is_none() && query.unanswered > 0 {
+            return;
+        }
+        if let Some(notice) = known {
+            self.merge_streams(daemon, std::slice::from_ref(notice), now);
+        }
+        self.end_query(key, now);
+    }
+
+    /// Ends the queries that have taken too long, and forgets old streams.
+    pub(super) fn sweep_origins(&mut self, now: Instant) {
+        let overdue = self.queries.iter().filter(|(_, it)| now >= it.until);
+        let overdue: Vec<Key> = overdue.map(|(key, _)| *key).collect();
+        for key in overdue {
+            metrics::count("origin", "timed_out");
+            self.end_query(key, now);
+        }
+        if now >= self.origins_swept_at + TAKE_UP_TIME / 10 {
+            self.origins_swept_at = now;
+            self.origins.remove_expired(now);
+            self.history.remove_expired(self.stream_window(), now);
+            metrics::set_state("streams_remembered", self.origins.count() as i64);
+        }
+    }
+
+    /// Records which routes get other back ends, so that streams of the former ones can't be
+    /// told from those of the new ones.
+    pub(super) fn note_rerouted(&mut self, routes: &[Route], now: Instant) {
+        let before = &self.table.config.routes;
+        let is_moved = |it: &&Route| {
+            before.iter().any(|other| other.name == it.name && other.backends != it.backends)
+        };
+        let moved = routes.iter().filter(is_moved).map(|it| (it.name.clone(), now));
+        self.rerouted.extend(moved);
+        self.rerouted.retain(|name, _| routes.iter().any(|it| it.name == *name));
+    }
+
+    fn end_query(&mut self, key: Key, now: Instant) {
+        let Some(query) = self.queries.remove(&key) else { return };
+        for Waiting { mut arrival, reply, since } in query.waiting {
+            arrival.waited += now.saturating_duration_since(since);
+            self.decide(arrival, reply, now);
+        }
+    }
+
+    /// Returns the stream that a request takes up if other daemons have to be asked of it.
+    fn unknown_stream(&self, arrival: &Arrival, now: Instant) -> Option<Key> {
+        let attributes = &arrival.attributes;
+        attributes.resumes.as_ref()?;
+        let key = attributes.key.as_deref();
+        let found =
+            self.table.find(&arrival.host, &arrival.path, key, attributes.stream_id()).ok()?;
+        if !takes_up(&found, attributes) {
+            return None;
+        }
+        let stream = stream_key(&found, attributes)?;
+        let is_known = self.origins.get(stream, now).is_some();
+        (!is_known && self.sole_version(&found, now).is_none()).then_some(stream)
+    }
+
+    /// Returns the only software version that can have begun a stream of the route.
+    fn sole_version(&self, found: &Match<'_>, now: Instant) -> Option<&str> {
+        let window = self.stream_window();
+        let moved_at = self.rerouted.get(&found.route.name);
+        if moved_at.is_some_and(|it| now < *it + window) {
+            return None;
+        }
+        self.history.sole(found.service, window, now)
+    }
+
+    /// Returns how long ago a stream may have begun that a caller takes up now.
+    fn stream_window(&self) -> Duration {
+        let streams = self.table.config.routes.iter().filter(|it| it.kind == Kind::Stream);
+        let longest_ms = streams.map(|it| it.timeout_ms).max().unwrap_or(0);
+        Duration::from_millis(longest_ms) + TAKE_UP_TIME
+    }
+}
+
+/// Returns the key of the stream that a request begins or takes up; `None` if the request
+/// doesn't say which.
+pub(super) fn stream_key(found: &Match<'_>, attributes: &Attributes) -> Option<Key> {
+    if attributes.last_event.is_some() && attributes.resumes.is_none() {
+        return None;
+    }
+    let workspace = found.workspace.map(|it| it.name.as_str());
+    let id = Some(attributes.stream_id()).filter(|it| !it.is_empty())?;
+    Some(Key::of(workspace, &found.route.name, id))
+}
+
+/// Whether a request takes up a stream that has begun.
+fn takes_up(found: &Match<'_>, attributes: &Attributes) -> bool {
+    let names_stream = attributes.resumes.is_some() || attributes.last_event.is_some();
+    found.route.kind == Kind::Stream && names_stream
+}
--- a/crates/front/src/broker/requests.rs
+++ b/crates/front/src/broker/requests.rs
@@ -11,8 +11,12 @@
 use balance::endpoint::Instance;
 use balance::health;
 use balance::load::Load;
+use balance::origin::Key;
+use balance::pool::Member;
+use balance::software::Requirement;
 use balance::subject::Subject;
 use relay::admission::Arrival;
+use relay::admission::Decision;
 use relay::admission::Message;
 use relay::admission::Outcome;
 use relay::admission::Plan;
@@ -23,9 +27,11 @@
 use route::request::Part;
 use route::table::Match;
 use route::table::Rejection;
+use tokio::sync::oneshot;
 
 use super::Broker;
 use super::Stage;
+use super::origins::stream_key;
 use super::refusal::Cause;
 use super::refusal::refuse;
 use crate::drain::Remaining;
@@ -46,7 +52,12 @@
 #[derive(Debug)]
 pub struct Pending {
     route: String,
-    service: String,
+    pub(super) service: String,
+    pub(super) is_stream: bool,
+    /// The stream that it begins or takes up, if callers may take it up again.
+    pub(super) stream: Option<Key>,
+    /// The software version that it needs.
+    pub(super) requirement: Requirement,
     pub(super) attributes: Attributes,
     /// What may be the cause of a crash of its endpoint.
     pub(super) subjects: Vec<Subject>,
@@ -64,7 +75,7 @@
     pub(super) address: SocketAddr,
     pub(super) instance: Instance,
     /// Software version of the current endpoint.
-    software: String,
+    pub(super) software: String,
     load: Load,
     /// Prompt tokens that the endpoint computes before the request's first token: those
     /// already queued and those of this request.
@@ -72,7 +83,7 @@
     predicted: Duration,
     arrived_at: Instant,
     /// Time limit of the route or the caller, counted from `arrived_at`.
-    limit: Duration,
+    pub(super) limit: Duration,
     pub(super) sent_at: Instant,
     pub(super) has_started: bool,
     /// Whether it was recorded that an endpoint has made progress with the request.
@@ -96,6 +107,9 @@
         Pending {
             route: found.route.name.clone(),
             service: found.service.to_owned(),
+            is_stream: found.route.kind == Kind::Stream,
+            stream: stream_key(found, &attributes).filter(|_| found.route.is_idempotent()),
+            requirement: Requirement::Any,
             attributes,
             subjects,
             is_trial: false,
@@ -125,15 +139,7 @@
 impl Broker {
     pub(super) fn handle_request_message(&mut self, message: Message, now: Instant) {
         match message {
-            Message::Admit { arrival, reply } => {
-                let decision = self.admit(*arrival, now);
-                let admitted = decision.as_ref().ok().map(|(plan, _)| plan.ticket);
-                if reply.send(decision).is_err()
-                    && let Some(ticket) = admitted
-                {
-                    self.finish(ticket, Outcome::Abandoned, 0, now);
-                }
-            }
+            Message::Admit { arrival, reply } => self.handle_arrival(*arrival, reply, now),
             Message::Retry { ticket, outcome, reply } => {
                 // If the caller has disconnected, its ticket reports the request as finished.
                 let _ = reply.send(self.retry(ticket, outcome, now));
@@ -153,14 +159,31 @@
         }
     }
 
-    fn admit(&mut self, arrival: Arrival, now: Instant) -> Result<(Plan, Target), Refusal> {
+    /// Decides on a new request and replies to its task.
+    pub(super) fn decide(
+        &mut self,
+        arrival: Arrival,
+        reply: oneshot::Sender<Decision>,
+        now: Instant,
+    ) {
+        let decision = self.admit(arrival, now);
+        let admitted = decision.as_ref().ok().map(|(plan, _)| plan.ticket);
+        if reply.send(decision).is_err()
+            && let Some(ticket) = admitted
+        {
+            self.finish(ticket, Outcome::Abandoned, 0, now);
+        }
+    }
+
+    fn admit(&mut self, arrival: Arrival, now: Instant) -> Decision {
         let Arrival { host, path, attributes, fingerprint, waited } = arrival;
         let id = attributes.id.clone();
         if self.table.config.version == 0 {
             return Err(refuse(&id, Cause::NoConfiguration, 503, Some(NO_ENDPOINT_DELAY)));
         }
         let table = Rc::clone(&self.table);
-        let found = match table.find(&host, &path, attributes.key.as_deref(), &id) {
+        let key = attributes.key.as_deref();
+        let found = match table.find(&host, &path, key, attributes.stream_id()) {
             Ok(found) => found,
             Err(Rejection::NoRoute) => return Err(refuse(&id, Cause::NoRoute, 404, None)),
             Err(Rejection::UnknownKey) => return Err(refuse(&id, Cause::UnknownKey, 401, None)),
@@ -173,12 +196,13 @@
         if !self.ends_before_exit(&found.route.name, limit, now) {
             return Err(refuse(&id, Cause::Stopping, 503, relay::server::STOPPING.retry_after));
         }
+        let (requirement, known_from) = self.requirement(&found, &attributes, now)?;
         let units = self.charge_quota(&found, &attributes, now)?;
-        let choice = self.choose(found.service, &attributes, &[], now);
+        let choice = self.choose(found.service, &attributes, &requirement, &[], now);
         let target = choice.as_ref().and_then(|it| self.target(&it.id));
         let (Some(choice), Some(target)) = (choice, target) else {
             self.refund(found.workspace.map(|it| it.name.as_str()), units);
-            let (cause, delay) = self.explain_no_endpoint(found.service, &[], now);
+            let (cause, delay) = self.explain_no_endpoint(found.service, &requirement, &[], now);
             return Err(refuse(&id, cause, 503, Some(delay)));
         };
         self.budget(found.service).count_request(now);
@@ -195,6 +219,8 @@
             software = self.software(&choice.id),
             resumes = attributes.resumes.as_deref().unwrap_or(""),
             last_event = attributes.last_event.as_deref().unwrap_or(""),
+            requires = requirement.name(),
+            known_from = known_from,
             predicted_ms = choice.predicted.as_millis() as u64,
             unread = choice.total_prefill_tokens,
             parts = part_ids(&attributes.parts),
@@ -203,7 +229,7 @@
         });
         let is_trial = self.record_trial(&id, &subjects, now);
         let pending = Pending::new(&found, attributes, subjects, units, limit, now);
-        self.requests.insert(ticket, Pending { is_trial, ..pending });
+        self.requests.insert(ticket, Pending { is_trial, requirement, ..pending });
         self.place(ticket, choice, now);
         Ok((plan, target))
     }
@@ -230,6 +256,7 @@
         );
         let (service, attributes, tried) =
             (pending.service.clone(), pending.attributes.clone(), pending.tried.clone());
+        let requirement = pending.requirement.clone();
         let suspicion =
             self.requests.get(&ticket).and_then(|it| self.cause_to_end(it, outcome, now));
         if let Some((cause, delay)) = suspicion {
@@ -241,22 +268,23 @@
         if !may_have_run && !self.ends_before_exit(&route, limit, now) {
             return Err(refuse(&id, Cause::Stopping, 503, relay::server::STOPPING.retry_after));
         }
-        // An attempt that never reached its endpoint doesn't count as a retry.
-        if outcome != Outcome::Unreachable && !self.take_retry(&id, &service, now) {
-            return Err(refuse(&id, Cause::RetryBudget, status, delay_if_not_run(DECLINED_DELAY)));
-        }
-        let choice = self.choose(&service, &attributes, &tried, now);
+        let choice = self.choose(&service, &attributes, &requirement, &tried, now);
         let target = choice.as_ref().and_then(|it| self.target(&it.id));
         let (Some(choice), Some(target)) = (choice, target) else {
-            let (cause, delay) = self.explain_no_endpoint(&service, &tried, now);
+            let (cause, delay) = self.explain_no_endpoint(&service, &requirement, &tried, now);
             return Err(refuse(&id, cause, status, delay_if_not_run(delay)));
         };
+        // An attempt that never reached its endpoint doesn't count as a retry.
+        if outcome != Outcome::Unreachable && !self.take_retry(&id, &service, now) {
+            return Err(refuse(&id, Cause::RetryBudget, status, delay_if_not_run(DECLINED_DELAY)));
+        }
         metrics::count("retry", outcome.name());
         spdlog::info!("placed again", kv: {
             request = id,
             after = outcome.name(),
             endpoint = choice.id.as_str(),
             software = self.software(&choice.id),
+            requires = requirement.name(),
             predicted_ms = choice.predicted.as_millis() as u64,
         });
         self.place(ticket, choice, now);
@@ -273,7 +301,10 @@
             return false;
         }
         let member = self.pool.member(&pending.endpoint);
-        if member.is_some_and(|it| it.instance == pending.instance && it.is_usable(now)) {
+        let is_current = |it: &Member| {
+            it.instance == pending.instance && it.endpoint.software == pending.software
+        };
+        if member.is_some_and(|it| is_current(it) && it.is_usable(now)) {
             return true;
         }
         metrics::count("endpoint", "left_before_send");
@@ -296,6 +327,7 @@
             (pending.endpoint.clone(), pending.instance, pending.sent_at);
         self.record_response(&endpoint, instance, sent_at, now);
         self.count_run(ticket);
+        self.bind_to_software(ticket, now);
         let Some(pending) = self.requests.get_mut(&ticket) else { return };
         let waited = now.saturating_duration_since(pending.sent_at);
         metrics::observe(
@@ -424,12 +456,14 @@
         &mut self,
         service: &str,
         attributes: &Attributes,
+        requirement: &Requirement,
         tried: &[String],
         now: Instant,
     ) -> Option<Choice> {
         let engine = self.table.service(service).and_then(|it| it.engine.as_ref());
         let exhausted = self.endpoint_limits.exhausted(now);
-        let query = Query { service, engine, attributes, tried, exhausted: &exhausted };
+        let query =
+            Query { service, engine, attributes, requirement, tried, exhausted: &exhausted };
         choose::choose(&self.pool, &query, now, &mut self.rng)
     }
 
--- a/crates/front/src/event.rs
+++ b/crates/front/src/event.rs
@@ -66,6 +66,10 @@
         /// Result of the write.
         result: Result<Commit, Error>,
     },
+    /// The row of software versions was read at the start.
+    VersionsRead(Row),
+    /// A write of the row of software versions completed.
+    VersionsStored(Result<Commit, Error>),
     /// An attempt to record a window's counts in the store completed.
     UsageRecorded {
         /// Number of the window.
--- a/crates/front/src/feeds.rs
+++ b/crates/front/src/feeds.rs
@@ -11,6 +11,7 @@
 use store::Error;
 use store::table::Commit;
 use store::table::Put;
+use store::table::Row;
 use store::table::Transaction;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::watch;
@@ -18,6 +19,7 @@
 
 use crate::event::Event;
 use crate::lease::REJECTED_KEY;
+use crate::lease::VERSIONS_KEY;
 
 /// Long-poll timeout for changes of endpoints. Endpoints write heartbeats more
 /// often, so a missing response reveals a dead connection.
@@ -146,15 +148,25 @@
     }
 }
 
-/// Reads the row of rejected requests once.
-pub async fn rejected(mut client: Client, events: UnboundedSender<Event>) {
+/// Reads what former daemons have left for those that start: the rows of rejected requests
+/// and of software versions.
+pub async fn inherited(mut client: Client, events: UnboundedSender<Event>) {
+    let rejected = read_once(&mut client, REJECTED_KEY, "rejected", &events).await;
+    let _ = events.send(Event::RejectedRead(rejected));
+    let versions = read_once(&mut client, VERSIONS_KEY, "versions", &events).await;
+    let _ = events.send(Event::VersionsRead(versions));
+}
+
+async fn read_once(
+    client: &mut Client,
+    key: &str,
+    feed: &'static str,
+    events: &UnboundedSender<Event>,
+) -> Row {
     loop {
-        match rows::read(&mut client, REJECTED_KEY).await {
-            Ok(row) => {
-                let _ = events.send(Event::RejectedRead(row));
-                return;
-            }
-            Err(error) => report_call(&events, "rejected", Some(error)),
+        match rows::read(client, key).await {
+            Ok(row) => return row,
+            Err(error) => report_call(events, feed, Some(error)),
         }
         sleep(RETRY_DELAY).await;
     }
--- a/crates/front/src/lease.rs
+++ b/crates/front/src/lease.rs
@@ -7,8 +7,10 @@
 use duty::usage::Counts;
 use platform::exchange::Client;
 use platform::rows;
+use store::Error;
 use store::table::ABSENT;
 use store::table::Check;
+use store::table::Commit;
 use store::table::Put;
 use store::table::Transaction;
 use tokio::sync::mpsc::UnboundedReceiver;
@@ -20,6 +22,8 @@
 const LEASE_KEY: &str = "duties/lease";
 /// Key of the row of rejected requests.
 pub const REJECTED_KEY: &str = "duties/rejected";
+/// Key of the row of software versions that have served.
+pub const VERSIONS_KEY: &str = "duties/versions";
 /// Number of windows whose rows are retained. Each write of a window deletes the
 /// row that falls out of this range.
 const RETAINED_WINDOWS: u64 = 40;
@@ -43,6 +47,11 @@
         /// New content.
         content: String,
     },
+    /// Replaces the row of software versions.
+    StoreVersions {
+        /// New content.
+        content: String,
+    },
 }
 
 /// Makes the calls sequentially.
@@ -70,16 +79,22 @@
                 Event::UsageRecorded { window, counts, result }
             }
             Job::StoreRejected { subjects, content } => {
-                let put = Put { key: REJECTED_KEY.to_owned(), value: content };
-                let write = Transaction { puts: vec![put], ..Transaction::default() };
-                let result = rows::commit(&mut client, &write).await;
+                let result = replace(&mut client, REJECTED_KEY, content).await;
                 Event::RejectedStored { subjects, result }
             }
+            Job::StoreVersions { content } => {
+                Event::VersionsStored(replace(&mut client, VERSIONS_KEY, content).await)
+            }
         };
         let _ = events.send(event);
     }
 }
 
+async fn replace(client: &mut Client, key: &str, value: String) -> Result<Commit, Error> {
+    let put = Put { key: key.to_owned(), value };
+    rows::commit(client, &Transaction { puts: vec![put], ..Transaction::default() }).await
+}
+
 fn usage_transaction(window: u64, counts: &Counts) -> Transaction {
     let key = |window: u64| format!("windows/{window}");
     // Counts consist of strings and numbers, so encoding them as JSON can't fail.
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod event;
 pub mod metrics;
 pub mod run;
+pub mod versions;
 
 mod clock;
 mod cloud;
--- a/crates/membership/src/digest.rs
+++ b/crates/membership/src/digest.rs
@@ -7,7 +7,9 @@
 
 use balance::endpoint::Roster;
 use balance::load::Load;
+use balance::origin;
 use balance::removal;
+use balance::software;
 use balance::subject::Subject;
 use balance::suspects;
 use bincode::Decode;
@@ -114,6 +116,8 @@
         digest: Box<Digest>,
         /// Live peers: instance and address.
         peers: Vec<(String, SocketAddr)>,
+        /// Streams that the receiver has to remember.
+        origins: Vec<origin::Notice>,
     },
     /// Requests everything newer than the given versions.
     Pull {
@@ -126,6 +130,31 @@
     },
     /// Interruptions of subjects whose interruptions the receiver counts.
     Interruptions(Vec<suspects::Report>),
+    /// What the receiver has to know of streams and software versions.
+    Origins {
+        /// Instance of the sender.
+        daemon: String,
+        /// Streams that the receiver has to remember.
+        streams: Vec<origin::Notice>,
+        /// Software versions that have served, for a daemon that has just started.
+        history: Option<software::Notice>,
+    },
+    /// Asks where a stream began.
+    OriginQuery {
+        /// Address for the response.
+        to: SocketAddr,
+        /// The stream.
+        key: origin::Key,
+    },
+    /// Response to an [`Message::OriginQuery`].
+    OriginReply {
+        /// Instance of the sender.
+        daemon: String,
+        /// The stream.
+        key: origin::Key,
+        /// What the sender knows of it.
+        known: Option<origin::Notice>,
+    },
     /// Response to a pull.
     Push {
         /// Configuration, if newer.
@@ -290,6 +319,16 @@
         ranked.into_iter().take(FANOUT).map(|(_, address)| address).collect()
     }
 
+    /// Returns the addresses of the live daemons that remember a stream: all of them in a
+    /// small fleet, and `limit` in a large one.
+    pub fn remembering(&self, key: origin::Key, limit: usize, now: Instant) -> Vec<SocketAddr> {
+        let mut ranked: Vec<(u64, SocketAddr)> =
+            self.live(now).map(|(id, it)| (key.rank(id), it.address)).collect();
+        let limit = if ranked.len() <= FANOUT { FANOUT } else { limit };
+        ranked.sort_unstable();
+        ranked.into_iter().take(limit).map(|(_, address)| address).collect()
+    }
+
     /// Returns the number of live daemons that come before `instance_id` when a subject is
     /// tried again.
     pub fn preceding(&self, subject: Subject, instance_id: &str, now: Instant) -> usize {
--- a/crates/relay/src/admission.rs
+++ b/crates/relay/src/admission.rs
@@ -118,6 +118,9 @@
     }
 }
 
+/// What becomes of a request.
+pub type Decision = Result<(Plan, Target), Refusal>;
+
 /// A query or notification to the broker.
 #[derive(Debug)]
 pub enum Message {
@@ -126,7 +129,7 @@
         /// The request.
         arrival: Box<Arrival>,
         /// Receives the decision.
-        reply: oneshot::Sender<Result<(Plan, Target), Refusal>>,
+        reply: oneshot::Sender<Decision>,
     },
     /// Requests another endpoint after an attempt without a response for the caller.
     Retry {
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -21,6 +21,7 @@
 use tokio::time::timeout_at;
 
 use crate::admission::Arrival;
+use crate::admission::Decision;
 use crate::admission::Message;
 use crate::admission::Outcome;
 use crate::admission::Plan;
@@ -241,7 +242,7 @@
 }
 
 impl Server {
-    async fn decide(&self, arrival: Box<Arrival>) -> Result<(Plan, Target), Refusal> {
+    async fn decide(&self, arrival: Box<Arrival>) -> Decision {
         let (reply, decision) = oneshot::channel();
         self.send(Message::Admit { arrival, reply });
         let stopped = Refusal { status: 503, retry_after: None };
--- a/crates/route/src/request.rs
+++ b/crates/route/src/request.rs
@@ -22,6 +22,12 @@
 }
 
 impl Attributes {
+    /// Returns the identity of the attempt that brought the first event of the stream, or
+    /// will bring it.
+    pub fn stream_id(&self) -> &str {
+        self.resumes.as_deref().unwrap_or(&self.id)
+    }
+
     /// Returns the tokens that count against a quota: prompt plus maximum output.
     pub fn tokens(&self) -> Option<u64> {
         self.size.map(|it| u64::from(it.prompt) + u64::from(it.output))
