Avoid endpoints that may have been replaced for streams that go on

A random test of fleets without a network found that streams go on at another version if an endpoint restarts under its id and the entry that a daemon knows is still that of the instance before. A stream that needs one version now prefers endpoints to which no connection broke or failed within the last four seconds, in which the entry of an endpoint that has ended is removed or replaced.

Pending requests and changes of the list of endpoints get modules of their own; no behaviour there.

--- a/crates/balance/src/choose.rs
+++ b/crates/balance/src/choose.rs
@@ -27,6 +27,9 @@
 const PLAIN_MS: f64 = 30.0;
 /// Cost factor of a paused endpoint; it is chosen only when all are paused.
 const PAUSED_WEIGHT: f64 = 100.0;
+/// Cost factor for a stream that needs one software version, of an endpoint that may have
+/// been replaced by one of another version.
+const REPLACED_WEIGHT: f64 = 100.0;
 /// Maximum random increase of a cost, as a share. Endpoints whose costs differ by
 /// less count as equal.
 const JITTER: f64 = 0.05;
@@ -75,12 +78,14 @@
     };
     let candidates: Vec<&Member> = pool.members().filter(is_candidate).collect();
     let preferred = preferred_endpoint(&candidates, query.attributes);
+    let is_bound = *query.requirement != Requirement::Any;
     let mut best: Option<(f64, Choice)> = None;
     for member in candidates {
         let choice = predict(pool, query, member, preferred, now);
         let mut cost = choice.predicted.as_secs_f64();
         cost *= 1.0 + member.health.failure_rate * FAILURE_WEIGHT;
         cost *= if member.health.is_paused(now) { PAUSED_WEIGHT } else { 1.0 };
+        cost *= if is_bound && member.may_be_replaced(now) { REPLACED_WEIGHT } else { 1.0 };
         cost *= 1.0 + rng.random::<f64>() * JITTER;
         if best.as_ref().is_none_or(|(least, _)| cost < *least) {
             best = Some((cost, choice));
--- a/crates/balance/src/pool.rs
+++ b/crates/balance/src/pool.rs
@@ -19,6 +19,9 @@
 
 /// How long a prompt part is assumed to stay in an engine's cache.
 const CACHE_LIFETIME: Duration = Duration::from_secs(30);
+/// Time after a broken connection within which the entry of an endpoint that has ended is
+/// removed or replaced: three heartbeats and a margin.
+const REPLACEMENT_TIME: Duration = Duration::from_secs(4);
 /// How long removals are remembered; longer than a daemon needs to catch up after a
 /// network partition.
 const REMOVAL_RETENTION: Duration = Duration::from_secs(60);
@@ -49,6 +52,8 @@
     pub speed: Speed,
     /// When this daemon last received a response from this instance.
     pub responded_at: Option<Instant>,
+    /// When a connection of this daemon to this instance last broke or could not be opened.
+    pub broke_at: Option<Instant>,
     /// Prompt parts that this daemon has sent, with the time of the last send.
     cached: HashMap<u64, Instant>,
 }
@@ -67,6 +72,7 @@
             health: Health::default(),
             speed: Speed::default(),
             responded_at: None,
+            broke_at: None,
             cached: HashMap::new(),
         }
     }
@@ -76,6 +82,11 @@
         !self.leaving && (self.listed || self.expires_at.is_some_and(|it| now < it))
     }
 
+    /// Whether the process may have been replaced by one that its entry doesn't describe yet.
+    pub fn may_be_replaced(&self, now: Instant) -> bool {
+        self.broke_at.is_some_and(|it| now < it + REPLACEMENT_TIME)
+    }
+
     /// Whether this daemon recently sent the prompt part to the endpoint.
     pub fn has_cached(&self, part: u64, now: Instant) -> bool {
         self.cached.get(&part).is_some_and(|at| now - *at < CACHE_LIFETIME)
--- /dev/null
+++ b/crates/balance/tests/origins/world.rs
@@ -0,0 +1,466 @@
+//! Daemons, endpoints of several versions, and callers that take up streams, in simulated time.
+
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use balance::endpoint::Endpoint;
+use balance::endpoint::Roster;
+use balance::origin;
+use balance::origin::Key;
+use balance::origin::Origin;
+use balance::origin::Origins;
+use balance::pool::Member;
+use balance::pool::Pool;
+use balance::software::Coverage;
+use balance::software::History;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+/// Length of a step, and interval at which daemons tell each other of streams.
+const STEP: Duration = Duration::from_millis(100);
+const DURATION: Duration = Duration::from_secs(60);
+/// Time after which a running daemon counts as in touch.
+const CONTACT_TIME: Duration = Duration::from_secs(3);
+/// Time in which an entry reaches all daemons, in a small fleet, in which it is gossiped to all
+/// at once, and in a large one.
+const MAX_ENTRY_DELAY_MS: [u64; 2] = [300, 1_000];
+/// Number of daemons in a fleet in which all remember all streams.
+const SMALL_FLEET: usize = 8;
+/// Longest stream.
+const MAX_LENGTH_MS: u64 = 6_000;
+/// How long ago a stream may have begun that is taken up.
+const WINDOW: Duration = Duration::from_secs(10);
+/// Number of daemons that remember a stream, in a small and in a large fleet.
+const REMEMBERING: [usize; 2] = [7, 3];
+/// Number of daemons that are asked, likewise.
+const QUERIED: [usize; 2] = [7, 5];
+
+/// Time for which an endpoint is down before it restarts under its id.
+const DOWNTIME: Duration = Duration::from_secs(2);
+/// Number of endpoints to which a request is sent at most.
+const ATTEMPTS: usize = 3;
+/// Share of streams that break in each step.
+const BREAK_SHARE: f64 = 0.01;
+
+/// What happens in a simulation.
+#[derive(Clone, Copy, Debug)]
+pub struct Plan {
+    pub daemons: usize,
+    /// Whether endpoints are replaced one after the other by ones of the next version.
+    pub replacements: bool,
+    /// Interval at which one daemon after the other restarts.
+    pub restarts: Option<Duration>,
+    /// Whether half of the daemons are killed at once, several times.
+    pub kills_half: bool,
+    /// Likewise all daemons.
+    pub kills_all: bool,
+    /// Interval at which endpoints restart under their ids with another version, of which
+    /// daemons hear late.
+    pub unnoticed_restarts: Option<Duration>,
+    /// Maximum delay of messages between daemons.
+    pub max_delay: Duration,
+}
+
+impl Default for Plan {
+    fn default() -> Plan {
+        Plan {
+            daemons: 7,
+            replacements: false,
+            restarts: None,
+            kills_half: false,
+            kills_all: false,
+            unnoticed_restarts: None,
+            max_delay: Duration::from_millis(50),
+        }
+    }
+}
+
+/// What was seen in a simulation.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Record {
+    /// Streams that went on at another version.
+    pub mixed: usize,
+    /// Streams taken up at daemons in touch while two endpoints of their version served.
+    pub taken_up: usize,
+    /// Those of them that went on.
+    pub went_on: usize,
+}
+
+/// Returns a pool with these endpoints and software versions.
+pub fn pool(endpoints: &[(&str, &str)]) -> Pool {
+    let endpoints: Vec<Endpoint> =
+        endpoints.iter().map(|(id, software)| endpoint(id, software, 1)).collect();
+    let mut pool = Pool::default();
+    let now = Instant::now();
+    pool.replace(Roster { version: 1, endpoints }, now, now);
+    pool
+}
+
+struct Daemon {
+    id: String,
+    started_at: Duration,
+    origins: Origins,
+    history: History,
+    pool: Pool,
+    /// Version of the roster that it has read.
+    seen: usize,
+}
+
+struct Stream {
+    key: Key,
+    software: String,
+    daemon: String,
+    endpoint: (String, u64),
+    ends_at: Duration,
+}
+
+struct Message {
+    at: Duration,
+    to: String,
+    from: Rc<str>,
+    streams: Vec<origin::Notice>,
+}
+
+struct World {
+    plan: Plan,
+    rng: SmallRng,
+    began: Instant,
+    now: Duration,
+    daemons: Vec<Daemon>,
+    /// Endpoints as they are.
+    endpoints: Vec<Endpoint>,
+    /// Rosters with the time from which on daemons see them.
+    rosters: Vec<(Duration, Roster)>,
+    streams: Vec<Stream>,
+    /// Broken streams and when they are taken up.
+    broken: Vec<(Duration, Stream)>,
+    messages: Vec<Message>,
+    next_id: u64,
+    next_version: u32,
+    record: Record,
+}
+
+/// Plays a plan.
+pub fn play(plan: Plan, seed: u64) -> Record {
+    let mut world = World {
+        plan,
+        rng: SmallRng::seed_from_u64(seed),
+        began: Instant::now() + Duration::from_secs(1_000),
+        now: Duration::ZERO,
+        daemons: Vec::new(),
+        endpoints: Vec::new(),
+        rosters: Vec::new(),
+        streams: Vec::new(),
+        broken: Vec::new(),
+        messages: Vec::new(),
+        next_id: 0,
+        next_version: 3,
+        record: Record::default(),
+    };
+    world.endpoints =
+        (0..8).map(|it| endpoint(&format!("e{it}"), if it < 4 { "v1" } else { "v2" }, 1)).collect();
+    world.publish(Duration::ZERO);
+    for index in 0..plan.daemons {
+        let daemon = world.start(index, Coverage::Whole);
+        world.daemons.push(daemon);
+    }
+    while world.now < DURATION {
+        world.step();
+        world.now += STEP;
+    }
+    world.record
+}
+
+impl World {
+    fn step(&mut self) {
+        let step = (self.now.as_millis() / STEP.as_millis()) as u32;
+        let is_due = |interval: Duration| step.is_multiple_of((interval.as_millis() / 100) as u32);
+        if self.plan.replacements && is_due(Duration::from_secs(1)) {
+            self.replace_endpoint();
+        }
+        if self.plan.unnoticed_restarts.is_some_and(is_due) {
+            self.restart_endpoint();
+        }
+        if let Some(interval) = self.plan.restarts
+            && is_due(interval)
+        {
+            let daemon = (self.now.as_millis() / interval.as_millis()) as usize;
+            self.kill(daemon % self.plan.daemons);
+        }
+        if is_due(Duration::from_secs(9)) && step > 0 {
+            let all = self.plan.daemons;
+            let killed = if self.plan.kills_all { all } else { all / 2 };
+            if self.plan.kills_half || self.plan.kills_all {
+                (0..killed).for_each(|it| self.kill(it));
+            }
+        }
+        self.read_rosters();
+        self.deliver();
+        (0..3).for_each(|_| self.begin_stream());
+        self.break_streams();
+        self.take_up();
+        self.tell();
+    }
+
+    fn instant(&self) -> Instant {
+        self.began + self.now
+    }
+
+    /// Starts a daemon, which two others tell what it has to know.
+    fn start(&mut self, index: usize, coverage: Coverage) -> Daemon {
+        self.next_id += 1;
+        let now = self.instant();
+        let id = format!("d{index}-{}", self.next_id);
+        let mut daemon = Daemon {
+            id,
+            started_at: self.now,
+            origins: Origins::default(),
+            history: History::new(coverage),
+            pool: Pool::default(),
+            seen: 0,
+        };
+        let is_small = self.plan.daemons <= SMALL_FLEET;
+        for teller in self.daemons.iter().filter(|it| it.id != daemon.id).take(2) {
+            daemon.history.merge_remote(&teller.history.notice(now), now);
+            let from: Rc<str> = Rc::from(teller.id.as_str());
+            for notice in teller.origins.latest(if is_small { 4_096 } else { 0 }, now) {
+                daemon.origins.merge_remote(&notice, &from, now);
+            }
+        }
+        daemon
+    }
+
+    fn kill(&mut self, index: usize) {
+        let killed = self.daemons[index].id.clone();
+        // Those that are killed at the same time can't tell each other anything.
+        let daemon = self.start(index, Coverage::Since(self.instant()));
+        self.daemons[index] = daemon;
+        self.break_where(|it| it.daemon == killed);
+    }
+
+    fn replace_endpoint(&mut self) {
+        let index = self.rng.random_range(0..self.endpoints.len());
+        if self.rng.random_range(0..8) == 0 {
+            self.next_version += 1;
+        }
+        self.next_id += 1;
+        let software = format!("v{}", self.next_version);
+        let former = self.endpoints[index].clone();
+        let started_ms = self.now.as_millis() as u64 + 2;
+        self.endpoints[index] = endpoint(&format!("e{}", self.next_id), &software, started_ms);
+        self.publish(Duration::ZERO);
+        self.break_where(|it| it.endpoint == (former.id.clone(), former.started_at_ms));
+    }
+
+    fn restart_endpoint(&mut self) {
+        let index = self.rng.random_range(0..self.endpoints.len());
+        let former = self.endpoints[index].clone();
+        let software = if former.software == "v1" { "v2" } else { "v1" };
+        let up_at = self.now + DOWNTIME;
+        self.endpoints[index] = endpoint(&former.id, software, up_at.as_millis() as u64);
+        self.publish(DOWNTIME);
+        self.break_where(|it| it.endpoint == (former.id.clone(), former.started_at_ms));
+    }
+
+    fn publish(&mut self, delay: Duration) {
+        let version = self.rosters.len() as u64 + 1;
+        let endpoints = self.endpoints.clone();
+        self.rosters.push((self.now + delay, Roster { version, endpoints }));
+    }
+
+    fn read_rosters(&mut self) {
+        let now = self.instant();
+        let max_ms = MAX_ENTRY_DELAY_MS[usize::from(self.daemons.len() > SMALL_FLEET)];
+        for daemon in &mut self.daemons {
+            let delay = Duration::from_millis(self.rng.random_range(0..max_ms));
+            let is_new = daemon.seen == 0;
+            while let Some((at, roster)) = self.rosters.get(daemon.seen)
+                && (is_new || self.now >= *at + delay)
+            {
+                daemon.seen += 1;
+                let effects = daemon.pool.replace(roster.clone(), now, now);
+                daemon.history.observe(&daemon.pool, now);
+                for (id, _) in effects {
+                    let Some(member) = daemon.pool.member_mut(&id) else { continue };
+                    let Some((instance, software)) = member.replaced.take() else { continue };
+                    if software != member.endpoint.software {
+                        let started = Duration::from_millis(member.endpoint.started_at_ms);
+                        daemon.origins.doubt(instance, self.began + started);
+                    }
+                }
+            }
+        }
+    }
+
+    fn begin_stream(&mut self) {
+        let index = self.rng.random_range(0..self.daemons.len());
+        self.next_id += 1;
+        let key = Key::of(None, "r", &self.next_id.to_string());
+        self.run(index, key, None);
+    }
+
+    /// Sends a stream's request to endpoints of the required version, as far as the daemon
+    /// knows, until one is up. Returns the version that serves it.
+    fn run(&mut self, index: usize, key: Key, required: Option<&str>) -> Option<String> {
+        let now = self.instant();
+        for _ in 0..ATTEMPTS {
+            let (id, origin) = self.choose(index, required)?;
+            let daemon = &mut self.daemons[index];
+            let up_by_ms = self.now.as_millis() as u64 + 2;
+            let is_up = |it: &&Endpoint| it.id == id && it.started_at_ms <= up_by_ms;
+            let Some(actual) = self.endpoints.iter().find(is_up) else {
+                daemon.pool.member_mut(&id)?.broke_at = Some(now);
+                continue;
+            };
+            daemon.origins.record(key, origin, WINDOW, now);
+            let length = Duration::from_millis(self.rng.random_range(500..MAX_LENGTH_MS));
+            self.streams.push(Stream {
+                key,
+                software: actual.software.clone(),
+                daemon: daemon.id.clone(),
+                endpoint: (id, actual.started_at_ms),
+                ends_at: self.now + length,
+            });
+            return Some(actual.software.clone());
+        }
+        None
+    }
+
+    /// Chooses an endpoint, preferably one that can't have been replaced.
+    fn choose(&mut self, index: usize, required: Option<&str>) -> Option<(String, Origin)> {
+        let now = self.instant();
+        let fits = |it: &&Member| {
+            it.is_usable(now) && required.is_none_or(|software| it.endpoint.software == software)
+        };
+        let candidates = || self.daemons[index].pool.members().filter(fits);
+        let has_sound = candidates().any(|it| !it.may_be_replaced(now));
+        let candidates: Vec<&Member> =
+            candidates().filter(|it| !has_sound || !it.may_be_replaced(now)).collect();
+        if candidates.is_empty() {
+            return None;
+        }
+        let chosen = candidates[self.rng.random_range(0..candidates.len())];
+        let software = Some(chosen.endpoint.software.clone());
+        let origin = Origin { service: "pool".into(), software, instance: chosen.instance };
+        Some((chosen.endpoint.id.clone(), origin))
+    }
+
+    fn break_streams(&mut self) {
+        let now = self.now;
+        self.streams.retain(|it| now < it.ends_at);
+        let mut rng = SmallRng::seed_from_u64(self.rng.random());
+        self.break_where(|_| rng.random_bool(BREAK_SHARE));
+    }
+
+    fn break_where(&mut self, mut breaks: impl FnMut(&Stream) -> bool) {
+        let now = self.instant();
+        for stream in self.streams.extract_if(.., |it| breaks(it)) {
+            let daemon = self.daemons.iter_mut().find(|it| it.id == stream.daemon);
+            if let Some(member) = daemon.and_then(|it| it.pool.member_mut(&stream.endpoint.0)) {
+                member.broke_at = Some(now);
+            }
+            let pause = Duration::from_millis(self.rng.random_range(5..1_500));
+            self.broken.push((self.now + pause, stream));
+        }
+    }
+
+    fn take_up(&mut self) {
+        let now = self.now;
+        let due: Vec<Stream> =
+            self.broken.extract_if(.., |(at, _)| now >= *at).map(|(_, it)| it).collect();
+        for stream in due {
+            let index = self.rng.random_range(0..self.daemons.len());
+            let serving = self.endpoints.iter().filter(|it| it.software == stream.software).count();
+            let is_in_touch = now >= self.daemons[index].started_at + CONTACT_TIME;
+            let counts = is_in_touch && serving >= 2;
+            self.record.taken_up += usize::from(counts);
+            let Some(required) = self.known_version(index, stream.key) else { continue };
+            let Some(actual) = self.run(index, stream.key, Some(&required)) else { continue };
+            self.record.mixed += usize::from(actual != stream.software);
+            self.record.went_on += usize::from(counts);
+        }
+    }
+
+    /// Returns the version at which a daemon lets a stream go on.
+    fn known_version(&mut self, index: usize, key: Key) -> Option<String> {
+        let now = self.instant();
+        let daemon = &self.daemons[index];
+        if daemon.origins.get(key, now).is_none() {
+            if let Some(sole) = daemon.history.sole("pool", WINDOW, now) {
+                return Some(sole.to_owned());
+            }
+            let asked = self.ranked(index, key, QUERIED);
+            let replies: Vec<(Rc<str>, origin::Notice)> = asked
+                .into_iter()
+                .filter_map(|it| {
+                    let it = &self.daemons[it];
+                    Some((Rc::from(it.id.as_str()), it.origins.notice(key, now)?))
+                })
+                .collect();
+            for (from, notice) in replies.into_iter().take(1) {
+                self.daemons[index].origins.merge_remote(&notice, &from, now);
+            }
+        }
+        self.daemons[index].origins.get(key, now)?.origin.software.clone()
+    }
+
+    /// Returns the daemons that rank first for a stream, in a small and in a large fleet.
+    fn ranked(&self, own: usize, key: Key, limits: [usize; 2]) -> Vec<usize> {
+        let others = (0..self.daemons.len()).filter(|it| *it != own);
+        let mut ranked: Vec<(u64, usize)> =
+            others.map(|it| (key.rank(&self.daemons[it].id), it)).collect();
+        ranked.sort_unstable();
+        let limit = limits[usize::from(self.daemons.len() > SMALL_FLEET)];
+        ranked.into_iter().take(limit).map(|(_, it)| it).collect()
+    }
+
+    fn tell(&mut self) {
+        let now = self.instant();
+        for index in 0..self.daemons.len() {
+            let from: Rc<str> = Rc::from(self.daemons[index].id.as_str());
+            for notice in self.daemons[index].origins.take_untold(512, now) {
+                for to in self.ranked(index, notice.key, REMEMBERING) {
+                    let max_ms = self.plan.max_delay.as_millis() as u64;
+                    let delay = Duration::from_millis(self.rng.random_range(1..=max_ms));
+                    let to = self.daemons[to].id.clone();
+                    let streams = vec![notice.clone()];
+                    self.messages.push(Message {
+                        at: self.now + delay,
+                        to,
+                        from: Rc::clone(&from),
+                        streams,
+                    });
+                }
+            }
+        }
+    }
+
+    fn deliver(&mut self) {
+        let now = self.now;
+        let instant = self.instant();
+        for message in self.messages.extract_if(.., |it| now >= it.at) {
+            let Some(to) = self.daemons.iter_mut().find(|it| it.id == message.to) else { continue };
+            for notice in &message.streams {
+                to.origins.merge_remote(notice, &message.from, instant);
+            }
+        }
+    }
+}
+
+fn endpoint(id: &str, software: &str, started_at_ms: u64) -> Endpoint {
+    Endpoint {
+        id: id.to_owned(),
+        service: "pool".to_owned(),
+        address: "10.0.0.1:80".parse().unwrap(),
+        zone: "a".to_owned(),
+        software: software.to_owned(),
+        slots: 8,
+        leaving: false,
+        reclaimable: false,
+        leaves_ms: None,
+        version: started_at_ms,
+        started_at_ms,
+    }
+}
--- a/crates/front/src/broker/crashes.rs
+++ b/crates/front/src/broker/crashes.rs
@@ -19,8 +19,8 @@
 use relay::admission::Outcome;
 
 use super::Broker;
+use super::pending::Pending;
 use super::refusal::Cause;
-use super::requests::Pending;
 use crate::metrics;
 
 /// Limit of crashes of a request, of which two may be due to other requests.
--- a/crates/front/src/broker/mod.rs
+++ b/crates/front/src/broker/mod.rs
@@ -8,8 +8,10 @@
 mod leader;
 mod limits;
 mod origins;
+mod pending;
 mod refusal;
 mod requests;
+mod roster;
 
 use std::cell::Cell;
 use std::collections::BTreeSet;
@@ -23,7 +25,6 @@
 
 use balance::origin::Key;
 use balance::origin::Origins;
-use balance::pool::Effect;
 use balance::pool::Pool;
 use balance::services::Unconfirmed;
 use balance::settling::Settling;
@@ -56,11 +57,10 @@
 use stakker::StopCause;
 use stakker::after;
 use store::Error;
-use store::position;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::watch;
 
-use self::requests::Pending;
+use self::pending::Pending;
 use crate::clock;
 use crate::cloud;
 use crate::drain::Drain;
@@ -462,43 +462,6 @@
         self.has_urgent_changes = true;
     }
 
-    fn handle_effects(
-        &mut self,
-        mut effects: Vec<(String, Effect)>,
-        source: &'static str,
-        now: Instant,
-    ) {
-        effects.retain(|(_, effect)| *effect != Effect::Unchanged);
-        self.has_urgent_changes |= !effects.is_empty();
-        if effects.iter().any(|(_, effect)| *effect == Effect::Joined) {
-            self.list_grew_at = Some(now);
-        }
-        if !effects.is_empty() && self.history.observe(&self.pool, now) {
-            self.stored_history.outdate();
-        }
-        for (id, effect) in effects {
-            self.doubt_software(&id, now);
-            match effect {
-                Effect::Joined => self.handle_joined(&id, now),
-                Effect::Left => self.handle_left(&id),
-                Effect::Lapsed | Effect::Unchanged => {}
-            }
-            metrics::count("endpoint", effect.name());
-            let member = self.pool.member(&id);
-            let expires_at = member.and_then(|it| it.expires_at);
-            let grace = expires_at.map_or(Duration::ZERO, |it| it.saturating_duration_since(now));
-            spdlog::info!("endpoint", kv: {
-                endpoint = id,
-                effect:? = effect,
-                source = source,
-                version = self.pool.store_version,
-                software = member.map_or("", |it| &it.endpoint.software),
-                entry = member.map_or(0, |it| it.endpoint.version),
-                grace_ms = grace.as_millis() as u64,
-            });
-        }
-    }
-
     fn handle_store_call(&mut self, feed: &'static str, failure: Option<Error>) {
         let has_failed = failure.is_some();
         let had_failed = self.store_failures.insert(feed, has_failed).unwrap_or(false);
@@ -511,12 +474,4 @@
             spdlog::info!("store regained", kv: { feed = feed });
         }
     }
-
-    /// Records a read of the endpoints. Returns the time until which missing entries may
-    /// still be written again.
-    fn record_read(&mut self, version: u64, now: Instant) -> Instant {
-        self.settling.observe(position::era(version), now);
-        self.read_at = Some(now);
-        self.settling.ends_at(self.reads_since, now)
-    }
 }
--- a/crates/front/src/broker/origins.rs
+++ b/crates/front/src/broker/origins.rs
@@ -24,9 +24,9 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::Broker;
+use super::pending::Pending;
 use super::refusal::Cause;
 use super::refusal::refuse;
-use super::requests::Pending;
 use crate::clock;
 use crate::metrics;
 
--- /dev/null
+++ b/crates/front/src/broker/pending.rs
@@ -0,0 +1,104 @@
+//! Admitted requests that have not finished.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use balance::endpoint::Instance;
+use balance::load::Load;
+use balance::origin::Key;
+use balance::software::Requirement;
+use balance::subject::Subject;
+use route::config::Kind;
+use route::request::Attributes;
+use route::table::Match;
+
+use super::origins::stream_key;
+
+/// An admitted request that has not finished.
+#[derive(Debug)]
+pub struct Pending {
+    pub(super) route: String,
+    pub(super) service: String,
+    pub(super) is_stream: bool,
+    /// The stream that it begins or takes up, if callers may take it up again.
+    pub(super) stream: Option<Key>,
+    /// The software version that it needs.
+    pub(super) requirement: Requirement,
+    pub(super) attributes: Attributes,
+    /// What may be the cause of a crash of its endpoint.
+    pub(super) subjects: Vec<Subject>,
+    /// Whether it tries a subject again that was rejected.
+    pub(super) is_trial: bool,
+    pub(super) workspace: Option<String>,
+    /// Quota units charged to the workspace.
+    pub(super) units: f64,
+    pub(super) is_idempotent: bool,
+    pub(super) attempts_left: u32,
+    /// Ids of the endpoints that the request was sent to.
+    pub(super) tried: Vec<String>,
+    /// Id, address and instance of the current endpoint.
+    pub(super) endpoint: String,
+    pub(super) address: SocketAddr,
+    pub(super) instance: Instance,
+    /// Software version of the current endpoint.
+    pub(super) software: String,
+    pub(super) load: Load,
+    /// Prompt tokens that the endpoint computes before the request's first token: those
+    /// already queued and those of this request.
+    pub(super) prefill_tokens: u32,
+    pub(super) predicted: Duration,
+    pub(super) arrived_at: Instant,
+    /// Time limit of the route or the caller, counted from `arrived_at`.
+    pub(super) limit: Duration,
+    pub(super) sent_at: Instant,
+    pub(super) has_started: bool,
+    /// Whether it was recorded that an endpoint has made progress with the request.
+    pub(super) is_progress_known: bool,
+    /// When the current endpoint began to respond.
+    pub(super) began_at: Option<Instant>,
+    /// Whether an endpoint may have run the request.
+    pub(super) may_have_run: bool,
+}
+
+impl Pending {
+    /// Creates a request that is not assigned to an endpoint yet.
+    pub(super) fn new(
+        found: &Match<'_>,
+        attributes: Attributes,
+        subjects: Vec<Subject>,
+        units: f64,
+        limit: Duration,
+        now: Instant,
+    ) -> Pending {
+        Pending {
+            route: found.route.name.clone(),
+            service: found.service.to_owned(),
+            is_stream: found.route.kind == Kind::Stream,
+            stream: stream_key(found, &attributes).filter(|_| found.route.is_idempotent()),
+            requirement: Requirement::Any,
+            attributes,
+            subjects,
+            is_trial: false,
+            workspace: found.workspace.map(|it| it.name.clone()),
+            units,
+            is_idempotent: found.route.is_idempotent(),
+            attempts_left: found.route.attempts,
+            tried: Vec::new(),
+            endpoint: String::new(),
+            address: SocketAddr::from(([0, 0, 0, 0], 0)),
+            instance: Instance(0),
+            software: String::new(),
+            load: Load::default(),
+            prefill_tokens: 0,
+            predicted: Duration::ZERO,
+            arrived_at: now,
+            limit,
+            sent_at: now,
+            has_started: false,
+            is_progress_known: false,
+            began_at: None,
+            may_have_run: false,
+        }
+    }
+}
--- /dev/null
+++ b/crates/front/src/broker/roster.rs
@@ -0,0 +1,57 @@
+//! Changes of the list of endpoints.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use balance::pool::Effect;
+use store::position;
+
+use super::Broker;
+use crate::metrics;
+
+impl Broker {
+    pub(super) fn handle_effects(
+        &mut self,
+        mut effects: Vec<(String, Effect)>,
+        source: &'static str,
+        now: Instant,
+    ) {
+        effects.retain(|(_, effect)| *effect != Effect::Unchanged);
+        self.has_urgent_changes |= !effects.is_empty();
+        if effects.iter().any(|(_, effect)| *effect == Effect::Joined) {
+            self.list_grew_at = Some(now);
+        }
+        if !effects.is_empty() && self.history.observe(&self.pool, now) {
+            self.stored_history.outdate();
+        }
+        for (id, effect) in effects {
+            self.doubt_software(&id, now);
+            match effect {
+                Effect::Joined => self.handle_joined(&id, now),
+                Effect::Left => self.handle_left(&id),
+                Effect::Lapsed | Effect::Unchanged => {}
+            }
+            metrics::count("endpoint", effect.name());
+            let member = self.pool.member(&id);
+            let expires_at = member.and_then(|it| it.expires_at);
+            let grace = expires_at.map_or(Duration::ZERO, |it| it.saturating_duration_since(now));
+            spdlog::info!("endpoint", kv: {
+                endpoint = id,
+                effect:? = effect,
+                source = source,
+                version = self.pool.store_version,
+                software = member.map_or("", |it| &it.endpoint.software),
+                entry = member.map_or(0, |it| it.endpoint.version),
+                grace_ms = grace.as_millis() as u64,
+            });
+        }
+    }
+
+    /// Records a read of the endpoints. Returns the time until which missing entries may
+    /// still be written again.
+    pub(super) fn record_read(&mut self, version: u64, now: Instant) -> Instant {
+        self.settling.observe(position::era(version), now);
+        self.read_at = Some(now);
+        self.settling.ends_at(self.reads_since, now)
+    }
+}
