Let streams wait for the row of software versions at the start of a daemon

streams_go_on_when_all_daemons_are_killed_if_only_one_version_has_served failed once in six runs at a load average above 30. Traced: callers connect as soon as the port is open, and a stream that was taken up before the row was read, after the row of rejected requests, was rejected as unknown.

--- a/crates/front/src/broker/history.rs
+++ b/crates/front/src/broker/history.rs
@@ -19,7 +19,7 @@
 /// What this daemon knows of the row.
 #[derive(Debug)]
 pub(super) struct Stored {
-    has_read: bool,
+    pub(super) has_read: bool,
     /// Whether the history differs from the row as last read or written.
     is_outdated: bool,
     is_writing: bool,
@@ -85,5 +85,6 @@
                     kv: { cause = error.to_string(), version = row.version });
             }
         }
+        self.settle_queries(now);
     }
 }
--- a/crates/front/src/broker/origins.rs
+++ b/crates/front/src/broker/origins.rs
@@ -63,7 +63,7 @@
 #[derive(Debug)]
 pub(super) struct Query {
     waiting: Vec<Waiting>,
-    /// Number of daemons that have not replied.
+    /// Number of daemons that have not replied, and the store's row if it was not read.
     unanswered: usize,
     until: Instant,
 }
@@ -81,7 +81,9 @@
             return self.decide(arrival, reply, now);
         };
         let daemons = self.peers.remembering(key, QUERIED, now);
-        if daemons.is_empty() || self.queries.len() >= MAX_QUERIES {
+        // The row of software versions may tell as well.
+        let unanswered = daemons.len() + usize::from(!self.stored_history.has_read);
+        if unanswered == 0 || self.queries.len() >= MAX_QUERIES {
             return self.decide(arrival, reply, now);
         }
         let waiting = Waiting { arrival, reply, since: now };
@@ -93,7 +95,7 @@
         for daemon in &daemons {
             self.context.streams.send(*daemon, &message);
         }
-        let (unanswered, until) = (daemons.len(), now + QUERY_TIMEOUT);
+        let until = now + QUERY_TIMEOUT;
         self.queries.insert(key, Query { waiting: vec![waiting], unanswered, until });
     }
 
@@ -268,6 +270,18 @@
         self.end_query(key, now);
     }
 
+    /// Ends the queries that only the row of software versions was left to answer.
+    pub(super) fn settle_queries(&mut self, now: Instant) {
+        let mut settled = Vec::new();
+        for (key, query) in &mut self.queries {
+            query.unanswered = query.unanswered.saturating_sub(1);
+            if query.unanswered == 0 {
+                settled.push(*key);
+            }
+        }
+        settled.into_iter().for_each(|it| self.end_query(it, now));
+    }
+
     /// Ends the queries that have taken too long, and forgets old streams.
     pub(super) fn sweep_origins(&mut self, now: Instant) {
         let overdue = self.queries.iter().filter(|(_, it)| now >= it.until);
--- a/crates/front/src/feeds.rs
+++ b/crates/front/src/feeds.rs
@@ -148,13 +148,16 @@
     }
 }
 
-/// Reads what former daemons have left for those that start: the rows of rejected requests
-/// and of software versions.
-pub async fn inherited(mut client: Client, events: UnboundedSender<Event>) {
-    let rejected = read_once(&mut client, REJECTED_KEY, "rejected", &events).await;
-    let _ = events.send(Event::RejectedRead(rejected));
-    let versions = read_once(&mut client, VERSIONS_KEY, "versions", &events).await;
-    let _ = events.send(Event::VersionsRead(versions));
+/// Reads the row of rejected requests that former daemons have left.
+pub async fn rejected(mut client: Client, events: UnboundedSender<Event>) {
+    let row = read_once(&mut client, REJECTED_KEY, "rejected", &events).await;
+    let _ = events.send(Event::RejectedRead(row));
+}
+
+/// Reads the row of software versions that former daemons have left.
+pub async fn versions(mut client: Client, events: UnboundedSender<Event>) {
+    let row = read_once(&mut client, VERSIONS_KEY, "versions", &events).await;
+    let _ = events.send(Event::VersionsRead(row));
 }
 
 async fn read_once(
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -138,7 +138,8 @@
         is_reader,
         Returns::new(&eras),
     ));
-    spawn_local(feeds::inherited(client(), events.clone()));
+    spawn_local(feeds::rejected(client(), events.clone()));
+    spawn_local(feeds::versions(client(), events.clone()));
     spawn_local(lease::run(client(), lease_calls, events.clone()));
     if let Some(address) = settings.cloud {
         let daemon = settings.daemon.clone();
