Serve through other daemons while links to endpoints are cut

Cause: nothing told a daemon that its own links were gone. Each attempt timed out for itself, endpoints were paused one by one, and with all of them paused it went on choosing. The class is a daemon's own trouble taken for that of its peers.

- balance::reach judges links by service: three endpoints that fail in a row without a response on a new connection, while the same service responds to other daemons after the first of these failures (gossip).
One failure is enough for a second service.
- Requests are then forwarded to the callers' port of a daemon that reaches the service, first one that got a response recently (relay::hop).
It checks, limits and counts them like any caller's, so that at-most-once, deadlines, cancellation, back-pressure, quota, usage and versions of streams need no second implementation.
A forwarded request is not forwarded again.
- Probes of connections, then one repeatable request, then a growing share bring requests back.
- While links are cut, interrupted attempts are no evidence of a crash.

--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod model;
 pub mod origin;
 pub mod pool;
+pub mod reach;
 pub mod removal;
 pub mod services;
 pub mod settling;
--- a/crates/explain/src/cause.rs
+++ b/crates/explain/src/cause.rs
@@ -11,6 +11,9 @@
             | "placed"
             | "placed again"
             | "began"
+            | "forwarded"
+            | "forwarding failed"
+            | "no daemon to forward to"
             | "request incomplete"
             | "response cut"
     )
@@ -23,6 +26,17 @@
         "over" => outcome(last),
         "response cut" => cut(last).to_owned(),
         "request incomplete" => incomplete(last).to_owned(),
+        "forwarded" => forwarded(last),
+        "forwarding failed" => {
+            "the daemon to which the request was forwarded broke off before it responded; the \
+             request may have been executed"
+                .to_owned()
+        }
+        "no daemon to forward to" => {
+            "links to the endpoints were cut, and no other daemon accepted a connection; the \
+             request was not executed"
+                .to_owned()
+        }
         "placed" | "placed again" | "began" => {
             "these logs do not contain the end of the request: the daemon terminated, log lines \
              were dropped, or the request is still open"
@@ -81,6 +95,14 @@
     }
 }
 
+fn forwarded(last: &Record) -> String {
+    let daemon = last.text("daemon").unwrap_or("another daemon");
+    format!(
+        "links to the endpoints were cut, so the request was forwarded to {daemon}; its log has \
+         the same id"
+    )
+}
+
 fn incomplete(last: &Record) -> &'static str {
     match last.text("by").unwrap_or_default() {
         "stopped" => "the daemon exited while it was receiving the request",
--- a/crates/front/src/broker/crashes.rs
+++ b/crates/front/src/broker/crashes.rs
@@ -222,6 +222,16 @@
 
     fn record_interruption(&mut self, ticket: u64, outcome: Outcome, now: Instant) {
         let Some(pending) = self.requests.get(&ticket) else { return };
+        if self.doubts_own_links() {
+            metrics::count("crash", "own_links");
+            spdlog::info!("interruption not counted", kv: {
+                request = pending.attributes.id.as_str(),
+                after = outcome.name(),
+                endpoint = pending.endpoint.as_str(),
+                reason = "own_links",
+            });
+            return;
+        }
         let end = if outcome == Outcome::Broken { End::Broken } else { End::GivenUp };
         let attempt = Attempt { instance: pending.instance, end, sent_at: pending.sent_at };
         let member = self.pool.member(&pending.endpoint);
--- a/crates/front/src/broker/gossip.rs
+++ b/crates/front/src/broker/gossip.rs
@@ -340,6 +340,8 @@
             leaving: leaving
                 .map(|it| (it.endpoint.id.clone(), it.endpoint.started_at_ms))
                 .collect(),
+            responses: self.recent_responses(now),
+            unreached: self.reach.cut().map(str::to_owned).collect(),
             limits: self.limit_notices(),
             removals: self.pool.removal_notices(max_removals),
         }
--- a/crates/front/src/broker/mod.rs
+++ b/crates/front/src/broker/mod.rs
@@ -9,6 +9,7 @@
 mod limits;
 mod origins;
 mod pending;
+mod reach;
 mod refusal;
 mod requests;
 mod roster;
@@ -26,6 +27,7 @@
 use balance::origin::Key;
 use balance::origin::Origins;
 use balance::pool::Pool;
+use balance::reach::Reach;
 use balance::services::Unconfirmed;
 use balance::settling::Settling;
 use balance::software::Coverage;
@@ -70,6 +72,7 @@
 use crate::lease;
 use crate::metrics;
 use crate::peers::Streams;
+use crate::reach_probe;
 
 /// Minimum interval between log lines that report dropped log lines.
 const DROP_REPORT_INTERVAL: Duration = Duration::from_secs(1);
@@ -107,6 +110,8 @@
     pub ready: watch::Sender<bool>,
     /// Publishes to the feeds whether this daemon is a store reader.
     pub reader: watch::Sender<bool>,
+    /// Endpoints to be probed.
+    pub probes: UnboundedSender<reach_probe::Job>,
     /// Eras of the store, as seen by this daemon's clients of it and by other daemons.
     pub eras: Eras,
     /// Seed of the random number generator.
@@ -154,6 +159,10 @@
     origins_swept_at: Instant,
     /// Questions to other daemons about streams that callers take up.
     queries: HashMap<Key, origins::Query>,
+    /// Whether this daemon reaches endpoints.
+    reach: Reach,
+    /// Number of probes of endpoints so far.
+    probe_count: usize,
     /// Software versions that have served.
     history: History,
     stored_history: history::Stored,
@@ -232,6 +241,8 @@
             origins: Origins::default(),
             origins_swept_at: now,
             queries: HashMap::new(),
+            reach: Reach::default(),
+            probe_count: 0,
             history: History::new(match context.settings.is_first_start {
                 true => Coverage::Whole,
                 false => Coverage::Since(now),
@@ -303,6 +314,9 @@
             Event::RejectedStored { subjects, result } => {
                 self.handle_rejected_stored(subjects, result);
             }
+            Event::Probed { service, endpoint, is_success } => {
+                self.handle_probe(&service, &endpoint, is_success, now);
+            }
             Event::VersionsRead(row) => self.handle_versions_read(&row, now),
             Event::VersionsStored(result) => self.handle_versions_stored(result),
             Event::UsageRecorded { window, counts, result } => {
@@ -368,6 +382,7 @@
         self.context.ready.send_replace(self.is_ready());
         self.record_progress(now);
         self.sweep_origins(now);
+        self.judge_links(now);
         let is_urgent = self.has_urgent_changes || self.spread.has_news();
         if is_urgent || now >= self.gossiped_at + self.gossip_interval() {
             self.gossip(now);
--- a/crates/front/src/broker/origins.rs
+++ b/crates/front/src/broker/origins.rs
@@ -77,6 +77,11 @@
         reply: oneshot::Sender<Decision>,
         now: Instant,
     ) {
+        if let Some(admission) = self.forward(&arrival, now) {
+            // A caller that has disconnected needs no response.
+            let _ = reply.send(Ok(admission));
+            return;
+        }
         let Some(key) = self.unknown_stream(&arrival, now) else {
             return self.decide(arrival, reply, now);
         };
--- a/crates/front/src/broker/pending.rs
+++ b/crates/front/src/broker/pending.rs
@@ -52,6 +52,8 @@
     /// Time limit of the route or the caller, counted from `arrived_at`.
     pub(super) limit: Duration,
     pub(super) sent_at: Instant,
+    /// Whether a connection was opened for the current attempt.
+    pub(super) is_fresh: bool,
     pub(super) has_started: bool,
     /// Whether it was recorded that an endpoint has made progress with the request.
     pub(super) is_progress_known: bool,
@@ -95,6 +97,7 @@
             arrived_at: now,
             limit,
             sent_at: now,
+            is_fresh: false,
             has_started: false,
             is_progress_known: false,
             began_at: None,
--- a/crates/front/src/broker/requests.rs
+++ b/crates/front/src/broker/requests.rs
@@ -12,6 +12,7 @@
 use balance::pool::Member;
 use balance::software::Requirement;
 use balance::subject::Subject;
+use relay::admission::Admission;
 use relay::admission::Arrival;
 use relay::admission::Decision;
 use relay::admission::Message;
@@ -75,16 +76,17 @@
         reply: oneshot::Sender<Decision>,
         now: Instant,
     ) {
-        let decision = self.admit(arrival, now);
-        let admitted = decision.as_ref().ok().map(|(plan, _)| plan.ticket);
+        let admitted = self.admit(arrival, now);
+        let ticket = admitted.as_ref().ok().map(|(plan, _)| plan.ticket);
+        let decision = admitted.map(|(plan, target)| Admission::Run(plan, target));
         if reply.send(decision).is_err()
-            && let Some(ticket) = admitted
+            && let Some(ticket) = ticket
         {
             self.finish(ticket, Outcome::Abandoned, 0, now);
         }
     }
 
-    fn admit(&mut self, arrival: Arrival, now: Instant) -> Decision {
+    fn admit(&mut self, arrival: Arrival, now: Instant) -> Result<(Plan, Target), Refusal> {
         let Arrival { host, path, attributes, fingerprint, waited } = arrival;
         let id = attributes.id.clone();
         if self.table.config.version == 0 {
@@ -201,7 +203,9 @@
     }
 
     /// Whether a request may still be sent to the endpoint to which it was assigned.
-    fn confirm(&self, ticket: u64, now: Instant) -> bool {
+    fn confirm(&mut self, ticket: u64, now: Instant) -> bool {
+        let Some(pending) = self.requests.get_mut(&ticket) else { return false };
+        pending.is_fresh = true;
         let Some(pending) = self.requests.get(&ticket) else { return false };
         if self.is_rejected(pending, now) {
             metrics::count("crash", "rejected_before_send");
@@ -234,6 +238,8 @@
         pending.began_at = Some(now);
         let (endpoint, instance, sent_at) =
             (pending.endpoint.clone(), pending.instance, pending.sent_at);
+        let (service, is_fresh) = (pending.service.clone(), pending.is_fresh);
+        self.reach.record_response(&service, is_fresh, now);
         self.record_response(&endpoint, instance, sent_at, now);
         self.count_run(ticket);
         self.bind_to_software(ticket, now);
@@ -316,6 +322,7 @@
         pending.predicted = choice.predicted;
         pending.sent_at = now;
         pending.began_at = None;
+        pending.is_fresh = false;
     }
 
     /// Removes a request from its endpoint and records the attempt's outcome.
@@ -354,11 +361,12 @@
         if let Some(outcome) = health_outcome {
             self.pool.record_outcome(&endpoint, outcome, now);
         }
+        self.record_reach(ticket, outcome, now);
         self.record_evidence(ticket, outcome, now);
     }
 
     /// Whether a request can be expected to end before this daemon exits.
-    fn ends_before_exit(&self, route: &str, limit: Duration, now: Instant) -> bool {
+    pub(super) fn ends_before_exit(&self, route: &str, limit: Duration, now: Instant) -> bool {
         let Stage::Stopping(drain) = &self.stage else { return true };
         let remaining = Remaining { limit, expected: self.durations.upper(route) };
         drain.admits(remaining, self.context.settings.bounds.grace, now)
@@ -391,7 +399,7 @@
     }
 }
 
-fn time_limit(found: &Match<'_>, attributes: &Attributes) -> Duration {
+pub(super) fn time_limit(found: &Match<'_>, attributes: &Attributes) -> Duration {
     let timeout = Duration::from_millis(found.route.timeout_ms);
     attributes.timeout.map_or(timeout, |it| it.min(timeout))
 }
--- a/crates/front/src/event.rs
+++ b/crates/front/src/event.rs
@@ -66,6 +66,15 @@
         /// Result of the write.
         result: Result<Commit, Error>,
     },
+    /// A probe of an endpoint completed.
+    Probed {
+        /// Service of the endpoint.
+        service: String,
+        /// Endpoint identity.
+        endpoint: String,
+        /// Whether a connection could be opened.
+        is_success: bool,
+    },
     /// The row of software versions was read at the start.
     VersionsRead(Row),
     /// A write of the row of software versions completed.
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -15,4 +15,5 @@
 mod lease;
 mod peers;
 mod probe;
+mod reach_probe;
 pub mod rejected;
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -46,6 +46,7 @@
 use crate::lease;
 use crate::peers::Streams;
 use crate::probe;
+use crate::reach_probe;
 
 /// Maximum sleep when no timer is pending.
 const MAX_IDLE_WAIT: Duration = Duration::from_secs(5);
@@ -110,6 +111,7 @@
     let exchanges = Exchanges::default();
     let (irregular, irregularities) = unbounded_channel();
     let eras = Eras::new(irregular);
+    let (probes, probe_jobs) = unbounded_channel();
     let context = Context {
         settings: settings.clone(),
         instance_id: instance_id.clone(),
@@ -121,6 +123,7 @@
         exchanges: exchanges.clone(),
         ready,
         reader,
+        probes,
         eras: eras.clone(),
         seed: rng.random(),
     };
@@ -140,6 +143,7 @@
     ));
     spawn_local(feeds::rejected(client(), events.clone()));
     spawn_local(feeds::versions(client(), events.clone()));
+    spawn_local(reach_probe::run(probe_jobs, events.clone()));
     spawn_local(lease::run(client(), lease_calls, events.clone()));
     if let Some(address) = settings.cloud {
         let daemon = settings.daemon.clone();
--- a/crates/membership/src/digest.rs
+++ b/crates/membership/src/digest.rs
@@ -71,6 +71,10 @@
     pub leaving: Vec<(String, u64)>,
     /// Removed endpoints that a copy may contain, while the store has just returned from it.
     pub removals: Vec<removal::Notice>,
+    /// How long ago services last responded to it, in milliseconds, if that is recent.
+    pub responses: Vec<(String, u64)>,
+    /// Services whose endpoints it doesn't reach.
+    pub unreached: Vec<String>,
     /// Request limits that endpoints name.
     pub limits: Vec<endpoint::Notice>,
 }
--- a/crates/membership/tests/digest.rs
+++ b/crates/membership/tests/digest.rs
@@ -144,6 +144,8 @@
         suspects: Vec::new(),
         leaving: Vec::new(),
         removals: Vec::new(),
+        responses: Vec::new(),
+        unreached: Vec::new(),
         limits: Vec::new(),
     }
 }
--- a/crates/relay/src/admission.rs
+++ b/crates/relay/src/admission.rs
@@ -118,8 +118,22 @@
     }
 }
 
+/// How an admitted request is served.
+#[derive(Clone, Debug)]
+pub enum Admission {
+    /// By an endpoint.
+    Run(Plan, Target),
+    /// By another daemon, the first of these that accepts a connection.
+    Forward {
+        /// Addresses for callers.
+        daemons: Vec<SocketAddr>,
+        /// Maximum time from the request's arrival to the end of the response.
+        timeout: Duration,
+    },
+}
+
 /// What becomes of a request.
-pub type Decision = Result<(Plan, Target), Refusal>;
+pub type Decision = Result<Admission, Refusal>;
 
 /// A query or notification to the broker.
 #[derive(Debug)]
--- a/crates/relay/src/connection.rs
+++ b/crates/relay/src/connection.rs
@@ -114,7 +114,8 @@
     }
 }
 
-async fn connect(address: SocketAddr) -> Result<Connection, String> {
+/// Opens a connection.
+pub async fn connect(address: SocketAddr) -> Result<Connection, String> {
     let stream = match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
         Ok(Ok(stream)) => stream,
         Ok(Err(error)) => return Err(error.to_string()),
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod connection;
 pub mod event;
 pub mod exchange;
+pub mod hop;
 pub mod server;
 
 pub mod attempt;
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -20,6 +20,7 @@
 use tokio::time::Instant;
 use tokio::time::timeout_at;
 
+use crate::admission::Admission;
 use crate::admission::Arrival;
 use crate::admission::Decision;
 use crate::admission::Message;
@@ -35,6 +36,7 @@
 use crate::body::Tracked;
 use crate::buffered;
 use crate::exchange::Progress;
+use crate::hop;
 use crate::server::STOPPING;
 use crate::server::Server;
 use crate::stream;
@@ -87,12 +89,15 @@
     let caller_timeout = attributes.timeout;
     let arrival =
         Box::new(Arrival { host, path, attributes, fingerprint, waited: arrived_at.elapsed() });
-    let (plan, target) = match server.decide(arrival).await {
-        Ok(decision) => decision,
+    let admission = match server.decide(arrival).await {
+        Ok(admission) => admission,
         Err(refusal) => return refusal_response(&refusal, &id),
     };
-    let ticket = server.ticket(plan.ticket);
-    let timeout = caller_timeout.map_or(plan.timeout, |it| it.min(plan.timeout));
+    let timeout = match &admission {
+        Admission::Run(plan, _) => plan.timeout,
+        Admission::Forward { timeout, .. } => *timeout,
+    };
+    let timeout = caller_timeout.map_or(timeout, |it| it.min(timeout));
     let call = Call {
         method: parts.method,
         uri: uri.parse().unwrap_or_default(),
@@ -101,7 +106,13 @@
         id,
         deadline: arrived_at + timeout,
     };
-    forward(server, call, plan, target, ticket).await
+    match admission {
+        Admission::Run(plan, target) => {
+            let ticket = server.ticket(plan.ticket);
+            forward(server, call, plan, target, ticket).await
+        }
+        Admission::Forward { daemons, .. } => hop::forward(call, &daemons).await,
+    }
 }
 
 /// Receives the body of a request.
@@ -229,7 +240,7 @@
     }
 }
 
-fn refusal_response(refusal: &Refusal, id: &str) -> Response<Payload> {
+pub(crate) fn refusal_response(refusal: &Refusal, id: &str) -> Response<Payload> {
     let status = StatusCode::from_u16(refusal.status).unwrap_or(StatusCode::BAD_GATEWAY);
     let mut response = Response::new(Payload::buffered(Bytes::new()));
     *response.status_mut() = status;
@@ -237,7 +248,7 @@
     response
 }
 
-fn status_response(status: StatusCode, id: &str) -> Response<Payload> {
+pub(crate) fn status_response(status: StatusCode, id: &str) -> Response<Payload> {
     refusal_response(&Refusal { status: status.as_u16(), retry_after: None }, id)
 }
 
--- a/crates/route/src/request.rs
+++ b/crates/route/src/request.rs
@@ -19,6 +19,8 @@
     pub last_event: Option<String>,
     /// Identity of the attempt that brought the first event of a resumed stream.
     pub resumes: Option<String>,
+    /// Whether another daemon has forwarded the request.
+    pub is_forwarded: bool,
 }
 
 impl Attributes {
