Send nothing to endpoints whose responses say that they leave

The header is decoded with the other statements and marks the instance as leaving, as an entry would; the list of leaving endpoints in the gossip tells the other daemons.

--- a/crates/front/src/broker/requests.rs
+++ b/crates/front/src/broker/requests.rs
@@ -61,6 +61,7 @@
             Message::LimitStated { ticket, statement } => {
                 self.handle_limit_statement(ticket, statement, now);
             }
+            Message::LeavingStated { ticket } => self.handle_leaving_statement(ticket, now),
             Message::Started { ticket } => self.handle_start(ticket, now),
             Message::Finished { ticket, outcome, status } => {
                 self.finish(ticket, outcome, status, now);
--- a/crates/front/src/broker/roster.rs
+++ b/crates/front/src/broker/roster.rs
@@ -10,6 +10,17 @@
 use crate::metrics;
 
 impl Broker {
+    /// Handles that the response to a request says that its endpoint is shutting down.
+    pub(super) fn handle_leaving_statement(&mut self, ticket: u64, now: Instant) {
+        let Some(pending) = self.requests.get(&ticket) else { return };
+        let (id, instance) = (pending.endpoint.clone(), pending.instance);
+        let Some(member) = self.pool.member(&id).filter(|it| it.instance == instance) else {
+            return;
+        };
+        let effect = self.pool.mark_leaving(&id, member.endpoint.started_at_ms);
+        self.handle_effects(vec![(id, effect)], "endpoint", now);
+    }
+
     pub(super) fn handle_effects(
         &mut self,
         mut effects: Vec<(String, Effect)>,
--- a/crates/relay/src/admission.rs
+++ b/crates/relay/src/admission.rs
@@ -169,6 +169,11 @@
         /// What it says.
         statement: Statement,
     },
+    /// The endpoint's response says that it is shutting down.
+    LeavingStated {
+        /// Number of the request.
+        ticket: u64,
+    },
     /// The endpoint started to respond.
     Started {
         /// Number of the request.
@@ -217,6 +222,12 @@
         let _ = self.messages.send(Message::LimitStated { ticket: self.number, statement });
     }
 
+    /// Reports that a response says that its endpoint is shutting down.
+    pub fn report_leaving(&self) {
+        // Sending fails only while the daemon shuts down.
+        let _ = self.messages.send(Message::LeavingStated { ticket: self.number });
+    }
+
     /// Returns whether the request's endpoint still takes requests.
     pub async fn confirm(&self) -> bool {
         let (reply, answer) = oneshot::channel();
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -97,6 +97,9 @@
     if !is_misdirected && (names_limit || ends_limit) {
         ticket.report_limit(attributes.request_limit);
     }
+    if !is_misdirected && attributes.is_leaving {
+        ticket.report_leaving();
+    }
     if attributes.has_not_run {
         return Err(if is_misdirected { Outcome::Misdirected } else { Outcome::Declined });
     }
