Send nothing to endpoints for the time that their rejections name

The time is kept with the instance, by this daemon only, as it binds no other. Callers get the shortest of the times that are left when no other endpoint is usable, as that is when one may serve them.

--- a/crates/balance/src/choose.rs
+++ b/crates/balance/src/choose.rs
@@ -72,6 +72,7 @@
     let is_candidate = |it: &&Member| {
         it.endpoint.service == query.service
             && it.is_usable(now)
+            && it.declines_for(now).is_none()
             && query.requirement.admits(&it.endpoint.software)
             && !query.tried.contains(&it.endpoint.id)
             && !query.exhausted.contains(&it.endpoint.id.as_str())
--- a/crates/balance/src/pool.rs
+++ b/crates/balance/src/pool.rs
@@ -44,6 +44,8 @@
     pub leaving: bool,
     /// End of the time in which the endpoint is used without an entry.
     pub expires_at: Option<Instant>,
+    /// End of the time in which the endpoint wants nothing from this daemon.
+    pub declines_until: Option<Instant>,
     /// Outstanding work that this daemon has sent.
     pub own_load: Load,
     /// Health, derived from request outcomes.
@@ -68,6 +70,7 @@
             listed: true,
             leaving,
             expires_at: None,
+            declines_until: None,
             own_load: Load::default(),
             health: Health::default(),
             speed: Speed::default(),
@@ -82,6 +85,11 @@
         !self.leaving && (self.listed || self.expires_at.is_some_and(|it| now < it))
     }
 
+    /// Returns how long the endpoint still wants nothing from this daemon, if it said so.
+    pub fn declines_for(&self, now: Instant) -> Option<Duration> {
+        self.declines_until.map(|it| it.saturating_duration_since(now)).filter(|it| !it.is_zero())
+    }
+
     /// Whether the process may have been replaced by one that its entry doesn't describe yet.
     pub fn may_be_replaced(&self, now: Instant) -> bool {
         self.broke_at.is_some_and(|it| now < it + REPLACEMENT_TIME)
--- a/crates/explain/src/cause.rs
+++ b/crates/explain/src/cause.rs
@@ -60,6 +60,10 @@
             "the usable endpoints had named request limits, and this daemon could not send to any \
              of them then; check the `endpoint limit` lines for rates and senders"
         }
+        "endpoints_decline" => {
+            "all usable endpoints had said that they want nothing from this daemon for a time; \
+             check the lines `endpoint wants nothing for a time`"
+        }
         "no_software" => {
             "no usable endpoint had the software version that began the stream; the `requires` \
              of the lines before names it, and the `endpoint` lines show which versions served"
--- a/crates/front/src/broker/endpoint_limits.rs
+++ b/crates/front/src/broker/endpoint_limits.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use balance::pool::Member;
 use balance::software::Requirement;
 use membership::digest::Peer;
 use quota::endpoint::Notice;
@@ -81,10 +82,19 @@
             it.endpoint.service == service && it.is_usable(now) && !tried.contains(&it.endpoint.id)
         });
         let usable = of_service.filter(|it| requirement.admits(&it.endpoint.software));
+        let (declining, usable): (Vec<&Member>, Vec<&Member>) =
+            usable.partition(|it| it.declines_for(now).is_some());
         let limited: Vec<&str> = usable
+            .iter()
             .map(|it| it.endpoint.id.as_str())
             .filter(|it| self.endpoint_limits.rate(it).is_some())
             .collect();
+        let waits = declining.iter().filter_map(|it| it.declines_for(now));
+        if usable.is_empty()
+            && let Some(wait) = waits.min()
+        {
+            return (Cause::EndpointsDecline, wait);
+        }
         if limited.is_empty() && *requirement != Requirement::Any {
             return (Cause::NoSoftware, NO_SOFTWARE_DELAY);
         }
--- a/crates/front/src/broker/requests.rs
+++ b/crates/front/src/broker/requests.rs
@@ -62,6 +62,9 @@
                 self.handle_limit_statement(ticket, statement, now);
             }
             Message::LeavingStated { ticket } => self.handle_leaving_statement(ticket, now),
+            Message::PauseStated { ticket, duration } => {
+                self.handle_pause_statement(ticket, duration, now);
+            }
             Message::Started { ticket } => self.handle_start(ticket, now),
             Message::Finished { ticket, outcome, status } => {
                 self.finish(ticket, outcome, status, now);
--- a/crates/front/src/broker/roster.rs
+++ b/crates/front/src/broker/roster.rs
@@ -21,6 +21,23 @@
         self.handle_effects(vec![(id, effect)], "endpoint", now);
     }
 
+    /// Handles that an endpoint wants nothing from this daemon for a time.
+    pub(super) fn handle_pause_statement(&mut self, ticket: u64, duration: Duration, now: Instant) {
+        let Some(pending) = self.requests.get(&ticket) else { return };
+        let member = self.pool.member_mut(&pending.endpoint);
+        let Some(member) = member.filter(|it| it.instance == pending.instance) else { return };
+        let until = Some(now + duration);
+        if member.declines_until < until {
+            member.declines_until = until;
+        }
+        metrics::count("endpoint", "declines_for_a_time");
+        spdlog::info!("endpoint wants nothing for a time", kv: {
+            request = pending.attributes.id.as_str(),
+            endpoint = pending.endpoint.as_str(),
+            duration_ms = duration.as_millis() as u64,
+        });
+    }
+
     pub(super) fn handle_effects(
         &mut self,
         mut effects: Vec<(String, Effect)>,
--- a/crates/relay/src/admission.rs
+++ b/crates/relay/src/admission.rs
@@ -174,6 +174,13 @@
         /// Number of the request.
         ticket: u64,
     },
+    /// The endpoint rejected the request and wants nothing from this daemon for a time.
+    PauseStated {
+        /// Number of the request.
+        ticket: u64,
+        /// The time.
+        duration: Duration,
+    },
     /// The endpoint started to respond.
     Started {
         /// Number of the request.
@@ -228,6 +235,12 @@
         let _ = self.messages.send(Message::LeavingStated { ticket: self.number });
     }
 
+    /// Reports that the endpoint wants nothing from this daemon for a time.
+    pub fn report_pause(&self, duration: Duration) {
+        // Sending fails only while the daemon shuts down.
+        let _ = self.messages.send(Message::PauseStated { ticket: self.number, duration });
+    }
+
     /// Returns whether the request's endpoint still takes requests.
     pub async fn confirm(&self) -> bool {
         let (reply, answer) = oneshot::channel();
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -100,6 +100,9 @@
     if !is_misdirected && attributes.is_leaving {
         ticket.report_leaving();
     }
+    if let Some(duration) = attributes.retry_after {
+        ticket.report_pause(duration);
+    }
     if attributes.has_not_run {
         return Err(if is_misdirected { Outcome::Misdirected } else { Outcome::Declined });
     }
