--- a/crates/balance/src/reach.rs
+++ b/crates/balance/src/reach.rs
@@ -231,6 +231,11 @@
         self.services.iter().filter(|(_, it)| it.cut.is_some()).map(|(name, _)| name.as_str())
     }
 
+    /// Whether there are failures to be judged.
+    pub fn has_failures(&self) -> bool {
+        self.services.values().any(|it| !it.failed.is_empty())
+    }
+
     /// Whether some links are cut.
     pub fn is_cut(&self) -> bool {
         self.cut().next().is_some()
--- a/crates/front/src/broker/reach.rs
+++ b/crates/front/src/broker/reach.rs
@@ -76,6 +76,15 @@
 
     /// Judges this daemon's links again and probes those that are cut.
     pub(super) fn judge_links(&mut self, now: Instant) {
+        if self.reach.has_failures() {
+            self.find_cuts(now);
+        }
+        for service in self.reach.due_probes(now) {
+            self.probe(service, now);
+        }
+    }
+
+    fn find_cuts(&mut self, now: Instant) {
         let mut served: BTreeMap<&str, Instant> = BTreeMap::new();
         for (_, peer) in self.peers.live(now) {
             let (Some(digest), Some(received_at)) = (&peer.digest, peer.received_at) else {
@@ -87,17 +96,13 @@
                 *latest = at.unwrap_or(*latest).max(*latest);
             }
         }
-        let found = self.reach.update(&served, now);
-        for service in found {
+        for service in self.reach.update(&served, now) {
             metrics::count("reach", "cut");
             spdlog::warn!("links to endpoints lost", kv: {
                 service = service.as_str(),
                 heard = self.peers.live(now).count(),
             });
         }
-        for service in self.reach.due_probes(now) {
-            self.probe(service, now);
-        }
     }
 
     pub(super) fn handle_probe(
