--- a/crates/balance/src/origin.rs
+++ b/crates/balance/src/origin.rs
@@ -8,7 +8,7 @@
 
 use bincode::Decode;
 use bincode::Encode;
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::endpoint::Instance;
 use crate::subject::fingerprint;
@@ -32,7 +32,8 @@
 
     /// Returns the rank of a daemon among those that remember the stream.
     pub fn rank(self, daemon: &str) -> u64 {
-        xxh3_64(format!("{:032x} {daemon}", self.0).as_bytes())
+        let seed = (self.0 >> 64) as u64 ^ self.0 as u64;
+        xxh3_64_with_seed(daemon.as_bytes(), seed)
     }
 }
 
