--- a/crates/balance/src/origin.rs
+++ b/crates/balance/src/origin.rs
@@ -48,7 +48,7 @@
     pub instance: Instance,
 }
 
-/// What daemons tell each other of a stream.
+/// A stream in a message to another daemon.
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
 pub struct Notice {
     /// The stream.
@@ -87,8 +87,8 @@
     by_key: HashMap<Key, Entry>,
     /// Streams in the order in which they became known.
     order: VecDeque<Key>,
-    /// Streams that other daemons have to be told of.
-    untold: Vec<Key>,
+    /// Streams to be sent to other daemons.
+    unsent: Vec<Key>,
 }
 
 impl Origins {
@@ -96,8 +96,8 @@
     pub fn record(&mut self, key: Key, origin: Origin, lifetime: Duration, now: Instant) {
         let entry =
             Entry { origin, source: Source::Own, began_at: now, expires_at: now + lifetime };
-        if self.insert(key, entry) && self.untold.len() < MAX_STREAMS {
-            self.untold.push(key);
+        if self.insert(key, entry) && self.unsent.len() < MAX_STREAMS {
+            self.unsent.push(key);
         }
     }
 
@@ -127,16 +127,16 @@
             let is_affected = entry.began_at + MAX_CLOCK_SKEW >= replaced_at;
             if entry.origin.instance == instance && is_affected {
                 entry.origin.software = None;
-                self.untold.push(*key);
+                self.unsent.push(*key);
                 count += 1;
             }
         }
         count
     }
 
-    /// Returns up to `limit` streams that other daemons have to be told of.
-    pub fn take_untold(&mut self, limit: usize, now: Instant) -> Vec<Notice> {
-        let keys: Vec<Key> = self.untold.drain(..self.untold.len().min(limit)).collect();
+    /// Returns up to `limit` streams to be sent to other daemons.
+    pub fn take_unsent(&mut self, limit: usize, now: Instant) -> Vec<Notice> {
+        let keys: Vec<Key> = self.unsent.drain(..self.unsent.len().min(limit)).collect();
         keys.into_iter().filter_map(|it| self.notice(it, now)).collect()
     }
 
--- a/crates/balance/src/software.rs
+++ b/crates/balance/src/software.rs
@@ -54,7 +54,7 @@
     Since(Instant),
 }
 
-/// What daemons tell each other of the versions that have served.
+/// A history in a message to another daemon.
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
 pub struct Notice {
     /// How long the history has been complete, in milliseconds; `None` for the whole
--- a/crates/balance/tests/origins/main.rs
+++ b/crates/balance/tests/origins/main.rs
@@ -98,13 +98,13 @@
     origins.record(keys[0], origin("v1", 7), 60 * SECOND, now);
     origins.record(keys[1], origin("v1", 7), 60 * SECOND, now + 20 * SECOND);
     origins.record(keys[2], origin("v1", 8), 60 * SECOND, now + 20 * SECOND);
-    origins.take_untold(10, now + 20 * SECOND);
+    origins.take_unsent(10, now + 20 * SECOND);
 
     assert_eq!(origins.doubt(Instance(7), now + 10 * SECOND), 1);
 
     let version = |it: Key| origins.get(it, now + 21 * SECOND).unwrap().origin.software.clone();
     assert_eq!(keys.map(version), [Some("v1".into()), None, Some("v1".into())]);
-    let told = origins.take_untold(10, now + 21 * SECOND);
+    let told = origins.take_unsent(10, now + 21 * SECOND);
     assert_eq!(told.len(), 1, "other daemons are told of the doubt");
 }
 
--- a/crates/balance/tests/origins/world.rs
+++ b/crates/balance/tests/origins/world.rs
@@ -222,10 +222,10 @@
             seen: 0,
         };
         let is_small = self.plan.daemons <= SMALL_FLEET;
-        for teller in self.daemons.iter().filter(|it| it.id != daemon.id).take(2) {
-            daemon.history.merge_remote(&teller.history.notice(now), now);
-            let from: Rc<str> = Rc::from(teller.id.as_str());
-            for notice in teller.origins.latest(if is_small { 4_096 } else { 0 }, now) {
+        for sponsor in self.daemons.iter().filter(|it| it.id != daemon.id).take(2) {
+            daemon.history.merge_remote(&sponsor.history.notice(now), now);
+            let from: Rc<str> = Rc::from(sponsor.id.as_str());
+            for notice in sponsor.origins.latest(if is_small { 4_096 } else { 0 }, now) {
                 daemon.origins.merge_remote(&notice, &from, now);
             }
         }
@@ -420,7 +420,7 @@
         let now = self.instant();
         for index in 0..self.daemons.len() {
             let from: Rc<str> = Rc::from(self.daemons[index].id.as_str());
-            for notice in self.daemons[index].origins.take_untold(512, now) {
+            for notice in self.daemons[index].origins.take_unsent(512, now) {
                 for to in self.ranked(index, notice.key, REMEMBERING) {
                     let max_ms = self.plan.max_delay.as_millis() as u64;
                     let delay = Duration::from_millis(self.rng.random_range(1..=max_ms));
--- a/crates/front/src/broker/gossip.rs
+++ b/crates/front/src/broker/gossip.rs
@@ -81,7 +81,7 @@
         addresses.truncate(FANOUT);
         peers.shuffle(&mut self.rng);
         peers.truncate(FANOUT);
-        let mut streams = self.untold_streams(now);
+        let mut streams = self.unsent_streams(now);
         let mut digest = self.digest(now);
         let usage_report = self.usage_report();
         if let Some(holder) = holder.filter(|it| *it != own_address) {
@@ -106,7 +106,7 @@
             self.context.streams.send(address, &message);
         }
         for (address, streams) in streams {
-            self.tell_streams(address, streams);
+            self.send_streams(address, streams);
         }
         self.report_interruptions(now);
         metrics::set_state("daemons_heard", self.peers.live(now).count() as i64);
@@ -233,7 +233,7 @@
             let address = digest.address.to_string();
             spdlog::info!("daemon heard", kv: { daemon = id.as_str(), address = address });
             self.spread.push_again(&self.suspects, MAX_SUSPECTS_PER_DIGEST);
-            self.tell_new_daemon(&id, digest.address, now);
+            self.hand_over(&id, digest.address, now);
         }
         if let Some(read_at) =
             digest.read_age_ms.and_then(|it| now.checked_sub(Duration::from_millis(it)))
--- a/crates/front/src/broker/origins.rs
+++ b/crates/front/src/broker/origins.rs
@@ -44,10 +44,10 @@
 /// Number of daemons that are asked in a large fleet; more than remember a stream, as some of
 /// these may have ended.
 const QUERIED: usize = 5;
-/// Number of daemons that tell a new one what it has to know.
-const TELLERS: usize = 2;
-/// Maximum number of streams that a new daemon is told of.
-const MAX_TOLD: usize = 4_096;
+/// Number of daemons that hand their knowledge over to a new one.
+const SPONSORS: usize = 2;
+/// Maximum number of streams that each of them hands over.
+const MAX_HANDED_OVER: usize = 4_096;
 /// Maximum number of streams in a message.
 const MAX_STREAMS_PER_MESSAGE: usize = 512;
 
@@ -86,7 +86,7 @@
             return self.decide(arrival, reply, now);
         };
         let daemons = self.peers.remembering(key, QUERIED, now);
-        // The row of software versions may tell as well.
+        // The row of software versions may hold the answer as well.
         let unanswered = daemons.len() + usize::from(!self.stored_history.has_read);
         if unanswered == 0 || self.queries.len() >= MAX_QUERIES {
             return self.decide(arrival, reply, now);
@@ -196,8 +196,8 @@
         });
     }
 
-    /// Returns the streams that other daemons have to be told of, by address.
-    pub(super) fn untold_streams(
+    /// Returns the streams to be sent to other daemons, by address.
+    pub(super) fn unsent_streams(
         &mut self,
         now: Instant,
     ) -> HashMap<SocketAddr, Vec<origin::Notice>> {
@@ -205,7 +205,7 @@
         if self.peers.live(now).next().is_none() {
             return by_address;
         }
-        for notice in self.origins.take_untold(MAX_STREAMS_PER_MESSAGE, now) {
+        for notice in self.origins.take_unsent(MAX_STREAMS_PER_MESSAGE, now) {
             for address in self.peers.remembering(notice.key, REMEMBERING, now) {
                 by_address.entry(address).or_default().push(notice.clone());
             }
@@ -213,13 +213,13 @@
         by_address
     }
 
-    pub(super) fn tell_streams(&mut self, to: SocketAddr, streams: Vec<origin::Notice>) {
+    pub(super) fn send_streams(&mut self, to: SocketAddr, streams: Vec<origin::Notice>) {
         let daemon = self.context.instance_id.clone();
         self.context.streams.send(to, &Message::Origins { daemon, streams, history: None });
     }
 
-    /// Tells a daemon that was not heard before what it has to know.
-    pub(super) fn tell_new_daemon(&mut self, id: &str, to: SocketAddr, now: Instant) {
+    /// Hands streams and software versions over to a daemon that was not heard before.
+    pub(super) fn hand_over(&mut self, id: &str, to: SocketAddr, now: Instant) {
         let rank = |daemon: &str| xxh3_64(format!("{id} {daemon}").as_bytes());
         let own = rank(&self.context.instance_id);
         let others = self.peers.live(now).filter(|(it, _)| *it != id);
@@ -228,11 +228,11 @@
             count += 1;
             preceding += usize::from(rank(other) < own);
         }
-        if preceding >= TELLERS {
+        if preceding >= SPONSORS {
             return;
         }
         let is_small = count < membership::digest::FANOUT;
-        let streams = self.origins.latest(if is_small { MAX_TOLD } else { 0 }, now);
+        let streams = self.origins.latest(if is_small { MAX_HANDED_OVER } else { 0 }, now);
         let (daemon, history) = (self.context.instance_id.clone(), Some(self.history.notice(now)));
         self.context.streams.send(to, &Message::Origins { daemon, streams, history });
     }
