Send nothing to endpoints whose address another one has taken

Cause: from 2.5 s after a crash the address serves under a new id, and the entry of the former instance stays for another second. A daemon whose own connections did not break in the crash chose the former entry, got 421 and had no attempt left on a route with one attempt. Ruled out: rejections of suspected parts, load of the machine (logs of the rejected requests: cause=attempts after ended=misdirected, each time).

Now the endpoint described last at an address, by store version, is the present one; the others are unusable and logged as superseded.

--- a/crates/balance/src/pool.rs
+++ b/crates/balance/src/pool.rs
@@ -3,6 +3,7 @@
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -42,6 +43,9 @@
     /// Whether the endpoint is known to be leaving, from its description or from
     /// another daemon. Invariant: never reset within an instance of the endpoint.
     pub leaving: bool,
+    /// Whether an endpoint of another identity has been described later at the same address,
+    /// so that this one has ended although its entry remains.
+    pub is_superseded: bool,
     /// End of the time in which the endpoint is used without an entry.
     pub expires_at: Option<Instant>,
     /// End of the time in which the endpoint wants nothing from this daemon.
@@ -69,6 +73,7 @@
             endpoint,
             listed: true,
             leaving,
+            is_superseded: false,
             expires_at: None,
             declines_until: None,
             own_load: Load::default(),
@@ -82,7 +87,9 @@
 
     /// Whether the endpoint may receive new requests.
     pub fn is_usable(&self, now: Instant) -> bool {
-        !self.leaving && (self.listed || self.expires_at.is_some_and(|it| now < it))
+        !self.leaving
+            && !self.is_superseded
+            && (self.listed || self.expires_at.is_some_and(|it| now < it))
     }
 
     /// Returns how long the endpoint still wants nothing from this daemon, if it said so.
@@ -116,6 +123,8 @@
     Joined,
     /// The endpoint no longer takes new requests.
     Left,
+    /// Another endpoint has its address.
+    Superseded,
     /// The entry is missing, but the endpoint stays in use for a grace period.
     Lapsed,
     /// Routing is unaffected.
@@ -128,6 +137,7 @@
         match self {
             Effect::Joined => "joined",
             Effect::Left => "left",
+            Effect::Superseded => "superseded",
             Effect::Lapsed => "lapsed",
             Effect::Unchanged => "unchanged",
         }
@@ -145,6 +155,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Pool {
     members: BTreeMap<String, Member>,
+    /// The endpoint that was described last at each address.
+    occupants: HashMap<SocketAddr, String>,
     /// Recently removed descriptions. Daemons that haven't learned of a removal
     /// may still send lists that contain the endpoint.
     removals: HashMap<String, Removal>,
@@ -177,10 +189,7 @@
         let mut effects = Vec::new();
         for change in changes {
             match change {
-                Change::Updated(endpoint) => {
-                    let id = endpoint.id.clone();
-                    effects.push((id, self.update(endpoint)));
-                }
+                Change::Updated(endpoint) => self.update_occupant(endpoint, &mut effects),
                 Change::Removed { id, version } => {
                     let effect = self.remove(&id, version, settles_at, now);
                     effects.push((id, effect));
@@ -216,9 +225,7 @@
             effects.push((id, effect));
         }
         for endpoint in roster.endpoints {
-            let id = endpoint.id.clone();
-            let effect = self.update(endpoint);
-            effects.push((id, effect));
+            self.update_occupant(endpoint, &mut effects);
         }
         // Adopts the sender's version, so that daemons with the same list have the same
         // version.
@@ -349,6 +356,7 @@
         }
         self.members
             .retain(|_, it| it.listed || it.own_load.open_requests > 0 || it.is_usable(now));
+        self.occupants.retain(|_, it| self.members.contains_key(it));
         self.removals.retain(|_, it| now < it.at + REMOVAL_RETENTION);
         if !expired.is_empty() {
             self.roster_version = self.store_version.max(self.roster_version + 1);
@@ -356,6 +364,37 @@
         expired
     }
 
+    /// Updates an endpoint, and which of those with its address is the present one.
+    fn update_occupant(&mut self, endpoint: Endpoint, effects: &mut Vec<(String, Effect)>) {
+        let (id, address) = (endpoint.id.clone(), endpoint.address);
+        let effect = self.update(endpoint);
+        effects.push((id.clone(), effect));
+        let Some(version) = self.version_at(&id, address) else { return };
+        let other = self.occupants.get(&address).filter(|it| **it != id).cloned();
+        let other_version = other.as_ref().and_then(|it| self.version_at(it, address));
+        let is_superseded = other_version.is_some_and(|it| it > version);
+        if let Some(member) = self.members.get_mut(&id) {
+            member.is_superseded = is_superseded;
+        }
+        if is_superseded {
+            return;
+        }
+        self.occupants.insert(address, id);
+        if other_version.is_some_and(|it| it < version)
+            && let Some(other) = other
+            && let Some(member) = self.members.get_mut(&other)
+            && !std::mem::replace(&mut member.is_superseded, true)
+        {
+            effects.push((other, Effect::Superseded));
+        }
+    }
+
+    /// Returns the store version of an endpoint's description if it has this address.
+    fn version_at(&self, id: &str, address: SocketAddr) -> Option<u64> {
+        let endpoint = &self.members.get(id)?.endpoint;
+        (endpoint.address == address).then_some(endpoint.version)
+    }
+
     fn update(&mut self, endpoint: Endpoint) -> Effect {
         // Invariant: a description older than its removal has no effect.
         if self.removals.get_mut(&endpoint.id).is_some_and(|it| it.outdates(&endpoint)) {
--- a/crates/balance/tests/pool.rs
+++ b/crates/balance/tests/pool.rs
@@ -110,6 +110,43 @@
     assert_eq!(pool.store_version, 50);
 }
 
+/// Guards against requests to the former instance at an address, which the present one
+/// rejects.
+#[test]
+fn an_endpoint_whose_address_another_has_taken_is_unusable() {
+    let check = |versions: [u64; 2], expected: [bool; 2]| {
+        let now = Instant::now();
+        let mut pool = Pool::default();
+        let change = |id, version| Change::Updated(with_version(endpoint(id, 1), version));
+
+        pool.apply(vec![change("a", versions[0])], versions[0], now, now);
+        let effects = pool.apply(vec![change("b", versions[1])], versions[1], now, now);
+
+        let are_usable = [is_usable(&pool, "a", now), is_usable(&pool, "b", now)];
+        assert_eq!(are_usable, expected, "{versions:?}");
+        let is_reported = effects.contains(&("a".to_owned(), Effect::Superseded));
+        assert_eq!(is_reported, !expected[0], "{versions:?}");
+    };
+
+    check([1, 2], [false, true]);
+    check([2, 1], [true, false]);
+    check([1, 1], [true, true]);
+}
+
+#[test]
+fn an_endpoint_that_has_an_address_for_itself_again_is_usable() {
+    let now = Instant::now();
+    let mut pool = pool(&[endpoint("a", 1)]);
+    pool.apply(vec![Change::Updated(with_version(endpoint("b", 1), 2))], 2, now, now);
+
+    let is_usable_before = is_usable(&pool, "a", now);
+    pool.apply(vec![Change::Updated(with_version(endpoint("a", 1), 3))], 3, now, now);
+
+    assert!(!is_usable_before);
+    assert!(is_usable(&pool, "a", now), "it has written its entry again");
+    assert!(!is_usable(&pool, "b", now));
+}
+
 fn pool(endpoints: &[Endpoint]) -> Pool {
     let mut pool = Pool::default();
     let changes = endpoints.iter().cloned().map(Change::Updated).collect();
--- a/crates/front/src/broker/roster.rs
+++ b/crates/front/src/broker/roster.rs
@@ -57,7 +57,7 @@
             match effect {
                 Effect::Joined => self.handle_joined(&id, now),
                 Effect::Left => self.handle_left(&id),
-                Effect::Lapsed | Effect::Unchanged => {}
+                Effect::Superseded | Effect::Lapsed | Effect::Unchanged => {}
             }
             metrics::count("endpoint", effect.name());
             let member = self.pool.member(&id);
