Hold requests back from endpoints that fall over if they reject many

Cause: Server-Brittle was not read. A pause of each daemon after a rejection doesn't hold the bound, since pauses of several daemons end together.

While endpoints of a service say how many rejections within a second they survive, no more daemons than that send to each, chosen by rendezvous hash. A sender holds at most its share of the slots, begins with one request, adds one for each that begins, and pauses after a rejection. Daemons tell each other of brittle services; one counts as brittle for 5 s after a statement. A daemon that may send to none with room forwards the request to one that may, as it does while its links are cut; if there is none it refuses.

--- a/crates/balance/src/choose.rs
+++ b/crates/balance/src/choose.rs
@@ -6,6 +6,7 @@
 //! Designed for loads at which engines have spare capacity. All daemons agree on
 //! the preferred endpoint of a part.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -48,7 +49,7 @@
     /// Endpoints that were already tried and are skipped.
     pub tried: &'a [String],
     /// Endpoints that take no further request of this daemon now.
-    pub exhausted: &'a [&'a str],
+    pub exhausted: &'a BTreeSet<&'a str>,
 }
 
 /// The endpoint chosen for a request.
@@ -75,7 +76,7 @@
             && it.declines_for(now).is_none()
             && query.requirement.admits(&it.endpoint.software)
             && !query.tried.contains(&it.endpoint.id)
-            && !query.exhausted.contains(&it.endpoint.id.as_str())
+            && !query.exhausted.contains(it.endpoint.id.as_str())
     };
     let candidates: Vec<&Member> = pool.members().filter(is_candidate).collect();
     let preferred = preferred_endpoint(&candidates, query.attributes);
--- a/crates/balance/tests/choose.rs
+++ b/crates/balance/tests/choose.rs
@@ -19,6 +19,7 @@
 use route::request::Part;
 use route::request::Size;
 
+static NO_ENDPOINTS: BTreeSet<&str> = BTreeSet::new();
 const ENGINE: Engine = Engine { slots: 64, memory_tokens: 560_000, event_tokens: 3 };
 const SHARED_TOKENS: u32 = 13_000;
 const UNSHARED_TOKENS: u32 = 3_000;
@@ -92,7 +93,7 @@
         attributes: &attributes,
         requirement: &Requirement::Any,
         tried: &[],
-        exhausted: &[],
+        exhausted: &NO_ENDPOINTS,
     };
 
     let chosen = (0..100).filter_map(|_| choose(&pool, &query, now, &mut rng));
@@ -127,7 +128,7 @@
         attributes,
         tried,
         requirement: &Requirement::Any,
-        exhausted: &[],
+        exhausted: &NO_ENDPOINTS,
     }
 }
 
--- a/crates/explain/src/cause.rs
+++ b/crates/explain/src/cause.rs
@@ -60,6 +60,11 @@
             "the usable endpoints had named request limits, and this daemon could not send to any \
              of them then; check the `endpoint limit` lines for rates and senders"
         }
+        "no_room" => {
+            "the service's endpoints fall over if they reject many requests, and none that this \
+             daemon may send to had room; check the lines `endpoints survive few rejections` and \
+             `brittle endpoint rejected a request`"
+        }
         "endpoints_decline" => {
             "all usable endpoints had said that they want nothing from this daemon for a time; \
              check the lines `endpoint wants nothing for a time`"
--- a/crates/front/src/broker/endpoint_limits.rs
+++ b/crates/front/src/broker/endpoint_limits.rs
@@ -12,6 +12,7 @@
 
 use super::Broker;
 use super::Stage;
+use super::brittle;
 use super::origins::NO_SOFTWARE_DELAY;
 use super::refusal::Cause;
 use super::requests::NO_ENDPOINT_DELAY;
@@ -19,6 +20,9 @@
 
 /// Maximum number of limits in a digest.
 const MAX_LIMITS_PER_DIGEST: usize = 256;
+/// Least retry delay for callers when brittle endpoints have no room: requests end about as
+/// often as that at an endpoint with all slots in use.
+const NO_ROOM_DELAY: Duration = Duration::from_millis(300);
 
 impl Broker {
     /// Handles what the response to a request says about its endpoint.
@@ -54,7 +58,7 @@
         }
     }
 
-    /// Chooses which daemons send to limited endpoints.
+    /// Chooses which daemons send to limited endpoints and to those of brittle services.
     pub(super) fn choose_senders(&mut self, now: Instant) {
         let pool = &self.pool;
         self.endpoint_limits.retain(|endpoint, instance| {
@@ -68,6 +72,8 @@
         let others = self.peers.expected(now).filter(|(_, it)| !is_stopping(it));
         let others: Vec<&str> = others.map(|(id, _)| id.as_str()).collect();
         self.endpoint_limits.choose_senders(own, &others, rank, now);
+        let endpoints = self.pool.members().map(brittle::endpoint);
+        self.rooms.choose_senders(own, &others, endpoints, rank, now);
     }
 
     /// Returns why no endpoint is available for a request, and when to come back.
@@ -95,6 +101,9 @@
         {
             return (Cause::EndpointsDecline, wait);
         }
+        if let Some(wait) = self.room_wait(service, now) {
+            return (Cause::NoRoom, wait.max(NO_ROOM_DELAY));
+        }
         if limited.is_empty() && *requirement != Requirement::Any {
             return (Cause::NoSoftware, NO_SOFTWARE_DELAY);
         }
@@ -118,6 +127,6 @@
 }
 
 /// Orders the daemons that may send to an endpoint.
-fn rank(instance_id: &str, endpoint: &str) -> u64 {
+pub(super) fn rank(instance_id: &str, endpoint: &str) -> u64 {
     xxh3_64(format!("{endpoint} {instance_id}").as_bytes())
 }
--- a/crates/front/src/broker/gossip.rs
+++ b/crates/front/src/broker/gossip.rs
@@ -267,6 +267,7 @@
         }
         self.handle_effects(effects, "peer", now);
         self.merge_limits(&digest.limits, now);
+        self.merge_brittle(&digest.brittle, now);
         self.sync_clock(now);
         self.pull(digest.address, digest.config_version, digest.roster_version, now);
     }
@@ -336,6 +337,7 @@
             responses: self.recent_responses(now),
             unreached: self.reach.cut().map(str::to_owned).collect(),
             limits: self.limit_notices(),
+            brittle: self.rooms.notices(now),
             removals: self.pool.removal_notices(max_removals),
         }
     }
--- a/crates/front/src/broker/mod.rs
+++ b/crates/front/src/broker/mod.rs
@@ -1,5 +1,6 @@
 //! The broker actor, which owns the daemon's state and makes all decisions.
 
+mod brittle;
 mod crashes;
 mod endpoint_limits;
 mod era;
@@ -48,6 +49,7 @@
 use platform::settings::Settings;
 use quota::endpoint;
 use quota::retry::Budget;
+use quota::room::Rooms;
 use quota::workspace::Bucket;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -149,6 +151,7 @@
     buckets: HashMap<String, Bucket>,
     budgets: HashMap<String, Budget>,
     endpoint_limits: endpoint::Limits,
+    rooms: Rooms,
     /// At which software version streams began.
     origins: Origins,
     origins_swept_at: Instant,
@@ -233,6 +236,7 @@
             buckets: HashMap::new(),
             budgets: HashMap::new(),
             endpoint_limits: endpoint::Limits::default(),
+            rooms: Rooms::default(),
             origins: Origins::default(),
             origins_swept_at: now,
             queries: HashMap::new(),
--- a/crates/front/src/broker/reach.rs
+++ b/crates/front/src/broker/reach.rs
@@ -21,12 +21,14 @@
 /// Age up to which a response of a service to another daemon counts as recent.
 const RECENT: Duration = Duration::from_millis(1_500);
 /// Number of daemons that are tried one after the other.
-const MAX_HOPS: usize = 2;
+pub(super) const MAX_HOPS: usize = 2;
 
 impl Broker {
-    /// Returns where a request is forwarded to, if links to its service are cut.
+    /// Returns where a request is forwarded to, if links to its service are cut, or if its
+    /// endpoints are brittle and only other daemons may send to them.
     pub(super) fn forward(&mut self, arrival: &Arrival, now: Instant) -> Option<Admission> {
-        if !self.reach.is_cut() || arrival.attributes.is_forwarded || self.stage != Stage::Running {
+        let may_be_needed = self.reach.is_cut() || self.rooms.is_any_brittle(now);
+        if !may_be_needed || arrival.attributes.is_forwarded || self.stage != Stage::Running {
             return None;
         }
         let attributes = &arrival.attributes;
@@ -34,10 +36,12 @@
         let key = attributes.key.as_deref();
         let found = table.find(&arrival.host, &arrival.path, key, attributes.stream_id()).ok()?;
         let (is_idempotent, draw) = (found.route.is_idempotent(), self.rng.random_range(0..100));
-        if self.reach.goes_directly(found.service, is_idempotent, draw, now) {
-            return None;
-        }
-        let daemons = self.daemons_that_reach(found.service, now);
+        let is_direct = self.reach.goes_directly(found.service, is_idempotent, draw, now);
+        let daemons = if is_direct {
+            self.daemons_with_room(found.service, now)
+        } else {
+            self.daemons_that_reach(found.service, now)
+        };
         if daemons.is_empty() {
             return None;
         }
@@ -46,6 +50,7 @@
             request = attributes.id.as_str(),
             route = found.route.name.as_str(),
             service = found.service,
+            cause = if is_direct { "no_room" } else { "cut" },
             daemon = daemons[0].to_string(),
         });
         Some(Admission::Forward { daemons, timeout: time_limit(&found, attributes) })
--- a/crates/front/src/broker/requests.rs
+++ b/crates/front/src/broker/requests.rs
@@ -1,5 +1,6 @@
 //! Lifecycle of requests: admission, placement, retries and completion.
 
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
@@ -29,6 +30,7 @@
 
 use super::Broker;
 use super::Stage;
+use super::brittle;
 use super::pending::Pending;
 use super::refusal::Cause;
 use super::refusal::refuse;
@@ -61,6 +63,9 @@
             Message::LimitStated { ticket, statement } => {
                 self.handle_limit_statement(ticket, statement, now);
             }
+            Message::BrittleStated { ticket, survived } => {
+                self.handle_brittle_statement(ticket, survived, now);
+            }
             Message::LeavingStated { ticket } => self.handle_leaving_statement(ticket, now),
             Message::PauseStated { ticket, duration } => {
                 self.handle_pause_statement(ticket, duration, now);
@@ -245,6 +250,7 @@
         let (service, is_fresh) = (pending.service.clone(), pending.is_fresh);
         self.reach.record_response(&service, is_fresh, now);
         self.record_response(&endpoint, instance, sent_at, now);
+        self.rooms.record_start(&endpoint);
         self.count_run(ticket);
         self.bind_to_software(ticket, now);
         let Some(pending) = self.requests.get_mut(&ticket) else { return };
@@ -316,6 +322,7 @@
             + f64::from(output_tokens) * speed.step_ms * STEP_SHARE;
         *self.work_ms.entry(pending.service.clone()).or_default() += work_ms;
         self.endpoint_limits.take(&choice.id, now);
+        self.rooms.record_sent(&choice.id, now);
         pending.tried.push(choice.id.clone());
         pending.endpoint = choice.id;
         pending.address = member.endpoint.address;
@@ -362,6 +369,9 @@
             Outcome::TimedOut => (!pending.has_started).then_some(health::Outcome::Failure),
             Outcome::Abandoned => None,
         };
+        if outcome == Outcome::Declined {
+            self.record_rejection(&endpoint, now);
+        }
         if let Some(outcome) = health_outcome {
             self.pool.record_outcome(&endpoint, outcome, now);
         }
@@ -385,7 +395,9 @@
         now: Instant,
     ) -> Option<Choice> {
         let engine = self.table.service(service).and_then(|it| it.engine.as_ref());
-        let exhausted = self.endpoint_limits.exhausted(now);
+        let mut exhausted: BTreeSet<&str> =
+            self.endpoint_limits.exhausted(now).into_iter().collect();
+        exhausted.extend(brittle::closed(&self.pool, &self.rooms, service, now));
         let query =
             Query { service, engine, attributes, requirement, tried, exhausted: &exhausted };
         choose::choose(&self.pool, &query, now, &mut self.rng)
--- a/crates/membership/src/digest.rs
+++ b/crates/membership/src/digest.rs
@@ -16,6 +16,7 @@
 use bincode::Encode;
 use duty::usage::Window;
 use quota::endpoint;
+use quota::room;
 use route::config::Config;
 
 /// Liveness timeout while each round of gossip reaches all daemons: several gossip
@@ -77,6 +78,8 @@
     pub unreached: Vec<String>,
     /// Request limits that endpoints name.
     pub limits: Vec<endpoint::Notice>,
+    /// Services whose endpoints survive only few rejections.
+    pub brittle: Vec<room::Notice>,
 }
 
 /// Use of a workspace's quota as seen by a daemon.
--- a/crates/membership/tests/digest.rs
+++ b/crates/membership/tests/digest.rs
@@ -147,5 +147,6 @@
         responses: Vec::new(),
         unreached: Vec::new(),
         limits: Vec::new(),
+        brittle: Vec::new(),
     }
 }
--- a/crates/quota/src/endpoint.rs
+++ b/crates/quota/src/endpoint.rs
@@ -189,9 +189,7 @@
                 continue;
             };
             let senders = (BASE_SENDERS + rate as usize).min(others.len() + 1);
-            let own_rank = rank(own, endpoint);
-            let preceding = others.iter().filter(|it| rank(it, endpoint) < own_rank).count();
-            limit.senders = (preceding < senders).then_some(senders);
+            limit.senders = (preceding(own, others, endpoint, &rank) < senders).then_some(senders);
             if limit.senders.is_none() {
                 limit.credit = 0.0;
             }
@@ -229,3 +227,14 @@
         self.by_endpoint.retain(|endpoint, it| is_known(endpoint, it.notice.instance));
     }
 }
+
+/// Returns the number of other daemons that rank before this one as senders to an endpoint.
+pub(crate) fn preceding(
+    own: &str,
+    others: &[&str],
+    endpoint: &str,
+    rank: &impl Fn(&str, &str) -> u64,
+) -> usize {
+    let own_rank = rank(own, endpoint);
+    others.iter().filter(|it| rank(it, endpoint) < own_rank).count()
+}
--- a/crates/quota/src/lib.rs
+++ b/crates/quota/src/lib.rs
@@ -1,9 +1,10 @@
-//! Limits shared by all daemons: workspace quotas, retry budgets of services and request limits
-//! of endpoints.
+//! Limits shared by all daemons: workspace quotas, retry budgets of services, request limits
+//! of endpoints and room at brittle ones.
 //!
 //! Pure: independent of how counts travel between daemons.
 
 pub mod endpoint;
 pub mod fleet;
 pub mod retry;
+pub mod room;
 pub mod workspace;
--- a/crates/relay/src/admission.rs
+++ b/crates/relay/src/admission.rs
@@ -174,6 +174,13 @@
         /// Number of the request.
         ticket: u64,
     },
+    /// The endpoint's response says how many rejections within a second it survives.
+    BrittleStated {
+        /// Number of the request.
+        ticket: u64,
+        /// Number of rejections.
+        survived: u32,
+    },
     /// The endpoint rejected the request and wants nothing from this daemon for a time.
     PauseStated {
         /// Number of the request.
@@ -235,6 +242,12 @@
         let _ = self.messages.send(Message::LeavingStated { ticket: self.number });
     }
 
+    /// Reports that a response says how many rejections within a second its endpoint survives.
+    pub fn report_brittle(&self, survived: u32) {
+        // Sending fails only while the daemon shuts down.
+        let _ = self.messages.send(Message::BrittleStated { ticket: self.number, survived });
+    }
+
     /// Reports that the endpoint wants nothing from this daemon for a time.
     pub fn report_pause(&self, duration: Duration) {
         // Sending fails only while the daemon shuts down.
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -100,6 +100,9 @@
     if !is_misdirected && attributes.is_leaving {
         ticket.report_leaving();
     }
+    if let Some(survived) = attributes.survived_rejections.filter(|_| !is_misdirected) {
+        ticket.report_brittle(survived);
+    }
     if let Some(duration) = attributes.retry_after {
         ticket.report_pause(duration);
     }
