--- a/crates/balance/src/pool.rs
+++ b/crates/balance/src/pool.rs
@@ -354,9 +354,12 @@
                 expired.push((id, Effect::Left));
             }
         }
+        let known = self.members.len();
         self.members
             .retain(|_, it| it.listed || it.own_load.open_requests > 0 || it.is_usable(now));
-        self.occupants.retain(|_, it| self.members.contains_key(it));
+        if self.members.len() < known {
+            self.occupants.retain(|_, it| self.members.contains_key(it));
+        }
         self.removals.retain(|_, it| now < it.at + REMOVAL_RETENTION);
         if !expired.is_empty() {
             self.roster_version = self.store_version.max(self.roster_version + 1);
--- a/crates/quota/src/room.rs
+++ b/crates/quota/src/room.rs
@@ -137,16 +137,17 @@
         }
         for Endpoint { id, service, slots } in endpoints {
             let Some(brittle) = self.services.get(service) else { continue };
-            let count = senders(brittle.survived, others.len() + 1);
-            let precedes = |own: &str| endpoint::preceding(own, others, id, &rank) < count;
-            let senders = own.filter(|it| precedes(it)).map(|_| count as u32);
+            let count = sender_count(brittle.survived, others.len() + 1);
+            let is_sender = |own: &&str| endpoint::preceding(own, others, id, &rank) < count;
+            let senders = own.filter(is_sender).map(|_| count as u32);
+            let slots = slots.max(1);
             let new = Room { slots, senders, window: 1, closed_until: None };
             let known = before.get(id).map(|it| Room { slots, senders, ..*it });
             self.endpoints.insert(id.to_owned(), known.unwrap_or(new));
         }
     }
 
-    /// Returns the other daemons that may send to an endpoint of a brittle service.
+    /// Returns those of the other daemons that may send to an endpoint of a brittle service.
     pub fn senders<'a>(
         &self,
         others: &[&'a str],
@@ -156,8 +157,8 @@
     ) -> Vec<&'a str> {
         let Some(survived) = self.survived(endpoint.service, now) else { return Vec::new() };
         let mut ranked: Vec<&str> = others.to_vec();
-        ranked.sort_by_key(|it| rank(it, endpoint.id));
-        ranked.truncate(senders(survived, others.len() + 1));
+        ranked.sort_by_cached_key(|it| rank(it, endpoint.id));
+        ranked.truncate(sender_count(survived, others.len() + 1));
         ranked
     }
 
@@ -215,6 +216,6 @@
 }
 
 /// Returns the number of daemons that send to an endpoint.
-fn senders(survived: u32, daemons: usize) -> usize {
+fn sender_count(survived: u32, daemons: usize) -> usize {
     (survived as usize).clamp(1, daemons)
 }
