--- a/crates/membership/tests/pace.rs
+++ b/crates/membership/tests/pace.rs
@@ -10,8 +10,7 @@
 /// Duration of the tests.
 const DURATION: Duration = Duration::from_secs(10);
 
-/// Guards against a round at each tick of all daemons while many endpoints crash: 63 daemons
-/// spent a tenth of a core each on them.
+/// Guards against a round at each tick of all daemons while many endpoints crash.
 #[test]
 fn the_number_of_rounds_is_bounded_while_changes_are_urgent() {
     let check = |peers: usize, is_urgent: bool, max_per_s: usize| {
