Send other daemons only the messages that their build understands

The acceptor of a stream states the version of its messages in a header, which earlier builds ignore. A daemon that has stated none gets whole configurations, and usage reports within digests. A message that can't be decoded is counted and skipped instead of ending the stream.

Fixtures of the transport's tests leave out the event that a stream was accepted.

--- a/crates/front/src/broker/gossip.rs
+++ b/crates/front/src/broker/gossip.rs
@@ -12,6 +12,7 @@
 use membership::digest::FANOUT;
 use membership::digest::Holder;
 use membership::digest::Message;
+use membership::protocol::Protocol;
 use peer::transport::StreamId;
 use rand::seq::SliceRandom;
 use route::delta::Delta;
@@ -44,6 +45,8 @@
 const HEARD_INTERVAL: Duration = Duration::from_secs(1);
 /// Number of daemons that may be heard in such an interval with a log line each.
 const MAX_HEARD_LINES: usize = 7;
+/// Minimum interval between log lines that report skipped messages.
+const SKIP_REPORT_INTERVAL: Duration = Duration::from_secs(1);
 /// Maximum number of subjects that crash endpoints in a digest.
 const MAX_SUSPECTS_PER_DIGEST: usize = 64;
 /// How long after a return of the store a removed endpoint may be in its list: three
@@ -78,7 +81,8 @@
         let own_address = self.context.settings.peers;
         let holder = self.holder(now).map(|it| it.address).filter(|it| *it != own_address);
         let is_direct = self.peers.count() <= FANOUT || self.stage != Stage::Running;
-        let direct = holder.filter(|_| is_direct);
+        let takes_reports = |it| self.context.streams.speaks(it, Protocol::Changes);
+        let direct = holder.filter(|it| is_direct || !takes_reports(*it));
         let mut addresses = self.peers.gossip_addresses(now);
         let mut peers: Vec<(String, SocketAddr)> =
             self.peers.live(now).map(|(id, it)| (id.clone(), it.address)).collect();
@@ -213,6 +217,28 @@
         }
     }
 
+    pub(super) fn handle_peer_acceptance(&mut self, stream: StreamId, protocol: Protocol) {
+        let address = self.context.streams.set_protocol(stream, protocol);
+        if let Some(address) = address
+            && protocol != Protocol::PRESENT
+        {
+            spdlog::info!("daemon of another build", kv: {
+                address = address.to_string(),
+                protocol = protocol.number(),
+                own = Protocol::PRESENT.number(),
+            });
+        }
+    }
+
+    pub(super) fn handle_skipped_message(&mut self, detail: &str, now: Instant) {
+        metrics::count("message", "skipped");
+        if now < self.skip_reported_at + SKIP_REPORT_INTERVAL {
+            return;
+        }
+        self.skip_reported_at = now;
+        spdlog::warn!("message of another daemon skipped", kv: { cause = detail });
+    }
+
     pub(super) fn handle_peer_loss(&mut self, stream: StreamId, detail: &str) {
         if let Some(address) = self.context.streams.remove(stream) {
             let address = address.to_string();
@@ -316,7 +342,9 @@
     ) {
         let config = &self.table.config;
         let mut newer_config = None;
-        if let Some(delta) = self.config_changes.since(config_version, config) {
+        let is_delta_understood = self.context.streams.speaks(to, Protocol::Changes);
+        let delta = self.config_changes.since(config_version, config);
+        if let Some(delta) = delta.filter(|_| is_delta_understood) {
             metrics::count("configuration", "delta_sent");
             self.context.streams.send(to, &Message::ConfigDelta(Box::new(delta)), now);
         } else if config.version > config_version {
--- a/crates/front/src/broker/mod.rs
+++ b/crates/front/src/broker/mod.rs
@@ -187,6 +187,8 @@
     needs_whole_config: bool,
     /// When a newer configuration or roster was last requested from a peer.
     pulled_at: Option<Instant>,
+    /// When a skipped message was last logged.
+    skip_reported_at: Instant,
     clock: Clock,
     usage: Usage,
     lease: Lease,
@@ -270,6 +272,7 @@
             config_changes: Changes::default(),
             needs_whole_config: false,
             pulled_at: None,
+            skip_reported_at: now,
             clock: Clock::new(clock::wall_ms(), since_boot),
             usage: Usage::new(context.settings.bounds.usage_window),
             lease: Lease::new(context.instance_id.clone(), since_boot),
@@ -319,6 +322,10 @@
             Event::EraIrregularity(irregularity) => self.handle_era_irregularity(irregularity),
             Event::Daemons(rows) => self.discover_daemons(&rows, now),
             Event::Peer(message) => self.handle_peer_message(*message, now),
+            Event::PeerAccepted { stream, protocol } => {
+                self.handle_peer_acceptance(stream, protocol);
+            }
+            Event::PeerSkipped { detail } => self.handle_skipped_message(&detail, now),
             Event::PeerLost { stream, detail } => self.handle_peer_loss(stream, &detail),
             Event::LeaseRead { result, era } => self.handle_lease_read(result, era),
             Event::LeaseWritten(result) => self.handle_lease_write(result),
--- a/crates/front/src/event.rs
+++ b/crates/front/src/event.rs
@@ -8,6 +8,7 @@
 use duty::order::Order;
 use duty::usage::Counts;
 use membership::digest::Message;
+use membership::protocol::Protocol;
 use peer::transport::StreamId;
 use platform::cloud::Outcome;
 use platform::era::Irregularity;
@@ -106,6 +107,18 @@
     },
     /// A message from another daemon.
     Peer(Box<Message>),
+    /// Another daemon accepted a stream.
+    PeerAccepted {
+        /// The stream.
+        stream: StreamId,
+        /// Messages that it understands.
+        protocol: Protocol,
+    },
+    /// A message of another daemon was skipped, since this build doesn't know it.
+    PeerSkipped {
+        /// Description of the message.
+        detail: String,
+    },
     /// A stream to another daemon broke.
     PeerLost {
         /// The stream.
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -6,6 +6,7 @@
 use std::time::Instant;
 
 use membership::digest::Message;
+use membership::protocol::Protocol;
 use peer::transport;
 use peer::transport::Command;
 use peer::transport::Sink;
@@ -15,6 +16,7 @@
 use tokio::sync::mpsc::UnboundedSender;
 
 use crate::event::Event;
+use crate::metrics;
 
 /// Open streams, one for each daemon that messages were sent to.
 #[derive(Debug)]
@@ -28,6 +30,8 @@
 struct Open {
     id: StreamId,
     at: Instant,
+    /// Messages that the daemon understands, as far as it has stated them.
+    protocol: Protocol,
 }
 
 impl Streams {
@@ -49,6 +53,10 @@
                 transport::Event::Frame { frame: Frame::Front(message), .. } => {
                     Event::Peer(message)
                 }
+                transport::Event::Accepted { stream, protocol } => {
+                    Event::PeerAccepted { stream, protocol }
+                }
+                transport::Event::Skipped { detail, .. } => Event::PeerSkipped { detail },
                 transport::Event::Failed { stream, detail, .. } => {
                     Event::PeerLost { stream, detail }
                 }
@@ -60,9 +68,28 @@
         Ok(())
     }
 
-    /// Sends a message to a daemon, opening a stream if there is none.
+    /// Whether a daemon is known to understand the messages of this version.
+    pub fn speaks(&self, to: SocketAddr, protocol: Protocol) -> bool {
+        let stated = self.by_address.get(&to).map_or(Protocol::Unstated, |it| it.protocol);
+        stated >= protocol
+    }
+
+    /// Records which messages the daemon at the other end of a stream understands. Returns
+    /// its address.
+    pub fn set_protocol(&mut self, stream: StreamId, protocol: Protocol) -> Option<SocketAddr> {
+        let (address, open) = self.by_address.iter_mut().find(|(_, it)| it.id == stream)?;
+        open.protocol = protocol;
+        Some(*address)
+    }
+
+    /// Sends a message to a daemon, opening a stream if there is none. Sends nothing that
+    /// the daemon isn't known to understand.
     pub fn send(&mut self, to: SocketAddr, message: &Message, now: Instant) {
         let Some(transport) = &self.transport else { return };
+        if !self.speaks(to, message.protocol()) {
+            metrics::count("message", "not_understood");
+            return;
+        }
         let frame = Frame::Front(Box::new(message.clone()));
         if let Some(open) = self.by_address.get(&to) {
             transport.command(Command::Send { stream: open.id, frame });
@@ -70,7 +97,7 @@
         }
         self.last_id += 2;
         let stream = StreamId(self.last_id);
-        self.by_address.insert(to, Open { id: stream, at: now });
+        self.by_address.insert(to, Open { id: stream, at: now, protocol: Protocol::Unstated });
         transport.command(Command::Open { stream, peer: to, frame });
     }
 
--- a/crates/harness/tests/operating/peer_access.rs
+++ b/crates/harness/tests/operating/peer_access.rs
@@ -32,7 +32,9 @@
 fn is_answered(address: &str, secret: &str) -> bool {
     let (events, received) = channel();
     let sink = move |event: Event| {
-        let _ = events.send(event);
+        if !matches!(event, Event::Accepted { .. }) {
+            let _ = events.send(event);
+        }
     };
     let transport = Transport::start("127.0.0.1:0", secret, Arc::new(sink)).unwrap();
     let stream = StreamId(4);
--- a/crates/lentilhook/src/daemon/dispatch/mod.rs
+++ b/crates/lentilhook/src/daemon/dispatch/mod.rs
@@ -251,7 +251,7 @@
             Event::Frame { stream, frame: Frame::HandoverAccepted } => {
                 self.handover_accepted(cx, stream);
             }
-            Event::Frame { .. } => {}
+            Event::Frame { .. } | Event::Accepted { .. } | Event::Skipped { .. } => {}
             Event::Finished { stream } | Event::Failed { stream, .. }
                 if self.lookups.contains_key(&stream) =>
             {
--- a/crates/lentilhook/src/daemon/fleet/mod.rs
+++ b/crates/lentilhook/src/daemon/fleet/mod.rs
@@ -199,7 +199,7 @@
             Event::Frame { stream, frame: Frame::Config { text } } => {
                 call!([self.subscribers.configuration], received(stream, text));
             }
-            Event::Frame { .. } => {}
+            Event::Frame { .. } | Event::Accepted { .. } | Event::Skipped { .. } => {}
             Event::Finished { stream } | Event::Failed { stream, .. } => {
                 self.transport.command(Command::Finish { stream });
             }
--- a/crates/lentilhook/src/daemon/mod.rs
+++ b/crates/lentilhook/src/daemon/mod.rs
@@ -267,7 +267,10 @@
         Event::Frame { stream, frame } => {
             (*stream, matches!(frame, Frame::Gossip(_) | Frame::Config { .. }))
         }
-        Event::Finished { stream } | Event::Failed { stream, .. } => (*stream, false),
+        Event::Accepted { stream, .. }
+        | Event::Skipped { stream, .. }
+        | Event::Finished { stream }
+        | Event::Failed { stream, .. } => (*stream, false),
     };
     let StreamId(number) = stream;
     is_fleet_frame || number % 4 == 2
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -7,5 +7,6 @@
 pub mod liveness;
 pub mod pace;
 pub mod poll;
+pub mod protocol;
 pub mod update;
 pub mod view;
--- a/crates/peer/src/stream.rs
+++ b/crates/peer/src/stream.rs
@@ -12,6 +12,7 @@
 use h2::server::SendResponse;
 use http::Request;
 use http::Response;
+use membership::protocol::Protocol;
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::mpsc::unbounded_channel;
@@ -26,6 +27,9 @@
 use crate::wire;
 use crate::wire::Frame;
 
+/// Header in which the acceptor of a stream states the messages that it understands.
+const PROTOCOL_HEADER: &str = "lentilhook-protocol";
+
 static NEXT_INCOMING: AtomicU64 = AtomicU64::new(1);
 
 /// A stream opened by a peer.
@@ -53,7 +57,11 @@
         }
     };
     // Frames are sent before the response arrives, since the peer responds to the first frame.
-    let body = async { response.await.map(Response::into_body).map_err(|it| it.to_string()) };
+    let body = async {
+        let response = response.await.map_err(|it| it.to_string())?;
+        sink(Event::Accepted { stream, protocol: stated_protocol(&response) });
+        Ok(response.into_body())
+    };
     if let Err(detail) = pump(stream, out, body, frames, &sink, &open_stream).await {
         connections.remove(peer);
         sink(Event::Failed { stream, sent: true, detail });
@@ -71,7 +79,9 @@
     let stream = StreamId(NEXT_INCOMING.fetch_add(2, Ordering::Relaxed));
     let (sender, frames) = unbounded_channel();
     let _ = incoming.send(Incoming { stream, frames: sender });
-    let result = match respond.send_response(Response::new(()), false) {
+    let mut response = Response::new(());
+    response.headers_mut().insert(PROTOCOL_HEADER, Protocol::PRESENT.number().into());
+    let result = match respond.send_response(response, false) {
         Ok(out) => {
             let body = async { Ok(request.into_body()) };
             pump(stream, out, body, frames, &sink, &open_stream).await
@@ -104,6 +114,13 @@
     Ok(Opened { response, out, open_stream: stream })
 }
 
+/// Returns the messages that the peer understands. Earlier builds state no version.
+fn stated_protocol(response: &Response<RecvStream>) -> Protocol {
+    let value = response.headers().get(PROTOCOL_HEADER);
+    let number = value.and_then(|it| it.to_str().ok()?.parse().ok());
+    number.map_or(Protocol::Unstated, Protocol::from_number)
+}
+
 /// Sends and receives frames until both sides of the stream have ended.
 async fn pump(
     stream: StreamId,
@@ -148,11 +165,20 @@
         let data = data.map_err(|it| it.to_string())?;
         let _ = body.flow_control().release_capacity(data.len());
         buffer.extend_from_slice(&data);
-        while let Some(frame) = wire::decode(&mut buffer).map_err(|it| it.to_string())? {
-            if frame.is_one_way() {
-                open_stream.set_one_way();
+        loop {
+            match wire::decode(&mut buffer) {
+                Ok(Some(frame)) => {
+                    if frame.is_one_way() {
+                        open_stream.set_one_way();
+                    }
+                    sink(Event::Frame { stream, frame });
+                }
+                Ok(None) => break,
+                Err(error @ wire::Error::UnknownMessage { .. }) => {
+                    sink(Event::Skipped { stream, detail: error.to_string() });
+                }
+                Err(error) => return Err(error.to_string()),
             }
-            sink(Event::Frame { stream, frame });
         }
     }
     sink(Event::Finished { stream });
--- a/crates/peer/src/transport.rs
+++ b/crates/peer/src/transport.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::thread;
 
+use membership::protocol::Protocol;
 use snafu::Snafu;
 use tokio::net::TcpListener;
 use tokio::runtime::Builder;
@@ -72,6 +73,20 @@
         /// Received frame.
         frame: Frame,
     },
+    /// The peer accepted a stream that this daemon opened.
+    Accepted {
+        /// Identifier of the stream.
+        stream: StreamId,
+        /// Version of the messages that the peer understands.
+        protocol: Protocol,
+    },
+    /// The peer sent a message that this build doesn't know. The stream goes on.
+    Skipped {
+        /// Identifier of the stream.
+        stream: StreamId,
+        /// Description of the message.
+        detail: String,
+    },
     /// The peer ended its side of the stream.
     Finished {
         /// Identifier of the stream.
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -21,6 +21,9 @@
 /// Size of the length prefix, in bytes.
 const LENGTH_BYTES: usize = 4;
 
+/// First byte of an encoded [`Frame::Front`].
+const MESSAGE_TAG: u8 = 8;
+
 /// A message between daemons. Some frames open a stream, as stated for each.
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
 pub enum Frame {
@@ -97,6 +100,13 @@
         /// Length of the frame, in bytes.
         length: usize,
     },
+    /// The frame contains a message between forwarding daemons that this build doesn't
+    /// know. The frames after it can be decoded.
+    #[snafu(display("unknown message ({detail}); it is skipped"))]
+    UnknownMessage {
+        /// Description of the failure.
+        detail: String,
+    },
     /// The frame cannot be decoded or encoded.
     #[snafu(display("frame is malformed ({detail}); run the same version on all daemons"))]
     Malformed {
@@ -118,7 +128,7 @@
 }
 
 /// Removes the first frame from the buffer and decodes it. Returns `None` if the frame
-/// is incomplete; fails if it is too long or malformed.
+/// is incomplete; fails if it is too long, malformed or an unknown message.
 pub fn decode(buffer: &mut BytesMut) -> Result<Option<Frame>, Error> {
     let Some(prefix) = buffer.first_chunk::<LENGTH_BYTES>() else { return Ok(None) };
     let length = u32::from_be_bytes(*prefix) as usize;
@@ -131,11 +141,16 @@
     buffer.advance(LENGTH_BYTES);
     let content = buffer.split_to(length);
     let config = bincode::config::standard().with_limit::<FRAME_LIMIT_BYTES>();
-    let (frame, consumed) = bincode::decode_from_slice(&content, config).map_err(malformed)?;
-    if consumed != length {
-        return Err(Error::Malformed { detail: "trailing bytes".to_owned() });
+    let detail = match bincode::decode_from_slice(&content, config) {
+        Ok((frame, consumed)) if consumed == length => return Ok(Some(frame)),
+        Ok(_) => "trailing bytes".to_owned(),
+        Err(error) => error.to_string(),
+    };
+    // Nobody awaits a reply to a message, so that the stream can go on without it.
+    match content.first() {
+        Some(&MESSAGE_TAG) => Err(Error::UnknownMessage { detail }),
+        _ => Err(Error::Malformed { detail }),
     }
-    Ok(Some(frame))
 }
 
 fn malformed(error: impl std::fmt::Display) -> Error {
