Take over reads of the store by counts of reads instead of their ages

A change of the configuration came late on all daemons when both readers of the store had lost it: each hop of gossip made the latest read look younger by the time that the message was under way, so the next daemon waited; its own reads then came back from others as theirs, so it stopped again; and a read of the endpoints stood for one of the configuration, which has its own connection.

Readers now count their reads per feed, and daemons pass on the counts (Message::Reads, protocol 2). Only a raised count is a sign of a read. A daemon reads while those before it in rank don't. Daemons of earlier builds get and send ages as before.

Whether this is what the users saw isn't shown.

--- a/crates/front/src/broker/gossip.rs
+++ b/crates/front/src/broker/gossip.rs
@@ -28,19 +28,6 @@
 /// How long after its last sign of life a lease holder is still sent digests and
 /// usage reports.
 const HOLDER_TIMEOUT: Duration = Duration::from_secs(3);
-/// How long a daemon waits until it has read which others there are.
-pub(super) const FLEET_READ_TIME: Duration = Duration::from_secs(1);
-/// Number of daemons that read the store on behalf of all.
-const READERS: usize = 2;
-/// Age of the other daemons' last read after which the next daemon in rank reads
-/// too, while each gossip round reaches all daemons.
-const MAX_READ_AGE: Duration = Duration::from_millis(700);
-/// Like [`MAX_READ_AGE`], for fleets in which updates take several gossip rounds to
-/// reach all daemons.
-const LARGE_FLEET_MAX_READ_AGE: Duration = Duration::from_millis(1_400);
-/// Maximum gap between store reads by any daemon. After a longer gap, entries may
-/// have expired unnoticed. Equals the minimum duration of three heartbeats.
-const MAX_READ_GAP: Duration = Duration::from_secs(3);
 /// Interval for which newly heard daemons are counted.
 const HEARD_INTERVAL: Duration = Duration::from_secs(1);
 /// Number of daemons that may be heard in such an interval with a log line each.
@@ -54,9 +41,6 @@
 const RESTORED_LIFETIME: Duration = Duration::from_secs(10);
 /// Maximum number of removed endpoints in a digest.
 const MAX_REMOVALS_PER_DIGEST: usize = 256;
-/// Additional age per rank, so that daemons become readers one after the other.
-const READ_AGE_PER_RANK: Duration = Duration::from_millis(40);
-
 /// Number of daemons heard in an interval that were not live before.
 #[derive(Debug)]
 pub(super) struct Heard {
@@ -113,7 +97,11 @@
             digest.usage_report = Some(self.usage_report(SENT_WINDOWS));
         }
         let digest = Box::new(digest);
+        let reads = Message::Reads(self.reads.notices(now));
         for address in addresses {
+            if self.context.streams.speaks(address, Protocol::Reads) {
+                self.context.streams.send(address, &reads, now);
+            }
             let origins = streams.remove(&address).unwrap_or_default();
             let message = Message::Digest { digest: digest.clone(), peers: peers.clone(), origins };
             self.context.streams.send(address, &message, now);
@@ -201,6 +189,7 @@
             }
             Message::ConfigDelta(delta) => self.apply_delta(*delta, now),
             Message::Interruptions(reports) => self.merge_suspects(&reports, now),
+            Message::Reads(reads) => self.reads.merge(&reads, now),
             Message::Usage { daemon, report } => self.merge_usage(&daemon, report),
             Message::Push { config, roster } => {
                 if let Some(config) = config {
@@ -291,11 +280,7 @@
             self.spread.push_again(&self.suspects, MAX_SUSPECTS_PER_DIGEST);
             self.hand_over(&id, digest.address, now);
         }
-        if let Some(read_at) =
-            digest.read_age_ms.and_then(|it| now.checked_sub(Duration::from_millis(it)))
-        {
-            self.remote_read_at = self.remote_read_at.max(Some(read_at));
-        }
+        self.merge_read_age(&digest, now);
         if let Some(since) =
             digest.uninterrupted_reads_ms.and_then(|it| now.checked_sub(Duration::from_millis(it)))
         {
@@ -469,51 +454,4 @@
         }
         self.lease.observe_holder(clock::since_boot().saturating_sub(age));
     }
-
-    /// Whether this daemon is a store reader. The [`READERS`] daemons of the lowest
-    /// ranks are. The following ones become readers when the latest read is too old.
-    pub(super) fn is_reader(&self, now: Instant) -> bool {
-        if !self.knows_fleet(now) {
-            return false;
-        }
-        let preceding = self.preceding;
-        if preceding < READERS {
-            return true;
-        }
-        let max_age = if preceding < FANOUT { MAX_READ_AGE } else { LARGE_FLEET_MAX_READ_AGE };
-        let limit = max_age + READ_AGE_PER_RANK * preceding as u32;
-        let since = self.remote_read_at.or(self.starts_large_fleet().then_some(self.started_at));
-        since.is_none_or(|it| now >= it + limit)
-    }
-
-    /// Whether this daemon has read which others there are, or can't.
-    pub(super) fn knows_fleet(&self, now: Instant) -> bool {
-        self.has_read_daemons || now >= self.started_at + FLEET_READ_TIME
-    }
-
-    pub(super) fn update_preceding(&mut self, now: Instant) {
-        let expects_mentioned = self.starts_large_fleet();
-        let own = &self.context.instance_id;
-        self.preceding = self.peers.preceding_in_rank(own, expects_mentioned, now);
-    }
-
-    /// Whether this daemon has started together with many others, so that those that the
-    /// store mentions are about to be heard.
-    fn starts_large_fleet(&self) -> bool {
-        self.is_first_start && self.peers.count() > FANOUT
-    }
-
-    /// Updates the start of the current period of uninterrupted store reads.
-    pub(super) fn track_reads(&mut self, now: Instant) {
-        let max_gap = self.peers.liveness_timeout().min(MAX_READ_GAP);
-        let is_read = self.read_age(now).is_some_and(|it| it < max_gap);
-        self.reads_since = is_read.then(|| self.reads_since.unwrap_or(now));
-    }
-
-    /// Returns the age of the latest read of the endpoints by any daemon, as far as
-    /// known.
-    fn read_age(&self, now: Instant) -> Option<Duration> {
-        let latest = self.read_at.max(self.remote_read_at)?;
-        Some(now.saturating_duration_since(latest))
-    }
 }
--- a/crates/front/src/broker/leader.rs
+++ b/crates/front/src/broker/leader.rs
@@ -20,7 +20,7 @@
 use super::Broker;
 use super::PLAN_INTERVAL;
 use super::Stage;
-use super::gossip::FLEET_READ_TIME;
+use super::reading::FLEET_READ_TIME;
 use crate::clock;
 use crate::cloud;
 use crate::lease;
--- a/crates/front/src/broker/mod.rs
+++ b/crates/front/src/broker/mod.rs
@@ -11,6 +11,7 @@
 mod origins;
 mod pending;
 mod reach;
+mod reading;
 mod refusal;
 mod requests;
 mod roster;
@@ -46,6 +47,8 @@
 use membership::digest::FANOUT;
 use membership::digest::Peers;
 use membership::pace::Pace;
+use membership::reads::Feed;
+use membership::reads::Reads;
 use platform::era::Eras;
 use platform::feed::Document;
 use platform::settings;
@@ -76,6 +79,7 @@
 use crate::drain::Step;
 use crate::durations::Durations;
 use crate::event::Event;
+use crate::feeds;
 use crate::lease;
 use crate::metrics;
 use crate::peers::Streams;
@@ -211,8 +215,10 @@
     is_list_complete: bool,
     /// When this daemon last read the endpoints.
     read_at: Option<Instant>,
-    /// When another daemon last read the endpoints, as far as known from gossip.
-    remote_read_at: Option<Instant>,
+    /// Latest reads of the store by all daemons.
+    reads: Reads,
+    /// When any daemon last read the endpoints, as daemons of earlier builds state.
+    stated_read_at: Option<Instant>,
     /// Start of the current period of uninterrupted store reads by any daemon.
     reads_since: Option<Instant>,
     settling: Settling,
@@ -287,7 +293,8 @@
             list_grew_at: None,
             is_list_complete: false,
             read_at: None,
-            remote_read_at: None,
+            reads: Reads::default(),
+            stated_read_at: None,
             reads_since: None,
             settling: Settling::default(),
             reported_drops: (0, now),
@@ -317,7 +324,7 @@
                 let effects = self.pool.apply(changes, version, settles_at, now);
                 self.handle_effects(effects, "store", now);
             }
-            Event::Store { feed, failure } => self.handle_store_call(feed, failure),
+            Event::Store { feed, failure } => self.handle_store_call(feed, failure, now),
             Event::Era(era) => self.handle_era(era, now),
             Event::EraIrregularity(irregularity) => self.handle_era_irregularity(irregularity),
             Event::Daemons(rows) => self.discover_daemons(&rows, now),
@@ -503,7 +510,10 @@
         self.has_urgent_changes = true;
     }
 
-    fn handle_store_call(&mut self, feed: &'static str, failure: Option<Error>) {
+    fn handle_store_call(&mut self, feed: &'static str, failure: Option<Error>, now: Instant) {
+        if feed == feeds::CONFIG && failure.is_none() {
+            self.record_own_read(Feed::Config, now);
+        }
         let has_failed = failure.is_some();
         let had_failed = self.store_failures.insert(feed, has_failed).unwrap_or(false);
         if let Some(error) = failure {
--- /dev/null
+++ b/crates/front/src/broker/reading.rs
@@ -0,0 +1,82 @@
+//! Reads of the store on behalf of all daemons.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use membership::digest;
+use membership::digest::Digest;
+use membership::digest::FANOUT;
+use membership::protocol::Protocol;
+use membership::reads::Feed;
+use membership::reads::Position;
+
+use super::Broker;
+
+/// How long a daemon waits until it has read which others there are.
+pub(super) const FLEET_READ_TIME: Duration = Duration::from_secs(1);
+/// Maximum gap between store reads by any daemon. After a longer gap, entries may
+/// have expired unnoticed. Equals the minimum duration of three heartbeats.
+const MAX_READ_GAP: Duration = Duration::from_secs(3);
+
+impl Broker {
+    /// Records a read of the store by this daemon.
+    pub(super) fn record_own_read(&mut self, feed: Feed, now: Instant) {
+        self.reads.record(digest::rank(&self.context.instance_id), feed, now);
+    }
+
+    /// Merges the age of the latest read that a daemon of an earlier build states. Others
+    /// send counts of reads.
+    pub(super) fn merge_read_age(&mut self, digest: &Digest, now: Instant) {
+        if self.context.streams.speaks(digest.address, Protocol::Reads) {
+            return;
+        }
+        let age = digest.read_age_ms.map(Duration::from_millis);
+        if let Some(read_at) = age.and_then(|it| now.checked_sub(it)) {
+            self.stated_read_at = self.stated_read_at.max(Some(read_at));
+        }
+    }
+
+    /// Whether this daemon is a store reader.
+    pub(super) fn is_reader(&self, now: Instant) -> bool {
+        if !self.knows_fleet(now) {
+            return false;
+        }
+        let rank = digest::rank(&self.context.instance_id);
+        let position = Position { rank, preceding: self.preceding };
+        let start = self.starts_large_fleet().then_some(self.started_at);
+        self.reads.is_reader(position, self.stated_read_at.max(start), now)
+    }
+
+    /// Whether this daemon has read which others there are, or can't.
+    pub(super) fn knows_fleet(&self, now: Instant) -> bool {
+        self.has_read_daemons || now >= self.started_at + FLEET_READ_TIME
+    }
+
+    pub(super) fn update_preceding(&mut self, now: Instant) {
+        let expects_mentioned = self.starts_large_fleet();
+        let own = &self.context.instance_id;
+        self.preceding = self.peers.preceding_in_rank(own, expects_mentioned, now);
+    }
+
+    /// Whether this daemon has started together with many others, so that those that the
+    /// store mentions are about to be heard.
+    fn starts_large_fleet(&self) -> bool {
+        self.is_first_start && self.peers.count() > FANOUT
+    }
+
+    /// Updates the start of the current period of uninterrupted store reads.
+    pub(super) fn track_reads(&mut self, now: Instant) {
+        let max_gap = self.peers.liveness_timeout().min(MAX_READ_GAP);
+        let is_read = self.read_age(now).is_some_and(|it| it < max_gap);
+        self.reads_since = is_read.then(|| self.reads_since.unwrap_or(now));
+    }
+
+    /// Returns the age of the latest read of the endpoints by any daemon, as far as
+    /// known.
+    pub(super) fn read_age(&self, now: Instant) -> Option<Duration> {
+        let own = digest::rank(&self.context.instance_id);
+        let others = self.reads.latest_of_others(own, Feed::Endpoints);
+        let latest = self.read_at.max(others).max(self.stated_read_at)?;
+        Some(now.saturating_duration_since(latest))
+    }
+}
--- a/crates/front/src/broker/roster.rs
+++ b/crates/front/src/broker/roster.rs
@@ -4,6 +4,7 @@
 use std::time::Instant;
 
 use balance::pool::Effect;
+use membership::reads::Feed;
 use store::position;
 
 use super::Broker;
@@ -93,6 +94,7 @@
     pub(super) fn record_read(&mut self, version: u64, now: Instant) -> Instant {
         self.settling.observe(position::era(version), now);
         self.read_at = Some(now);
+        self.record_own_read(Feed::Endpoints, now);
         self.settling.ends_at(self.reads_since, now)
     }
 }
--- a/crates/front/src/feeds.rs
+++ b/crates/front/src/feeds.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use membership::reads::CONFIG_POLL_TIMEOUT;
 use platform::era::Eras;
 use platform::exchange::Client;
 use platform::feed;
@@ -26,8 +27,6 @@
 /// Long-poll timeout for changes of endpoints. Endpoints write heartbeats more
 /// often, so a missing response reveals a dead connection.
 const ENDPOINTS_POLL_TIMEOUT: Duration = Duration::from_millis(1_200);
-/// Long-poll timeout for changes of the configuration.
-const CONFIG_POLL_TIMEOUT: Duration = Duration::from_secs(4);
 /// Minimum interval between calls for endpoints. Each endpoint writes every
 /// 1.2 s, and one call per write would be too many. The interval is shorter than
 /// the 2 s within which a leaving endpoint must become known.
@@ -44,6 +43,8 @@
 const REWRITE_TIME: Duration = Duration::from_secs(2);
 /// Key of the secret shared by the daemons.
 const SECRET_KEY: &str = "secrets/peers";
+/// Name of the feed of the operators' configuration.
+pub const CONFIG: &str = "config";
 /// Table with one row per daemon, keyed by its address.
 pub const DAEMONS: &str = "daemons";
 
@@ -65,7 +66,7 @@
             }),
             Some(since) => feed::follow_config(&mut client, since, CONFIG_POLL_TIMEOUT).await,
         };
-        let next = publish(result, since, "config", &events, |items, _| {
+        let next = publish(result, since, CONFIG, &events, |items, _| {
             items.into_iter().map(Event::Config).collect()
         });
         since = next.pause(CONFIG_INTERVAL).await;
--- a/crates/membership/src/digest.rs
+++ b/crates/membership/src/digest.rs
@@ -22,6 +22,8 @@
 use route::delta::Delta;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::reads;
+
 /// Liveness timeout while each round of gossip reaches all daemons: several gossip
 /// periods.
 const BASE_LIVENESS_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -54,7 +56,7 @@
     /// milliseconds, if a known daemon has seen it.
     pub era_age_ms: Option<u64>,
     /// Age of the latest read of endpoints by this or any other known daemon, in
-    /// milliseconds.
+    /// milliseconds. For daemons that don't know [`Message::Reads`].
     pub read_age_ms: Option<u64>,
     /// How long the store has been read by some daemon without interruption, in
     /// milliseconds, as far as this daemon knows.
@@ -181,6 +183,8 @@
     },
     /// Response to a pull from a daemon that has an earlier configuration.
     ConfigDelta(Box<Delta>),
+    /// Reads of the store by any daemons.
+    Reads(Vec<reads::Notice>),
 }
 
 /// Latest known state of another daemon.
@@ -401,6 +405,6 @@
 }
 
 /// Returns the rank of a daemon's instance among those that do the work of all.
-fn rank(instance_id: &str) -> u64 {
+pub fn rank(instance_id: &str) -> u64 {
     xxh3_64(instance_id.as_bytes())
 }
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -8,5 +8,6 @@
 pub mod pace;
 pub mod poll;
 pub mod protocol;
+pub mod reads;
 pub mod update;
 pub mod view;
--- a/crates/membership/src/protocol.rs
+++ b/crates/membership/src/protocol.rs
@@ -9,17 +9,20 @@
     Unstated,
     /// [`Message::Usage`] and [`Message::ConfigDelta`].
     Changes,
+    /// [`Message::Reads`].
+    Reads,
 }
 
 impl Protocol {
     /// The version that this build understands.
-    pub const PRESENT: Protocol = Protocol::Changes;
+    pub const PRESENT: Protocol = Protocol::Reads;
 
     /// Returns the number that states the version to other daemons.
     pub fn number(self) -> u32 {
         match self {
             Protocol::Unstated => 0,
             Protocol::Changes => 1,
+            Protocol::Reads => 2,
         }
     }
 
@@ -27,7 +30,8 @@
     pub fn from_number(number: u32) -> Protocol {
         match number {
             0 => Protocol::Unstated,
-            _ => Protocol::Changes,
+            1 => Protocol::Changes,
+            _ => Protocol::Reads,
         }
     }
 }
@@ -44,6 +48,7 @@
             | Message::OriginReply { .. }
             | Message::Push { .. } => Protocol::Unstated,
             Message::Usage { .. } | Message::ConfigDelta(_) => Protocol::Changes,
+            Message::Reads(_) => Protocol::Reads,
         }
     }
 }
--- a/crates/peer/tests/compatibility.rs
+++ b/crates/peer/tests/compatibility.rs
@@ -21,6 +21,7 @@
 use membership::digest::Quota;
 use membership::digest::Report;
 use membership::protocol::Protocol;
+use membership::reads;
 use peer::wire;
 use peer::wire::Frame;
 use quota::endpoint;
@@ -67,7 +68,7 @@
 
 #[test]
 fn versions_are_stated_by_ascending_numbers() {
-    let versions = [Protocol::Unstated, Protocol::Changes];
+    let versions = [Protocol::Unstated, Protocol::Changes, Protocol::Reads];
 
     for (number, version) in versions.into_iter().enumerate() {
         assert_eq!(version.number(), number as u32);
@@ -130,6 +131,7 @@
                 checksum: 5,
             })),
         ),
+        ("reads", Message::Reads(vec![reads::Notice { reader: 66, config: 67, endpoints: 68 }])),
     ]
 }
 
