Break streams off that the next endpoint doesn't continue

Callers got an error document or an error event in the middle of a stream, its events a second time, or a stream that ended early as if it were complete: any response with status 200 counted as the continuation of a stream that another endpoint had broken off.

A continuation now has the content type of the response, its events have higher ids than the last one relayed, and it doesn't end before its first event. Otherwise the endpoint has failed, and the next one is tried or the stream is broken off, so that the caller may take it up again.

Reported by other operators; not seen here.

--- a/crates/relay/src/event.rs
+++ b/crates/relay/src/event.rs
@@ -25,6 +25,23 @@
     pub id: Option<String>,
 }
 
+impl Event {
+    /// Whether the event continues a stream after the event with id `last`. Ids increase, and
+    /// comments have none.
+    pub fn follows(&self, last: &str) -> bool {
+        let Some(id) = &self.id else { return self.is_comment() };
+        match (id.parse::<u64>(), last.parse::<u64>()) {
+            (Ok(id), Ok(last)) => id > last,
+            _ => id != last,
+        }
+    }
+
+    fn is_comment(&self) -> bool {
+        let mut lines = self.bytes.split(|it| *it == b'\n');
+        lines.all(|it| it.starts_with(b":") || matches!(it, b"" | b"\r"))
+    }
+}
+
 impl Parser {
     /// Appends bytes of the stream. Returns false when more than
     /// [`MAX_EVENT_BYTES`] are buffered.
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -4,6 +4,8 @@
 use std::io;
 
 use http::Response;
+use http::header::CONTENT_TYPE;
+use http::header::HeaderValue;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use platform::head;
@@ -33,6 +35,18 @@
     endpoint: Target,
     head: Head,
     parser: Parser,
+    state: State,
+}
+
+/// What may come next from an endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    /// Whatever the endpoint that began the stream sends.
+    Begun,
+    /// The event after the last one that was relayed.
+    Resuming,
+    /// Later events, or the end of the stream.
+    Resumed,
 }
 
 /// Result of reading from a stream.
@@ -49,7 +63,7 @@
 
 /// Reads the first event of a stream.
 pub async fn open(call: &Call, endpoint: Target, head: Head) -> Result<Stream, Outcome> {
-    let mut source = Source { endpoint, head, parser: Parser::default() };
+    let mut source = Source { endpoint, head, parser: Parser::default(), state: State::Begun };
     match read_event(&mut source, call).await? {
         Item::Event(event) => Ok(Stream { source, first_event: Some(event) }),
         // An empty stream is relayed as it is.
@@ -69,7 +83,9 @@
     let mut response = Response::new(payload);
     *response.status_mut() = stream.source.head.status;
     *response.headers_mut() = head::forward_response(&stream.source.head.headers);
-    let relay = Relay { pool: pool.clone(), call, plan, ticket, chunks, last_event_id: None };
+    let content_type = stream.source.head.headers.get(CONTENT_TYPE).cloned();
+    let pool = pool.clone();
+    let relay = Relay { pool, call, plan, ticket, chunks, content_type, last_event_id: None };
     spawn_local(relay.run(stream));
     response
 }
@@ -80,6 +96,8 @@
     plan: Plan,
     ticket: Ticket,
     chunks: ChunkSender,
+    /// Content type that the response to the caller states.
+    content_type: Option<HeaderValue>,
     /// Id of the last event that was relayed.
     last_event_id: Option<String>,
 }
@@ -100,7 +118,7 @@
                 () = self.chunks.closed() => return,
                 item = read_event(&mut source, &self.call) => item,
             };
-            match item {
+            match item.and_then(|it| self.check(&mut source, it)) {
                 Ok(Item::Event(event)) => {
                     if !self.forward(event).await {
                         return;
@@ -115,6 +133,29 @@
         }
     }
 
+    /// Returns an item of a stream, or the failure of an endpoint that doesn't continue what
+    /// another one has begun: it sends an error, begins anew, or ends at once.
+    fn check(&self, source: &mut Source, item: Item) -> Result<Item, Outcome> {
+        let last = self.last_event_id.as_deref().unwrap_or_default();
+        let is_sound = match (&item, source.state) {
+            (_, State::Begun) | (Item::End, State::Resumed) => true,
+            (Item::End, State::Resuming) => false,
+            (Item::Event(event), State::Resuming | State::Resumed) => event.follows(last),
+        };
+        if !is_sound {
+            spdlog::warn!("stream not continued", kv: {
+                request = self.call.id.as_str(),
+                endpoint = source.endpoint.id.as_str(),
+                last_event = last,
+            });
+            return Err(Outcome::Failed);
+        }
+        if source.state == State::Resuming {
+            source.state = State::Resumed;
+        }
+        Ok(item)
+    }
+
     /// Sends an event to the caller. Returns false if the caller has disconnected.
     async fn forward(&mut self, event: Event) -> bool {
         if event.id.is_some() {
@@ -148,8 +189,9 @@
             let last_event = Some(last_event_id.as_str());
             let sent = attempt::send(&self.pool, call, plan, &target, &self.ticket, last_event);
             match sent.await {
-                Ok(head) if head.status.is_success() => {
-                    return Some(Source { endpoint: target, head, parser: Parser::default() });
+                Ok(head) if self.is_continuation(&head) => {
+                    let (parser, state) = (Parser::default(), State::Resuming);
+                    return Some(Source { endpoint: target, head, parser, state });
                 }
                 Ok(_) => outcome = Outcome::Failed,
                 Err(Outcome::TimedOut) => return None,
@@ -159,6 +201,14 @@
     }
 }
 
+impl Relay {
+    /// Whether the body of a response may follow the events that were relayed.
+    fn is_continuation(&self, head: &Head) -> bool {
+        let content_type = head.headers.get(CONTENT_TYPE);
+        head.status.is_success() && content_type == self.content_type.as_ref()
+    }
+}
+
 /// Reads the next complete event.
 async fn read_event(source: &mut Source, call: &Call) -> Result<Item, Outcome> {
     loop {
--- a/crates/relay/tests/event.rs
+++ b/crates/relay/tests/event.rs
@@ -41,3 +41,23 @@
     assert_eq!(parser.next_event(), None);
     assert!(parser.has_partial_event());
 }
+
+#[test]
+fn an_event_follows_another_if_its_id_is_higher_or_it_is_a_comment() {
+    let check = |text: &str, last: &str, expected: bool| {
+        let mut parser = Parser::default();
+        parser.push(text.as_bytes());
+
+        let event = parser.next_event().unwrap();
+
+        assert_eq!(event.follows(last), expected, "{text:?} after {last}");
+    };
+
+    check("id: 10\ndata: x\n\n", "9", true);
+    check("id: 9\ndata: x\n\n", "9", false);
+    check("id: 1\ndata: x\n\n", "9", false);
+    check("id: b\ndata: x\n\n", "a", true);
+    check("id: a\ndata: x\n\n", "a", false);
+    check(": alive\r\n\r\n", "9", true);
+    check("data: {\"error\":\"overloaded\"}\n\n", "9", false);
+}
