Use a new connection for a repeated attempt at the same endpoint

A faulty endpoint that writes an earlier refusal once more on a kept connection could have it taken for the response to the second attempt of the same request, which has the same id: the caller was told that the request had not run, or it was sent to another endpoint, while this one ran it.

The request id tells copies for other requests apart, but not these. The connection of the refusal itself was closed already; other kept connections to the endpoint were not excluded.

A refusal without an id is accepted on a new connection as before. Reported by other operators; not seen here.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -20,6 +20,7 @@
 use crate::admission::Ticket;
 use crate::connection::Connection;
 use crate::connection::Pool;
+use crate::connection::connect;
 
 /// A caller's request, received completely.
 #[derive(Clone, Debug)]
@@ -36,6 +37,8 @@
     pub id: String,
     /// Deadline for the end of the response.
     pub deadline: Instant,
+    /// Endpoints to which earlier attempts were sent.
+    pub tried: Vec<String>,
 }
 
 /// Head of an endpoint's response.
@@ -64,7 +67,16 @@
     ticket: &Ticket,
     last_event: Option<&str>,
 ) -> Result<Head, Outcome> {
-    let acquired = match timeout_at(call.deadline, pool.acquire(&target.id, target.address)).await {
+    // An endpoint that was tried before may write an earlier response of the same id once more
+    // on a connection that it has kept.
+    let is_repeat = call.tried.contains(&target.id);
+    let acquiring = async {
+        match is_repeat {
+            true => connect(target.address).await,
+            false => pool.acquire(&target.id, target.address).await,
+        }
+    };
+    let acquired = match timeout_at(call.deadline, acquiring).await {
         Ok(acquired) => acquired,
         Err(_) => return Err(Outcome::TimedOut),
     };
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -105,6 +105,7 @@
         body,
         id,
         deadline: arrived_at + timeout,
+        tried: Vec::new(),
     };
     match admission {
         Admission::Run(plan, target) => {
@@ -136,14 +137,16 @@
 /// is left.
 async fn forward(
     server: &Server,
-    call: Call,
+    mut call: Call,
     plan: Plan,
     mut target: Target,
     mut ticket: Ticket,
 ) -> Response<Payload> {
     let pool = server.pool();
     loop {
-        let outcome = match attempt::send(pool, &call, &plan, &target, &ticket, None).await {
+        let sent = attempt::send(pool, &call, &plan, &target, &ticket, None).await;
+        call.tried.push(target.id.clone());
+        let outcome = match sent {
             Ok(head) if plan.is_stream && head.status.is_success() => {
                 match stream::open(&call, target.clone(), head).await {
                     Ok(opened) => {
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -188,7 +188,9 @@
             let (call, plan) = (&self.call, &self.plan);
             let last_event = Some(last_event_id.as_str());
             let sent = attempt::send(&self.pool, call, plan, &target, &self.ticket, last_event);
-            match sent.await {
+            let sent = sent.await;
+            self.call.tried.push(target.id.clone());
+            match sent {
                 Ok(head) if self.is_continuation(&head) => {
                     let (parser, state) = (Parser::default(), State::Resuming);
                     return Some(Source { endpoint: target, head, parser, state });
--- a/crates/relay/tests/attempt.rs
+++ b/crates/relay/tests/attempt.rs
@@ -93,5 +93,6 @@
         body: Bytes::new(),
         id: "r".to_owned(),
         deadline: Instant::now() + Duration::from_secs(1),
+        tried: Vec::new(),
     }
 }
