--- a/crates/balance/src/endpoint.rs
+++ b/crates/balance/src/endpoint.rs
@@ -73,4 +73,12 @@
         /// Store version of the removal.
         version: u64,
     },
+    /// The entry describes no usable endpoint, for example since another kind of writer has
+    /// written it.
+    Unusable {
+        /// Identity.
+        id: String,
+        /// Store version of the entry.
+        version: u64,
+    },
 }
--- a/crates/balance/src/pool.rs
+++ b/crates/balance/src/pool.rs
@@ -191,7 +191,7 @@
         for change in changes {
             match change {
                 Change::Updated(endpoint) => self.update_occupant(endpoint, &mut effects),
-                Change::Removed { id, version } => {
+                Change::Removed { id, version } | Change::Unusable { id, version } => {
                     let effect = self.remove(&id, version, settles_at, now);
                     effects.push((id, effect));
                 }
--- a/crates/front/src/broker/mod.rs
+++ b/crates/front/src/broker/mod.rs
@@ -321,6 +321,7 @@
             }
             Event::Endpoints { changes, version } => {
                 let settles_at = self.record_read(version, now);
+                roster::report_unusable(&changes);
                 let effects = self.pool.apply(changes, version, settles_at, now);
                 self.handle_effects(effects, "store", now);
             }
--- a/crates/front/src/broker/roster.rs
+++ b/crates/front/src/broker/roster.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use balance::endpoint::Change;
 use balance::pool::Effect;
 use membership::reads::Feed;
 use store::position;
@@ -13,6 +14,20 @@
 /// Number of endpoints that may join in one change of the list with a log line each.
 const MAX_JOINED_LINES: usize = 16;
 
+/// Logs and counts entries that describe no usable endpoint.
+pub(super) fn report_unusable(changes: &[Change]) {
+    let mut unusable = changes.iter().filter_map(|it| match it {
+        Change::Unusable { id, .. } => Some(id.as_str()),
+        Change::Updated(_) | Change::Removed { .. } => None,
+    });
+    let Some(first) = unusable.next() else { return };
+    metrics::count("endpoint", "unusable_entry");
+    spdlog::warn!("endpoint entries can't be used", kv: {
+        first = first,
+        count = 1 + unusable.count(),
+    });
+}
+
 impl Broker {
     /// Handles that the response to a request says that its endpoint is shutting down.
     pub(super) fn handle_leaving_statement(&mut self, ticket: u64, now: Instant) {
