Log when a daemon starts or stops reading the store for the others

Late configurations can be traced to who read the store and why: the line says how old the reads of those before it were, by feed. Pulls and changes that came too late are counted. No decision changes.

--- a/crates/front/src/broker/gossip.rs
+++ b/crates/front/src/broker/gossip.rs
@@ -347,6 +347,7 @@
         let (since, version) = (delta.since, delta.config.version);
         // Another peer may have sent a later version meanwhile.
         if since != self.table.config.version {
+            metrics::count("configuration", "delta_outdated");
             return;
         }
         if let Some(config) = delta.apply(&self.table.config) {
@@ -369,6 +370,7 @@
             return;
         }
         self.pulled_at = Some(now);
+        metrics::count("configuration", "pulled");
         let message = Message::Pull {
             to: self.context.settings.peers,
             config_version: match self.needs_whole_config {
--- a/crates/front/src/broker/mod.rs
+++ b/crates/front/src/broker/mod.rs
@@ -424,10 +424,7 @@
         self.run_leader_tasks(now);
         self.track_reads(now);
         self.report_dropped_lines(now);
-        self.context.reader.send_if_modified(|it| {
-            let is_reader = self.is_reader(now);
-            std::mem::replace(it, is_reader) != is_reader
-        });
+        self.update_reader(now);
         self.exit_if_drained(cx, now);
     }
 
--- a/crates/front/src/broker/reading.rs
+++ b/crates/front/src/broker/reading.rs
@@ -21,7 +21,7 @@
 impl Broker {
     /// Records a read of the store by this daemon.
     pub(super) fn record_own_read(&mut self, feed: Feed, now: Instant) {
-        self.reads.record(digest::rank(&self.context.instance_id), feed, now);
+        self.reads.record(self.rank(), feed, now);
     }
 
     /// Merges the age of the latest read that a daemon of an earlier build states. Others
@@ -36,13 +36,35 @@
         }
     }
 
+    /// Starts or stops reading the store on behalf of the others.
+    pub(super) fn update_reader(&self, now: Instant) {
+        let is_reader = self.is_reader(now);
+        if *self.context.reader.borrow() == is_reader {
+            return;
+        }
+        self.context.reader.send_replace(is_reader);
+        let age_ms = |feed| {
+            let latest = self.reads.latest_of_others(self.rank(), feed);
+            latest.map_or(-1, |it| now.saturating_duration_since(it).as_millis() as i64)
+        };
+        spdlog::info!("store reader", kv: {
+            reads = is_reader,
+            preceding = self.preceding,
+            endpoints_age_ms = age_ms(Feed::Endpoints),
+            config_age_ms = age_ms(Feed::Config),
+        });
+    }
+
+    fn rank(&self) -> u64 {
+        digest::rank(&self.context.instance_id)
+    }
+
     /// Whether this daemon is a store reader.
-    pub(super) fn is_reader(&self, now: Instant) -> bool {
+    fn is_reader(&self, now: Instant) -> bool {
         if !self.knows_fleet(now) {
             return false;
         }
-        let rank = digest::rank(&self.context.instance_id);
-        let position = Position { rank, preceding: self.preceding };
+        let position = Position { rank: self.rank(), preceding: self.preceding };
         let start = self.starts_large_fleet().then_some(self.started_at);
         self.reads.is_reader(position, self.stated_read_at.max(start), now)
     }
@@ -74,8 +96,7 @@
     /// Returns the age of the latest read of the endpoints by any daemon, as far as
     /// known.
     pub(super) fn read_age(&self, now: Instant) -> Option<Duration> {
-        let own = digest::rank(&self.context.instance_id);
-        let others = self.reads.latest_of_others(own, Feed::Endpoints);
+        let others = self.reads.latest_of_others(self.rank(), Feed::Endpoints);
         let latest = self.read_at.max(others).max(self.stated_read_at)?;
         Some(now.saturating_duration_since(latest))
     }
