Tell the lease holder of a small fleet which daemons have read the store

The holder of a small fleet gets a digest of its own kind, without the counts of reads, and ignored the stated age; so it read the store too although two others did. Digests now come with either the counts or the age, whoever gets them, so that a reader's own reads can't come back to it as an age from a daemon that it has not sent anything.

--- a/crates/front/src/broker/gossip.rs
+++ b/crates/front/src/broker/gossip.rs
@@ -85,6 +85,7 @@
         if let Some(holder) = direct {
             let report = Some(self.usage_report(SENT_WINDOWS));
             let full = Digest { usage_report: report, ..digest.clone() };
+            let full = self.send_reads(holder, full, now);
             let origins = streams.remove(&holder).unwrap_or_default();
             let message = Message::Digest { digest: Box::new(full), peers: peers.clone(), origins };
             self.context.streams.send(holder, &message, now);
@@ -96,14 +97,10 @@
         if is_direct && (self.stage != Stage::Running || self.reporting.is_broadcast_due(now)) {
             digest.usage_report = Some(self.usage_report(SENT_WINDOWS));
         }
-        let digest = Box::new(digest);
-        let reads = Message::Reads(self.reads.notices(now));
         for address in addresses {
-            if self.context.streams.speaks(address, Protocol::Reads) {
-                self.context.streams.send(address, &reads, now);
-            }
+            let digest = Box::new(self.send_reads(address, digest.clone(), now));
             let origins = streams.remove(&address).unwrap_or_default();
-            let message = Message::Digest { digest: digest.clone(), peers: peers.clone(), origins };
+            let message = Message::Digest { digest, peers: peers.clone(), origins };
             self.context.streams.send(address, &message, now);
         }
         for (address, streams) in streams {
--- a/crates/front/src/broker/mod.rs
+++ b/crates/front/src/broker/mod.rs
@@ -217,7 +217,7 @@
     read_at: Option<Instant>,
     /// Latest reads of the store by all daemons.
     reads: Reads,
-    /// When any daemon last read the endpoints, as daemons of earlier builds state.
+    /// When any daemon last read the endpoints, as digests state that come without counts.
     stated_read_at: Option<Instant>,
     /// Start of the current period of uninterrupted store reads by any daemon.
     reads_since: Option<Instant>,
--- a/crates/front/src/broker/reading.rs
+++ b/crates/front/src/broker/reading.rs
@@ -1,11 +1,13 @@
 //! Reads of the store on behalf of all daemons.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
 
 use membership::digest;
 use membership::digest::Digest;
 use membership::digest::FANOUT;
+use membership::digest::Message;
 use membership::protocol::Protocol;
 use membership::reads::Feed;
 use membership::reads::Position;
@@ -24,12 +26,18 @@
         self.reads.record(self.rank(), feed, now);
     }
 
-    /// Merges the age of the latest read that a daemon of an earlier build states. Others
-    /// send counts of reads.
-    pub(super) fn merge_read_age(&mut self, digest: &Digest, now: Instant) {
-        if self.context.streams.speaks(digest.address, Protocol::Reads) {
-            return;
+    /// Sends the counts of the latest reads to a daemon. Returns the digest for it, which
+    /// states the age of the latest read only if it doesn't get the counts.
+    pub(super) fn send_reads(&mut self, to: SocketAddr, digest: Digest, now: Instant) -> Digest {
+        if !self.context.streams.speaks(to, Protocol::Reads) {
+            return digest;
         }
+        self.context.streams.send(to, &Message::Reads(self.reads.notices(now)), now);
+        Digest { read_age_ms: None, ..digest }
+    }
+
+    /// Merges the age of the latest read, if a digest states it.
+    pub(super) fn merge_read_age(&mut self, digest: &Digest, now: Instant) {
         let age = digest.read_age_ms.map(Duration::from_millis);
         if let Some(read_at) = age.and_then(|it| now.checked_sub(it)) {
             self.stated_read_at = self.stated_read_at.max(Some(read_at));
