--- a/crates/route/tests/delta.rs
+++ b/crates/route/tests/delta.rs
@@ -2,6 +2,7 @@
 
 use std::ops::Range;
 
+use arbtest::arbtest;
 use route::config::Config;
 use route::config::Kind;
 use route::config::Route;
@@ -11,6 +12,8 @@
 
 const ROUTES: u64 = 2_000;
 const VERSIONS: u64 = 300;
+/// Seed numbers. The lower half of an arbtest seed is the size of the input in bytes.
+const SEEDS: u64 = 300;
 const REPLICAS: usize = 5;
 /// What a link of 10 Mbit/s carries in a millisecond.
 const MAX_DELTA_BYTES: usize = 10_000_000 / 8 / 1_000;
@@ -82,6 +85,44 @@
     check(&config(1, 0..21));
 }
 
+#[test]
+fn routes_without_a_name_or_with_the_same_one_lead_to_the_senders_configuration_or_to_none() {
+    for seed in 0..SEEDS {
+        arbtest(|u| {
+            let mut configs = Vec::new();
+            for version in 1..=4 {
+                let numbers: Vec<u8> = u.arbitrary()?;
+                let routes = numbers.iter().map(|it| Route {
+                    name: ["", "a", "b"][usize::from(it % 3)].to_owned(),
+                    ..route(u64::from(it % 12))
+                });
+                configs.push(Config { version, routes: routes.collect(), ..Config::default() });
+            }
+            let mut changes = Changes::default();
+            changes.record(&Config::default(), &configs[0]);
+            configs.windows(2).for_each(|it| changes.record(&it[0], &it[1]));
+            let latest = &configs[3];
+
+            for base in &configs[..3] {
+                let delta = changes.since(base.version, latest).expect("the changes are known");
+                if let Some(applied) = delta.apply(base) {
+                    assert_eq!(distinct(&applied), distinct(latest));
+                }
+            }
+            Ok(())
+        })
+        .seed(seed << 32 | 128);
+    }
+}
+
+/// Returns the routes in a certain order, and copies of a route only once.
+fn distinct(config: &Config) -> Vec<Route> {
+    let mut routes = config.routes.clone();
+    routes.sort_by(|a, b| (&a.name, &a.prefix).cmp(&(&b.name, &b.prefix)));
+    routes.dedup();
+    routes
+}
+
 #[test]
 fn nothing_is_sent_to_daemons_whose_version_is_unknown_or_not_older() {
     let first = config(5, 0..20);
