--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -118,7 +118,7 @@
                 () = self.chunks.closed() => return,
                 item = read_event(&mut source, &self.call) => item,
             };
-            match item.and_then(|it| self.check(&mut source, it)) {
+            match item.and_then(|it| self.accept(&mut source, it)) {
                 Ok(Item::Event(event)) => {
                     if !self.forward(event).await {
                         return;
@@ -135,7 +135,7 @@
 
     /// Returns an item of a stream, or the failure of an endpoint that doesn't continue what
     /// another one has begun: it sends an error, begins anew, or ends at once.
-    fn check(&self, source: &mut Source, item: Item) -> Result<Item, Outcome> {
+    fn accept(&self, source: &mut Source, item: Item) -> Result<Item, Outcome> {
         let last = self.last_event_id.as_deref().unwrap_or_default();
         let is_sound = match (&item, source.state) {
             (_, State::Begun) | (Item::End, State::Resumed) => true,
@@ -156,6 +156,12 @@
         Ok(item)
     }
 
+    /// Whether the body of a response may follow the events that were relayed.
+    fn is_continuation(&self, head: &Head) -> bool {
+        let content_type = head.headers.get(CONTENT_TYPE).map(media_type);
+        head.status.is_success() && content_type == self.content_type.as_ref().map(media_type)
+    }
+
     /// Sends an event to the caller. Returns false if the caller has disconnected.
     async fn forward(&mut self, event: Event) -> bool {
         if event.id.is_some() {
@@ -203,12 +209,10 @@
     }
 }
 
-impl Relay {
-    /// Whether the body of a response may follow the events that were relayed.
-    fn is_continuation(&self, head: &Head) -> bool {
-        let content_type = head.headers.get(CONTENT_TYPE);
-        head.status.is_success() && content_type == self.content_type.as_ref()
-    }
+/// Returns the media type without its parameters.
+fn media_type(content_type: &HeaderValue) -> Vec<u8> {
+    let media_type = content_type.as_bytes().split(|it| *it == b';').next().unwrap_or_default();
+    media_type.trim_ascii().to_ascii_lowercase()
 }
 
 /// Reads the next complete event.
