Check a configuration before it is sent, and compare it with the one in force

Cause: daemons accept whatever the operators send, and an entry that can't match or two limits that contradict each other show only as refused or late requests.

Ruled out: rejecting such configurations in the daemon (a running fleet would keep an older version than the operator's); reading the version in force from the store (the command would need the store's address and a lease of its own on errors; a file serves both).

Unknown fields are ignored, as by the daemon; not reported yet.

--- a/crates/lentilhook/src/command/check.rs
+++ b/crates/lentilhook/src/command/check.rs
@@ -1,15 +1,21 @@
-//! `lentilhook check`: validation of settings files.
+//! `lentilhook check`: validation of settings files and configurations.
 
+use std::fs;
+use std::path::Path;
 use std::path::PathBuf;
 
 use argh::FromArgs;
+use route::check;
+use route::check::Kind;
+use route::config::Config;
+use route::difference::differences;
 
 use crate::command::Failure;
 use crate::daemon;
 use crate::settings::Settings;
 
-/// check settings and state charts without starting anything, and print each problem with its
-/// line and how to fix it
+/// check settings, state charts and a configuration without starting or sending anything, and
+/// print each problem with its place and how to fix it
 #[derive(FromArgs)]
 #[argh(
     subcommand,
@@ -23,12 +29,24 @@
     /// platform settings file, as for `lentilhook front`
     #[argh(option)]
     front: Option<PathBuf>,
+    /// configuration for `lentilhook front`, as it would be sent to the platform's store
+    #[argh(option)]
+    config: Option<PathBuf>,
+    /// configuration in force, to which the one in --config is compared
+    #[argh(option)]
+    in_force: Option<PathBuf>,
 }
 
 /// Checks the given files and prints a line for each valid one.
 pub fn run(arguments: &Check) -> Result<(), Failure> {
-    if arguments.settings.is_none() && arguments.front.is_none() {
-        return Err(Failure::usage("nothing to check; pass --settings FILE or --front FILE"));
+    let files = [&arguments.settings, &arguments.front, &arguments.config];
+    if files.iter().all(|it| it.is_none()) {
+        return Err(Failure::usage(
+            "nothing to check; pass --settings FILE, --front FILE or --config FILE",
+        ));
+    }
+    if arguments.in_force.is_some() && arguments.config.is_none() {
+        return Err(Failure::usage("--in-force compares a configuration; pass --config FILE too"));
     }
     if let Some(path) = &arguments.settings {
         let settings = Settings::read(path).map_err(Failure::usage)?;
@@ -39,5 +57,49 @@
         let settings = platform::settings::read(path.clone()).map_err(Failure::usage)?;
         println!("{}: settings of {} are valid", path.display(), settings.daemon);
     }
+    if let Some(path) = &arguments.config {
+        check_config(path, arguments.in_force.as_deref())?;
+    }
+    Ok(())
+}
+
+/// Prints what differs from the configuration in force and what is wrong. Fails if there is
+/// an error.
+fn check_config(path: &Path, in_force: Option<&Path>) -> Result<(), Failure> {
+    let config = read_config(path)?;
+    let mut errors = 0;
+    if let Some(in_force) = in_force {
+        let former = read_config(in_force)?;
+        for difference in differences(&former, &config) {
+            println!("{}: {difference}", path.display());
+        }
+        if config.version <= former.version {
+            errors += 1;
+            eprintln!(
+                "{}: error: version {} doesn't replace version {} in force; use {}",
+                path.display(),
+                config.version,
+                former.version,
+                former.version + 1,
+            );
+        }
+    }
+    for finding in check::check(&config) {
+        errors += usize::from(finding.kind == Kind::Error);
+        eprintln!("{}: {finding}", path.display());
+    }
+    if errors > 0 {
+        let text = format!("{}: {errors} errors; fix them before sending it", path.display());
+        return Err(Failure::usage(text));
+    }
+    println!("{}: version {} has no errors", path.display(), config.version);
     Ok(())
 }
+
+fn read_config(path: &Path) -> Result<Config, Failure> {
+    let content = fs::read(path)
+        .map_err(|error| Failure::usage(format!("{}: {error}; name a file", path.display())))?;
+    platform::config::decode(&content).map_err(|error| {
+        Failure::usage(format!("{}: {error}; correct the field or the syntax", path.display()))
+    })
+}
--- a/crates/lentilhook/tests/command_line/main.rs
+++ b/crates/lentilhook/tests/command_line/main.rs
@@ -73,6 +73,41 @@
     }
 }
 
+#[test]
+fn a_configuration_is_checked_against_the_one_in_force() {
+    let folder = TempDir::new().unwrap();
+    let route = |prefix: &str| {
+        format!(
+            r#"{{"name":"r","host":"a.example","prefix":"{prefix}","kind":"safe","public":true,"service":"s"}}"#
+        )
+    };
+    let config = |version: u64, route: &str| {
+        format!(r#"{{"version":{version},"routes":[{route}],"services":[{{"name":"s"}}]}}"#)
+    };
+    let check = |in_force: &str, new: &str, code: i32, expected: &str| {
+        let [in_force, new] =
+            [("in-force.json", in_force), ("new.json", new)].map(|(name, text)| {
+                let path = folder.path().join(name);
+                fs::write(&path, text).unwrap();
+                path.display().to_string()
+            });
+
+        let output = run(&["check", "--config", &new, "--in-force", &in_force]);
+
+        let text = format!("{}{}", String::from_utf8_lossy(&output.stdout), stderr(&output));
+        assert_eq!(output.status.code(), Some(code), "{text}");
+        assert!(text.contains(expected), "{expected:?} is not in\n{text}");
+    };
+
+    let in_force = config(4, &route("/x/"));
+    check(&in_force, &config(5, &route("/y/")), 0, "changed: route \"r\": prefix");
+    check(&in_force, &config(5, &route("/y/")), 0, "version 5 has no errors");
+    check(&in_force, &config(5, &route("/y")), 0, "never matches: route \"r\"");
+    check(&in_force, &config(4, &route("/x/")), 2, "doesn't replace version 4 in force; use 5");
+    check(&in_force, &config(5, &route("/x/").replace("\"s\"", "\"t\"")), 2, "doesn't exist");
+    check(&in_force, "{", 2, "correct the field or the syntax");
+}
+
 #[test]
 fn a_misspelled_argument_gets_a_suggestion() {
     for (arguments, suggestion) in [
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -4,7 +4,9 @@
 //! Pure: no sockets, and independent of the header and field names of a
 //! deployment's protocol.
 
+pub mod check;
 pub mod config;
 pub mod delta;
+pub mod difference;
 pub mod request;
 pub mod table;
