Report of a configuration only what daemons do with it

It ran it and found: the decoder's message quotes a key at the wrong place; unnamed routes, burst 0 and a long head timeout, which daemons accept, were errors or contradictions; differences lost entries that share a name; of two routes with one host and prefix daemons may use either, as changes are applied in another order.

Open, from the review: unknown fields, 'service' beside 'backends', and unknown units need the form on the wire; order of workspaces that share a key.

--- a/crates/lentilhook/src/command/check.rs
+++ b/crates/lentilhook/src/command/check.rs
@@ -67,39 +67,47 @@
 /// an error.
 fn check_config(path: &Path, in_force: Option<&Path>) -> Result<(), Failure> {
     let config = read_config(path)?;
-    let mut errors = 0;
+    let mut findings = check::check(&config);
     if let Some(in_force) = in_force {
-        let former = read_config(in_force)?;
-        for difference in differences(&former, &config) {
+        let in_force = read_config(in_force)?;
+        for difference in differences(&in_force, &config) {
             println!("{}: {difference}", path.display());
         }
-        if config.version <= former.version {
-            errors += 1;
-            eprintln!(
-                "{}: error: version {} doesn't replace version {} in force; use {}",
-                path.display(),
-                config.version,
-                former.version,
-                former.version + 1,
-            );
-        }
+        findings.extend(check::check_change(&in_force, &config));
     }
-    for finding in check::check(&config) {
-        errors += usize::from(finding.kind == Kind::Error);
-        eprintln!("{}: {finding}", path.display());
+    for finding in &findings {
+        println!("{}: {finding}", path.display());
     }
+    let errors = findings.iter().filter(|it| it.kind == Kind::Error).count();
     if errors > 0 {
-        let text = format!("{}: {errors} errors; fix them before sending it", path.display());
+        let text = format!("{}: errors: {errors}; fix them before sending it", path.display());
         return Err(Failure::usage(text));
     }
-    println!("{}: version {} has no errors", path.display(), config.version);
+    println!(
+        "{}: version {} has no errors; other findings: {}",
+        path.display(),
+        config.version,
+        findings.len()
+    );
     Ok(())
 }
 
+/// Reads a configuration. The decoder's own messages may quote a key, so that only the place
+/// of a mistake is reported.
 fn read_config(path: &Path) -> Result<Config, Failure> {
     let content = fs::read(path)
         .map_err(|error| Failure::usage(format!("{}: {error}; name a file", path.display())))?;
     platform::config::decode(&content).map_err(|error| {
-        Failure::usage(format!("{}: {error}; correct the field or the syntax", path.display()))
+        Failure::usage(format!(
+            "{}:{}:{}: {}; correct the field or the syntax before this place",
+            path.display(),
+            error.line(),
+            error.column(),
+            if error.is_data() {
+                "value of another type, or a field is missing"
+            } else {
+                "not JSON"
+            },
+        ))
     })
 }
--- a/crates/route/src/difference.rs
+++ b/crates/route/src/difference.rs
@@ -2,8 +2,11 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::collections::HashMap;
 use std::fmt;
 
+use xxhash_rust::xxh3::xxh3_64;
+
 use crate::config::Config;
 use crate::config::Limits;
 use crate::config::Route;
@@ -71,14 +74,22 @@
     (!changed.is_empty()).then_some(changed)
 }
 
+/// Returns the fields of each entry. Entries with the same name are numbered.
 fn entries(config: &Config) -> BTreeMap<String, Vec<Field>> {
-    let mut entries = BTreeMap::new();
-    entries.insert("limits".to_owned(), limits(&config.limits));
-    entries.extend(config.routes.iter().map(|it| (format!("route {:?}", it.name), route(it))));
+    let routes = config.routes.iter().map(|it| (format!("route {:?}", it.name), route(it)));
     let services = config.services.iter();
-    entries.extend(services.map(|it| (format!("service {:?}", it.name), service(it))));
+    let services = services.map(|it| (format!("service {:?}", it.name), service(it)));
     let workspaces = config.workspaces.iter();
-    entries.extend(workspaces.map(|it| (format!("workspace {:?}", it.name), workspace(it))));
+    let workspaces = workspaces.map(|it| (format!("workspace {:?}", it.name), workspace(it)));
+    let mut entries = BTreeMap::new();
+    let mut counts: HashMap<String, usize> = HashMap::new();
+    for (name, fields) in routes.chain(services).chain(workspaces) {
+        let count = counts.entry(name.clone()).or_default();
+        *count += 1;
+        let entry = if *count > 1 { format!("{name} ({count})") } else { name };
+        entries.insert(entry, fields);
+    }
+    entries.insert("limits".to_owned(), limits(&config.limits));
     entries
 }
 
@@ -113,11 +124,14 @@
     ]
 }
 
-/// Returns the fields of a workspace. Keys are secrets, so only their number is shown.
+/// Returns the fields of a workspace. Keys are secrets, so only their number and a hash of
+/// them are shown.
 fn workspace(workspace: &Workspace) -> Vec<Field> {
-    let keys = format!("{:?}", workspace.keys);
+    let keys: BTreeSet<&String> = workspace.keys.iter().collect();
+    let value = format!("{keys:?}");
+    let shown = format!("{} (hash {:08x})", keys.len(), xxh3_64(value.as_bytes()) as u32);
     vec![
-        ("keys", keys, format!("{} keys", workspace.keys.len())),
+        ("keys", value, shown),
         field("priority", workspace.priority),
         field("quota", workspace.quota),
     ]
