Log what an order for endpoints was decided from

The lines 'ordered' named the order and its outcome, but not the load, the need or the capacity behind it, so that an order could not be told from its cause. The planner keeps what its latest plan was decided from, and the lease holder adds it to the line. The existing fields stay.

--- a/crates/duty/src/order.rs
+++ b/crates/duty/src/order.rs
@@ -94,6 +94,25 @@
     first_seen_at: Instant,
 }
 
+/// What the latest plan was decided from.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Basis {
+    /// Load, as the number of engines that it keeps busy.
+    pub busy: f64,
+    /// Highest recent load, as the number of engines that serve it on time.
+    pub peak: f64,
+    /// Endpoints needed.
+    pub need: u32,
+    /// Serving endpoints.
+    pub serving: Capacity,
+    /// Endpoints needed beyond the reclaimable ones that serve or boot.
+    pub shortfall: u32,
+    /// Zones without reclaimable capacity.
+    pub waves: Vec<String>,
+    /// Whether the load was measured for long enough to scale down.
+    pub is_load_known: bool,
+}
+
 /// Plans the orders of one service during one term of a lease holder.
 #[derive(Clone, Debug, Default)]
 pub struct Planner {
@@ -109,9 +128,15 @@
     /// Highest recent shortfall that on-demand endpoints fill, and when it was
     /// seen.
     peak_shortfall: Option<(u32, Instant)>,
+    basis: Basis,
 }
 
 impl Planner {
+    /// Returns what the latest plan was decided from.
+    pub fn basis(&self) -> &Basis {
+        &self.basis
+    }
+
     /// Returns the orders to place now.
     ///
     /// `busy` is the load, expressed as the number of engines it keeps busy.
@@ -135,6 +160,7 @@
         let reclaimable = reclaimable_per_zone(scale, need, inherited);
         self.headroom = headroom(scale, present);
         let mut on_demand = self.on_demand_by_zone(scale, present, need, reclaimable, now);
+        self.basis = self.describe(present, busy, need, now);
         if let Some(zone) = self.zone_to_swap(scale, present, reclaimable, busy, now) {
             on_demand.insert(zone, 0);
         }
@@ -174,6 +200,26 @@
         placement.retry_at = Some(now + RETRY_DELAY);
     }
 
+    fn describe(
+        &mut self,
+        present: &BTreeMap<String, Capacity>,
+        busy: f64,
+        need: u32,
+        now: Instant,
+    ) -> Basis {
+        let rejected = self.placements.iter().filter(|(_, it)| it.retry_at.is_some());
+        let waves = rejected.filter(|((_, kind), _)| *kind == Kind::Reclaimable);
+        Basis {
+            busy,
+            peak: self.peak_need.map_or(0.0, |it| it.0),
+            need,
+            serving: total(present),
+            shortfall: self.peak_shortfall.map_or(0, |it| it.0),
+            waves: waves.map(|((zone, _), _)| zone.clone()).collect(),
+            is_load_known: !self.is_measuring_load(now),
+        }
+    }
+
     /// Returns the number of endpoints needed. It follows a rise of the load at
     /// once and a fall after a delay.
     fn need(&mut self, wanted: f64, scale: &Scale, now: Instant) -> u32 {
@@ -246,10 +292,9 @@
             // available as one kind may be used by the other.
             zones.push((price, scale.max.saturating_sub(expected), here.on_demand));
         }
-        let serving_on_demand: u32 = present.values().map(|it| it.on_demand).sum();
-        let serving_reclaimable: u32 = present.values().map(|it| it.reclaimable).sum();
+        let serving = total(present);
         // No endpoint is released before its replacement serves.
-        let unreplaced = need.saturating_sub(serving_reclaimable).min(serving_on_demand);
+        let unreplaced = need.saturating_sub(serving.reclaimable).min(serving.on_demand);
         let shortfall = need.saturating_sub(expected_reclaimable);
         let mut remaining = self.recent_shortfall(shortfall, now).max(unreplaced);
         if self.is_measuring_load(now) {
@@ -392,6 +437,13 @@
     }
 }
 
+fn total(present: &BTreeMap<String, Capacity>) -> Capacity {
+    Capacity {
+        on_demand: present.values().map(|it| it.on_demand).sum(),
+        reclaimable: present.values().map(|it| it.reclaimable).sum(),
+    }
+}
+
 /// Returns the number of reclaimable endpoints by zone that the limits allow
 /// beside the running on-demand ones.
 fn headroom(scale: &Scale, present: &BTreeMap<String, Capacity>) -> BTreeMap<String, u32> {
--- a/crates/duty/tests/order.rs
+++ b/crates/duty/tests/order.rs
@@ -183,6 +183,20 @@
     assert_eq!(cloud.underprovisioned_s, 0.0);
 }
 
+#[test]
+fn a_plan_states_what_it_was_decided_from() {
+    let waves = [Wave { zone: "a", at_s: 20.0, outage_s: 10.0 }];
+    let mut cloud = Cloud::new();
+    let mut planner = Planner::default();
+
+    cloud.run(&mut planner, 22.0, 6.0, &waves);
+    let basis = planner.basis();
+
+    assert_eq!((basis.busy, basis.peak, basis.need), (6.0, 8.0, 8));
+    assert_eq!(basis.serving.reclaimable, cloud.reclaimable());
+    assert_eq!((basis.waves.as_slice(), basis.is_load_known), (["a".to_owned()].as_slice(), true));
+}
+
 fn simulate(seconds: f64, busy: f64, waves: &[Wave]) -> Cloud {
     let mut cloud = Cloud::new();
     cloud.run(&mut Planner::default(), seconds, busy, waves);
--- a/crates/front/src/broker/leader.rs
+++ b/crates/front/src/broker/leader.rs
@@ -179,6 +179,7 @@
             Err(_) => "failed",
         };
         metrics::count("ordered", outcome);
+        let basis = self.planners.get(service).map(|it| it.basis().clone()).unwrap_or_default();
         spdlog::info!("ordered", kv: {
             service = service,
             zone = order.zone.as_str(),
@@ -186,6 +187,14 @@
             count = order.count,
             outcome = outcome,
             cause = result.as_ref().err().map(ToString::to_string).unwrap_or_default(),
+            busy = basis.busy,
+            peak = basis.peak,
+            need = basis.need,
+            on_demand = basis.serving.on_demand,
+            reclaimable = basis.serving.reclaimable,
+            shortfall = basis.shortfall,
+            waves = basis.waves.join(" "),
+            is_load_known = basis.is_load_known,
         });
         let Some(planner) = self.planners.get_mut(service) else { return };
         match result {
