Keep what serves until its replacement does, whoever holds the lease

A holder that got the lease back after 5 s ordered the on-demand endpoints of four zones from 17, 18, 16, 17 to 0, 4, 0, 0 while no reclaimable ones were available. Its new planner took a fleet without reclaimable endpoints for the initial deployment, of which nothing is kept before there is load, and a new measurement of the load begins at 0. That reclaimable endpoints were rejected at that moment made no difference.

The holder now states who deployed the fleet. It is the initial deployment only for the first holder of the first start, before any load; otherwise nothing that serves is released until the load is known. A holder whose token has not changed keeps its planner and its measurement.

Random series of waves, loads, stalls and holders found four more orders that took needed capacity, all mended here: - fewer reclaimable endpoints in a zone while other zones have none; - running on-demand endpoints released where an accepted order for reclaimable ones counted against the limit of the zone; - on-demand endpoints that boot ordered again elsewhere; - a swapped zone on top of released surplus.

--- a/crates/duty/src/lease.rs
+++ b/crates/duty/src/lease.rs
@@ -89,6 +89,10 @@
     era: Option<u64>,
     /// When the grants of earlier eras have ended on all daemons.
     earlier_grants_end_at: Duration,
+    /// Whether the row existed before this daemon tried to acquire the lease.
+    has_predecessor: bool,
+    /// Whether the store has returned from an older copy.
+    has_returned: bool,
 }
 
 impl Lease {
@@ -106,9 +110,17 @@
             renewal_failed_at: None,
             era: None,
             earlier_grants_end_at: Duration::ZERO,
+            has_predecessor: true,
+            has_returned: false,
         }
     }
 
+    /// Whether another daemon may have held the lease before this one first did. A store that
+    /// has returned from a copy may lack its row.
+    pub fn has_predecessor(&self) -> bool {
+        self.has_predecessor
+    }
+
     /// Returns the permission to act if it lasts for longer than `margin`, the
     /// time that a call needs.
     pub fn grant(&self, now: Duration, margin: Duration) -> Option<Grant> {
@@ -135,6 +147,7 @@
             return;
         }
         self.state = State::Following;
+        self.has_returned = true;
         self.seen = None;
         self.read_at = None;
         self.earlier_grants_end_at = now + DURATION;
@@ -204,6 +217,7 @@
             return None;
         }
         self.state = State::Acquiring;
+        self.has_predecessor = row.version != ABSENT || self.has_returned;
         self.called_at = Some(now);
         Some(Action::Write { version: row.version, value: self.instance_id.clone() })
     }
--- a/crates/duty/src/order.rs
+++ b/crates/duty/src/order.rs
@@ -71,6 +71,16 @@
     pub reclaimable: u32,
 }
 
+/// Who deployed the endpoints that a new lease holder finds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Origin {
+    /// The operators: no lease holder has placed orders, and there is no load yet.
+    #[default]
+    Deployment,
+    /// A previous lease holder, for a need that may still exist.
+    Orders,
+}
+
 /// Latest order of a kind in a zone.
 #[derive(Clone, Debug)]
 struct Placement {
@@ -88,9 +98,7 @@
 struct Inheritance {
     /// Endpoints per zone.
     per_zone: u32,
-    /// Whether a previous lease holder ordered them. Otherwise they are the
-    /// initial deployment of the service.
-    is_ordered: bool,
+    origin: Origin,
     first_seen_at: Instant,
 }
 
@@ -116,6 +124,7 @@
 /// Plans the orders of one service during one term of a lease holder.
 #[derive(Clone, Debug, Default)]
 pub struct Planner {
+    origin: Origin,
     placements: BTreeMap<(String, Kind), Placement>,
     /// Reclaimable endpoints that fit into each zone at the last plan.
     headroom: BTreeMap<String, u32>,
@@ -132,6 +141,11 @@
 }
 
 impl Planner {
+    /// Creates a planner for a fleet of the given origin.
+    pub fn new(origin: Origin) -> Planner {
+        Planner { origin, ..Planner::default() }
+    }
+
     /// Returns what the latest plan was decided from.
     pub fn basis(&self) -> &Basis {
         &self.basis
@@ -161,15 +175,18 @@
         self.headroom = headroom(scale, present);
         let mut on_demand = self.on_demand_by_zone(scale, present, need, reclaimable, now);
         self.basis = self.describe(present, busy, need, now);
-        if let Some(zone) = self.zone_to_swap(scale, present, reclaimable, busy, now) {
+        if let Some(zone) = self.zone_to_swap(scale, present, &on_demand, reclaimable, busy, now) {
             on_demand.insert(zone, 0);
         }
+        let reclaimable =
+            self.reclaimable_by_zone(scale, present, need, reclaimable, &on_demand, now);
         let mut orders = Vec::new();
         for price in &scale.zones {
             let here = present.get(&price.zone).copied().unwrap_or_default();
             let on_demand = on_demand.get(&price.zone).copied().unwrap_or(0);
             let mut wanted = vec![(Kind::OnDemand, on_demand, here.on_demand)];
             if scale.reclaimable_price.is_some() {
+                let reclaimable = reclaimable.get(&price.zone).copied().unwrap_or(0);
                 wanted.insert(0, (Kind::Reclaimable, reclaimable, here.reclaimable));
             }
             for (kind, count, serving) in wanted {
@@ -248,8 +265,9 @@
             0 => on_demand.div_ceil(scale.zones.len().max(1) as u32),
             _ => most_reclaimable,
         };
-        let is_ordered = most_reclaimable > 0;
-        let first = Inheritance { per_zone: found, is_ordered, first_seen_at: now };
+        // The operators deploy no reclaimable endpoints where there is a choice.
+        let origin = if most_reclaimable > 0 { Origin::Orders } else { self.origin };
+        let first = Inheritance { per_zone: found, origin, first_seen_at: now };
         let inheritance = self.inheritance.get_or_insert(first);
         if now < inheritance.first_seen_at + DISCOVERY_TIME {
             inheritance.per_zone = inheritance.per_zone.max(found);
@@ -270,6 +288,12 @@
         }
     }
 
+    /// Whether endpoints serve a load that is not known yet.
+    fn is_load_unknown(&mut self, now: Instant) -> bool {
+        let is_ordered = self.inheritance.is_some_and(|it| it.origin == Origin::Orders);
+        is_ordered && self.is_measuring_load(now)
+    }
+
     /// Returns the wanted on-demand endpoints by zone. The cheapest zones are
     /// filled first.
     fn on_demand_by_zone(
@@ -284,13 +308,15 @@
         let mut zones = Vec::new();
         for price in &scale.zones {
             let here = present.get(&price.zone).copied().unwrap_or_default();
-            let booting = self.booting(scale, &price.zone, now);
+            let booting = self.booting(scale, &price.zone, Kind::Reclaimable, now);
             let ordered = self.newly_ordered(&price.zone, reclaimable);
             let expected = booting.max(ordered).max(here.reclaimable);
             expected_reclaimable += expected;
             // The limits apply to both kinds together. Capacity that is not
             // available as one kind may be used by the other.
-            zones.push((price, scale.max.saturating_sub(expected), here.on_demand));
+            let booting = self.booting(scale, &price.zone, Kind::OnDemand, now);
+            let running = here.on_demand.max(booting);
+            zones.push((price, scale.max.saturating_sub(expected), running));
         }
         let serving = total(present);
         // No endpoint is released before its replacement serves.
@@ -302,9 +328,9 @@
         }
         zones.sort_by(|a, b| a.0.price.total_cmp(&b.0.price));
         let mut wanted = BTreeMap::new();
-        // Running endpoints stay in their zones as far as they are needed.
-        for (price, headroom, running) in &zones {
-            let kept = (*running).min(remaining).min(*headroom);
+        // Running and booting endpoints stay in their zones as far as they are needed.
+        for (price, _, running) in &zones {
+            let kept = (*running).min(remaining);
             remaining -= kept;
             wanted.insert(price.zone.clone(), kept);
         }
@@ -324,6 +350,34 @@
         wanted
     }
 
+    /// Returns the wanted reclaimable endpoints by zone. Where `wanted` is less than what
+    /// serves, a zone keeps what the load needs while other zones lack theirs.
+    fn reclaimable_by_zone(
+        &mut self,
+        scale: &Scale,
+        present: &BTreeMap<String, Capacity>,
+        need: u32,
+        wanted: u32,
+        on_demand: &BTreeMap<String, u32>,
+        now: Instant,
+    ) -> BTreeMap<String, u32> {
+        let kept = |(zone, it): (&String, &Capacity)| {
+            it.on_demand.min(on_demand.get(zone).copied().unwrap_or(0)) + it.reclaimable
+        };
+        let mut spare = present.iter().map(kept).sum::<u32>().saturating_sub(need);
+        if self.is_load_unknown(now) {
+            spare = 0;
+        }
+        let mut by_zone = BTreeMap::new();
+        for price in &scale.zones {
+            let serving = present.get(&price.zone).map_or(0, |it| it.reclaimable);
+            let released = serving.saturating_sub(wanted).min(spare);
+            spare -= released;
+            by_zone.insert(price.zone.clone(), wanted.max(serving - released));
+        }
+        by_zone
+    }
+
     /// Returns the highest shortfall within the cooldown of on-demand endpoints.
     fn recent_shortfall(&mut self, shortfall: u32, now: Instant) -> u32 {
         let recent = self.peak_shortfall.filter(|(_, at)| now < *at + ON_DEMAND_COOLDOWN);
@@ -342,7 +396,8 @@
     /// load, until reclaimable endpoints have replaced them.
     fn unreplaced_inheritance(&self, scale: &Scale, present: &BTreeMap<String, Capacity>) -> u32 {
         let on_demand = present.values().map(|it| it.on_demand).sum();
-        let Some(inheritance) = self.inheritance.filter(|it| !it.is_ordered) else {
+        let is_deployed = |it: &Inheritance| it.origin == Origin::Deployment;
+        let Some(inheritance) = self.inheritance.filter(is_deployed) else {
             return on_demand;
         };
         if self.first_load_at.is_none() {
@@ -360,25 +415,33 @@
     /// ones starts nothing. One zone is replaced at a time, and only while the
     /// other endpoints can carry the load.
     fn zone_to_swap(
-        &self,
+        &mut self,
         scale: &Scale,
         present: &BTreeMap<String, Capacity>,
+        on_demand: &BTreeMap<String, u32>,
         reclaimable: u32,
         busy: f64,
         now: Instant,
     ) -> Option<String> {
-        let total: u32 = present.values().map(|it| it.on_demand + it.reclaimable).sum();
+        if self.is_load_unknown(now) {
+            return None;
+        }
+        let kept = |zone: &str| {
+            let here = present.get(zone).copied().unwrap_or_default();
+            here.on_demand.min(on_demand.get(zone).copied().unwrap_or(0))
+        };
+        let total = present.keys().map(|it| kept(it)).sum::<u32>() + total(present).reclaimable;
         let is_blocked = |zone: &&String| {
             let placement = self.placements.get(&((*zone).clone(), Kind::Reclaimable));
             placement.is_some_and(|it| it.retry_at.is_none() && it.granted < reclaimable)
         };
         let is_spare = |zone: &&String| {
-            let here = present.get(*zone).copied().unwrap_or_default();
-            here.on_demand > 0 && f64::from(total - here.on_demand) >= busy
+            let is_running = present.get(*zone).is_some_and(|it| it.on_demand > 0);
+            is_running && f64::from(total - kept(zone)) >= busy
         };
         let is_boot_complete = scale.zones.iter().all(|it| {
             let here = present.get(&it.zone).copied().unwrap_or_default();
-            self.booting(scale, &it.zone, now) <= here.reclaimable
+            self.booting(scale, &it.zone, Kind::Reclaimable, now) <= here.reclaimable
         });
         let mut zones: Vec<_> = scale.zones.iter().collect();
         zones.sort_by(|a, b| b.price.total_cmp(&a.price));
@@ -386,11 +449,10 @@
         is_boot_complete.then(|| zone.clone())
     }
 
-    /// Returns the number of ordered reclaimable endpoints of a zone that may still
-    /// be booting.
-    fn booting(&self, scale: &Scale, zone: &str, now: Instant) -> u32 {
+    /// Returns the number of ordered endpoints of a zone if some may still be booting.
+    fn booting(&self, scale: &Scale, zone: &str, kind: Kind, now: Instant) -> u32 {
         let boot_time = Duration::from_millis(scale.boot_ms) + BOOT_MARGIN;
-        let placement = self.placements.get(&(zone.to_owned(), Kind::Reclaimable));
+        let placement = self.placements.get(&(zone.to_owned(), kind));
         let is_booting = |it: &&Placement| it.retry_at.is_none() && now < it.placed_at + boot_time;
         placement.filter(is_booting).map_or(0, |it| it.granted)
     }
--- a/crates/duty/tests/order.rs
+++ b/crates/duty/tests/order.rs
@@ -7,6 +7,7 @@
 use duty::order::Capacity;
 use duty::order::Kind;
 use duty::order::Order;
+use duty::order::Origin;
 use duty::order::Planner;
 use route::config::Scale;
 use route::config::ZonePrice;
@@ -183,6 +184,31 @@
     assert_eq!(cloud.underprovisioned_s, 0.0);
 }
 
+/// Guards against a holder that takes the fleet that a wave has left for the initial
+/// deployment, and releases it because it has not seen the load yet.
+#[test]
+fn a_new_holder_keeps_on_demand_endpoints_that_were_ordered() {
+    let found: BTreeMap<String, Capacity> = ZONES
+        .iter()
+        .zip([17, 18, 16, 17])
+        .map(|((zone, _), on_demand)| ((*zone).to_owned(), Capacity { on_demand, reclaimable: 0 }))
+        .collect();
+    let scale = Scale { max: 40, ..scale() };
+    let start = Instant::now();
+    let mut planner = Planner::new(Origin::Orders);
+
+    let mut orders = Vec::new();
+    for step in 0..120 {
+        // The first callers come back after a few seconds.
+        let busy = if step < 8 { 0.0 } else { 51.0 };
+        orders.extend(planner.plan(&scale, &found, busy, start + step * STEP));
+    }
+
+    let released = orders.iter().filter(|it| it.kind == Kind::OnDemand);
+    let released: Vec<_> = released.filter(|it| it.count < found[&it.zone].on_demand).collect();
+    assert!(released.is_empty(), "{released:?}");
+}
+
 #[test]
 fn a_plan_states_what_it_was_decided_from() {
     let waves = [Wave { zone: "a", at_s: 20.0, outage_s: 10.0 }];
--- a/crates/front/src/broker/leader.rs
+++ b/crates/front/src/broker/leader.rs
@@ -10,6 +10,8 @@
 use duty::order::Capacity;
 use duty::order::LIST_SETTLE_HEARTBEATS;
 use duty::order::Order;
+use duty::order::Origin;
+use duty::order::Planner;
 use duty::usage::Counts;
 use membership::candidate::lease_patience;
 use platform::cloud::Outcome;
@@ -269,17 +271,33 @@
         }
         self.is_leader = is_leader;
         metrics::set_state("leads", i64::from(is_leader));
-        if is_leader {
+        if let Some(grant) = grant {
             self.usage.start_reporting(self.clock.now_ms(clock::since_boot()));
-            // Orders of the previous lease holder are unknown.
-            self.planners.clear();
-            self.demand.clear();
-            self.remote_work_ms.clear();
+            // With the same token, no other daemon has placed orders since the last term.
+            if self.led_fence != Some(grant.fence) {
+                self.fleet_origin = self.fleet_origin();
+                self.planners.clear();
+                self.demand.clear();
+                self.remote_work_ms.clear();
+            }
+            self.led_fence = Some(grant.fence);
         }
         let fence = grant.map_or(0, |it| it.fence);
         spdlog::info!("lease", kv: { held = is_leader, fence = fence });
     }
 
+    /// Returns who deployed the endpoints, at the start of a term.
+    fn fleet_origin(&self) -> Origin {
+        let is_first_term = self.context.settings.is_first_start
+            && self.led_fence.is_none()
+            && self.remote_holder.is_none()
+            && !self.lease.has_predecessor();
+        match is_first_term && self.work_ms.is_empty() {
+            true => Origin::Deployment,
+            false => Origin::Orders,
+        }
+    }
+
     fn report_usage(&mut self, now: Instant) {
         if self.leader_calls.window.is_some()
             || self.leader_calls.retry_at.is_some_and(|it| now < it)
@@ -305,7 +323,8 @@
             let Some(scale) = &service.scale else { continue };
             let busy = self.busy_engines(&service.name, now);
             let capacity = self.capacity(&service.name, now);
-            let planner = self.planners.entry(service.name.clone()).or_default();
+            let new = || Planner::new(self.fleet_origin);
+            let planner = self.planners.entry(service.name.clone()).or_insert_with(new);
             for order in planner.plan(scale, &capacity, busy, now) {
                 self.leader_calls.orders += 1;
                 let service = service.name.clone();
--- a/crates/front/src/broker/mod.rs
+++ b/crates/front/src/broker/mod.rs
@@ -41,6 +41,7 @@
 use duty::clock::Clock;
 use duty::demand::Demand;
 use duty::lease::Lease;
+use duty::order::Origin;
 use duty::order::Planner;
 use duty::reporting::Reporting;
 use duty::usage::Usage;
@@ -198,6 +199,10 @@
     lease: Lease,
     /// Whether this daemon had a lease grant for leader tasks at the last tick.
     is_leader: bool,
+    /// Fencing token of this daemon's latest term as the lease holder.
+    led_fence: Option<u64>,
+    /// Who deployed the endpoints that this daemon found at the start of that term.
+    fleet_origin: Origin,
     leader_calls: leader::Calls,
     planners: HashMap<String, Planner>,
     planned_at: Instant,
@@ -283,6 +288,8 @@
             usage: Usage::new(context.settings.bounds.usage_window),
             lease: Lease::new(context.instance_id.clone(), since_boot),
             is_leader: false,
+            led_fence: None,
+            fleet_origin: Origin::Orders,
             leader_calls: leader::Calls::default(),
             planners: HashMap::new(),
             planned_at: now,
