--- a/crates/duty/src/order.rs
+++ b/crates/duty/src/order.rs
@@ -71,6 +71,16 @@
     pub reclaimable: u32,
 }
 
+/// Who deployed the endpoints that a new lease holder finds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Origin {
+    /// The operators: no lease holder has placed orders, and there is no load yet.
+    #[default]
+    Deployment,
+    /// A previous lease holder, for a need that may still exist.
+    Orders,
+}
+
 /// Latest order of a kind in a zone.
 #[derive(Clone, Debug)]
 struct Placement {
@@ -88,15 +98,33 @@
 struct Inheritance {
     /// Endpoints per zone.
     per_zone: u32,
-    /// Whether a previous lease holder ordered them. Otherwise they are the
-    /// initial deployment of the service.
-    is_ordered: bool,
+    origin: Origin,
     first_seen_at: Instant,
 }
 
+/// What the latest plan was decided from.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Basis {
+    /// Load, as the number of engines that it keeps busy.
+    pub busy: f64,
+    /// Highest recent load, as the number of engines that serve it on time.
+    pub peak: f64,
+    /// Endpoints needed.
+    pub need: u32,
+    /// Serving endpoints.
+    pub serving: Capacity,
+    /// Endpoints needed beyond the reclaimable ones that serve or boot.
+    pub shortfall: u32,
+    /// Zones without reclaimable capacity.
+    pub waves: Vec<String>,
+    /// Whether the load was measured for long enough to scale down.
+    pub is_load_known: bool,
+}
+
 /// Plans the orders of one service during one term of a lease holder.
 #[derive(Clone, Debug, Default)]
 pub struct Planner {
+    origin: Origin,
     placements: BTreeMap<(String, Kind), Placement>,
     /// Reclaimable endpoints that fit into each zone at the last plan.
     headroom: BTreeMap<String, u32>,
@@ -109,9 +137,20 @@
     /// Highest recent shortfall that on-demand endpoints fill, and when it was
     /// seen.
     peak_shortfall: Option<(u32, Instant)>,
+    basis: Basis,
 }
 
 impl Planner {
+    /// Creates a planner for a fleet of the given origin.
+    pub fn new(origin: Origin) -> Planner {
+        Planner { origin, ..Planner::default() }
+    }
+
+    /// Returns what the latest plan was decided from.
+    pub fn basis(&self) -> &Basis {
+        &self.basis
+    }
+
     /// Returns the orders to place now.
     ///
     /// `busy` is the load, expressed as the number of engines it keeps busy.
@@ -135,15 +174,19 @@
         let reclaimable = reclaimable_per_zone(scale, need, inherited);
         self.headroom = headroom(scale, present);
         let mut on_demand = self.on_demand_by_zone(scale, present, need, reclaimable, now);
-        if let Some(zone) = self.zone_to_swap(scale, present, reclaimable, busy, now) {
+        self.basis = self.describe(present, busy, need, now);
+        if let Some(zone) = self.zone_to_swap(scale, present, &on_demand, reclaimable, busy, now) {
             on_demand.insert(zone, 0);
         }
+        let reclaimable =
+            self.reclaimable_by_zone(scale, present, need, reclaimable, &on_demand, now);
         let mut orders = Vec::new();
         for price in &scale.zones {
             let here = present.get(&price.zone).copied().unwrap_or_default();
             let on_demand = on_demand.get(&price.zone).copied().unwrap_or(0);
             let mut wanted = vec![(Kind::OnDemand, on_demand, here.on_demand)];
             if scale.reclaimable_price.is_some() {
+                let reclaimable = reclaimable.get(&price.zone).copied().unwrap_or(0);
                 wanted.insert(0, (Kind::Reclaimable, reclaimable, here.reclaimable));
             }
             for (kind, count, serving) in wanted {
@@ -174,6 +217,26 @@
         placement.retry_at = Some(now + RETRY_DELAY);
     }
 
+    fn describe(
+        &mut self,
+        present: &BTreeMap<String, Capacity>,
+        busy: f64,
+        need: u32,
+        now: Instant,
+    ) -> Basis {
+        let rejected = self.placements.iter().filter(|(_, it)| it.retry_at.is_some());
+        let waves = rejected.filter(|((_, kind), _)| *kind == Kind::Reclaimable);
+        Basis {
+            busy,
+            peak: self.peak_need.map_or(0.0, |it| it.0),
+            need,
+            serving: total(present),
+            shortfall: self.peak_shortfall.map_or(0, |it| it.0),
+            waves: waves.map(|((zone, _), _)| zone.clone()).collect(),
+            is_load_known: !self.is_measuring_load(now),
+        }
+    }
+
     /// Returns the number of endpoints needed. It follows a rise of the load at
     /// once and a fall after a delay.
     fn need(&mut self, wanted: f64, scale: &Scale, now: Instant) -> u32 {
@@ -202,8 +265,9 @@
             0 => on_demand.div_ceil(scale.zones.len().max(1) as u32),
             _ => most_reclaimable,
         };
-        let is_ordered = most_reclaimable > 0;
-        let first = Inheritance { per_zone: found, is_ordered, first_seen_at: now };
+        // The operators deploy no reclaimable endpoints where there is a choice.
+        let origin = if most_reclaimable > 0 { Origin::Orders } else { self.origin };
+        let first = Inheritance { per_zone: found, origin, first_seen_at: now };
         let inheritance = self.inheritance.get_or_insert(first);
         if now < inheritance.first_seen_at + DISCOVERY_TIME {
             inheritance.per_zone = inheritance.per_zone.max(found);
@@ -224,6 +288,12 @@
         }
     }
 
+    /// Whether endpoints serve a load that is not known yet.
+    fn is_load_unknown(&mut self, now: Instant) -> bool {
+        let is_ordered = self.inheritance.is_some_and(|it| it.origin == Origin::Orders);
+        is_ordered && self.is_measuring_load(now)
+    }
+
     /// Returns the wanted on-demand endpoints by zone. The cheapest zones are
     /// filled first.
     fn on_demand_by_zone(
@@ -238,18 +308,19 @@
         let mut zones = Vec::new();
         for price in &scale.zones {
             let here = present.get(&price.zone).copied().unwrap_or_default();
-            let booting = self.booting(scale, &price.zone, now);
+            let booting = self.booting(scale, &price.zone, Kind::Reclaimable, now);
             let ordered = self.newly_ordered(&price.zone, reclaimable);
             let expected = booting.max(ordered).max(here.reclaimable);
             expected_reclaimable += expected;
             // The limits apply to both kinds together. Capacity that is not
             // available as one kind may be used by the other.
-            zones.push((price, scale.max.saturating_sub(expected), here.on_demand));
+            let booting = self.booting(scale, &price.zone, Kind::OnDemand, now);
+            let running = here.on_demand.max(booting);
+            zones.push((price, scale.max.saturating_sub(expected), running));
         }
-        let serving_on_demand: u32 = present.values().map(|it| it.on_demand).sum();
-        let serving_reclaimable: u32 = present.values().map(|it| it.reclaimable).sum();
+        let serving = total(present);
         // No endpoint is released before its replacement serves.
-        let unreplaced = need.saturating_sub(serving_reclaimable).min(serving_on_demand);
+        let unreplaced = need.saturating_sub(serving.reclaimable).min(serving.on_demand);
         let shortfall = need.saturating_sub(expected_reclaimable);
         let mut remaining = self.recent_shortfall(shortfall, now).max(unreplaced);
         if self.is_measuring_load(now) {
@@ -257,9 +328,9 @@
         }
         zones.sort_by(|a, b| a.0.price.total_cmp(&b.0.price));
         let mut wanted = BTreeMap::new();
-        // Running endpoints stay in their zones as far as they are needed.
-        for (price, headroom, running) in &zones {
-            let kept = (*running).min(remaining).min(*headroom);
+        // Running and booting endpoints stay in their zones as far as they are needed.
+        for (price, _, running) in &zones {
+            let kept = (*running).min(remaining);
             remaining -= kept;
             wanted.insert(price.zone.clone(), kept);
         }
@@ -279,6 +350,34 @@
         wanted
     }
 
+    /// Returns the wanted reclaimable endpoints by zone. Where `wanted` is less than what
+    /// serves, a zone keeps what the load needs while other zones lack theirs.
+    fn reclaimable_by_zone(
+        &mut self,
+        scale: &Scale,
+        present: &BTreeMap<String, Capacity>,
+        need: u32,
+        wanted: u32,
+        on_demand: &BTreeMap<String, u32>,
+        now: Instant,
+    ) -> BTreeMap<String, u32> {
+        let kept = |(zone, it): (&String, &Capacity)| {
+            it.on_demand.min(on_demand.get(zone).copied().unwrap_or(0)) + it.reclaimable
+        };
+        let mut spare = present.iter().map(kept).sum::<u32>().saturating_sub(need);
+        if self.is_load_unknown(now) {
+            spare = 0;
+        }
+        let mut by_zone = BTreeMap::new();
+        for price in &scale.zones {
+            let serving = present.get(&price.zone).map_or(0, |it| it.reclaimable);
+            let released = serving.saturating_sub(wanted).min(spare);
+            spare -= released;
+            by_zone.insert(price.zone.clone(), wanted.max(serving - released));
+        }
+        by_zone
+    }
+
     /// Returns the highest shortfall within the cooldown of on-demand endpoints.
     fn recent_shortfall(&mut self, shortfall: u32, now: Instant) -> u32 {
         let recent = self.peak_shortfall.filter(|(_, at)| now < *at + ON_DEMAND_COOLDOWN);
@@ -297,7 +396,8 @@
     /// load, until reclaimable endpoints have replaced them.
     fn unreplaced_inheritance(&self, scale: &Scale, present: &BTreeMap<String, Capacity>) -> u32 {
         let on_demand = present.values().map(|it| it.on_demand).sum();
-        let Some(inheritance) = self.inheritance.filter(|it| !it.is_ordered) else {
+        let is_deployed = |it: &Inheritance| it.origin == Origin::Deployment;
+        let Some(inheritance) = self.inheritance.filter(is_deployed) else {
             return on_demand;
         };
         if self.first_load_at.is_none() {
@@ -315,25 +415,33 @@
     /// ones starts nothing. One zone is replaced at a time, and only while the
     /// other endpoints can carry the load.
     fn zone_to_swap(
-        &self,
+        &mut self,
         scale: &Scale,
         present: &BTreeMap<String, Capacity>,
+        on_demand: &BTreeMap<String, u32>,
         reclaimable: u32,
         busy: f64,
         now: Instant,
     ) -> Option<String> {
-        let total: u32 = present.values().map(|it| it.on_demand + it.reclaimable).sum();
+        if self.is_load_unknown(now) {
+            return None;
+        }
+        let kept = |zone: &str| {
+            let here = present.get(zone).copied().unwrap_or_default();
+            here.on_demand.min(on_demand.get(zone).copied().unwrap_or(0))
+        };
+        let total = present.keys().map(|it| kept(it)).sum::<u32>() + total(present).reclaimable;
         let is_blocked = |zone: &&String| {
             let placement = self.placements.get(&((*zone).clone(), Kind::Reclaimable));
             placement.is_some_and(|it| it.retry_at.is_none() && it.granted < reclaimable)
         };
         let is_spare = |zone: &&String| {
-            let here = present.get(*zone).copied().unwrap_or_default();
-            here.on_demand > 0 && f64::from(total - here.on_demand) >= busy
+            let is_running = present.get(*zone).is_some_and(|it| it.on_demand > 0);
+            is_running && f64::from(total - kept(zone)) >= busy
         };
         let is_boot_complete = scale.zones.iter().all(|it| {
             let here = present.get(&it.zone).copied().unwrap_or_default();
-            self.booting(scale, &it.zone, now) <= here.reclaimable
+            self.booting(scale, &it.zone, Kind::Reclaimable, now) <= here.reclaimable
         });
         let mut zones: Vec<_> = scale.zones.iter().collect();
         zones.sort_by(|a, b| b.price.total_cmp(&a.price));
@@ -341,11 +449,10 @@
         is_boot_complete.then(|| zone.clone())
     }
 
-    /// Returns the number of ordered reclaimable endpoints of a zone that may still
-    /// be booting.
-    fn booting(&self, scale: &Scale, zone: &str, now: Instant) -> u32 {
+    /// Returns the number of ordered endpoints of a zone if some may still be booting.
+    fn booting(&self, scale: &Scale, zone: &str, kind: Kind, now: Instant) -> u32 {
         let boot_time = Duration::from_millis(scale.boot_ms) + BOOT_MARGIN;
-        let placement = self.placements.get(&(zone.to_owned(), Kind::Reclaimable));
+        let placement = self.placements.get(&(zone.to_owned(), kind));
         let is_booting = |it: &&Placement| it.retry_at.is_none() && now < it.placed_at + boot_time;
         placement.filter(is_booting).map_or(0, |it| it.granted)
     }
@@ -392,6 +499,13 @@
     }
 }
 
+fn total(present: &BTreeMap<String, Capacity>) -> Capacity {
+    Capacity {
+        on_demand: present.values().map(|it| it.on_demand).sum(),
+        reclaimable: present.values().map(|it| it.reclaimable).sum(),
+    }
+}
+
 /// Returns the number of reclaimable endpoints by zone that the limits allow
 /// beside the running on-demand ones.
 fn headroom(scale: &Scale, present: &BTreeMap<String, Capacity>) -> BTreeMap<String, u32> {
