--- a/crates/front/src/broker/limits.rs
+++ b/crates/front/src/broker/limits.rs
@@ -8,14 +8,18 @@
 use quota::fleet::Fleet;
 use quota::retry;
 use quota::retry::Budget;
+use quota::scarcity::Request;
 use quota::workspace;
 use quota::workspace::Bucket;
 use quota::workspace::PEER_EXPIRY;
+use quota::workspace::Reason;
+use quota::workspace::Rejection;
 use quota::workspace::Report;
 use relay::admission::Refusal;
 use route::config::Workspace;
 use route::request::Attributes;
 use route::table::Match;
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::Broker;
 use super::refusal::Cause;
@@ -34,19 +38,35 @@
         let Some(quota) = workspace.quota else { return Ok(0.0) };
         let Some(bucket) = self.buckets.get_mut(&workspace.name) else { return Ok(0.0) };
         let units = quota.unit.count(attributes.tokens());
-        match bucket.take(units, now) {
+        let kind = xxh3_64(found.route.name.as_bytes());
+        let request = Request { rank: found.route.priority, kind, units };
+        match bucket.admit(&request, now) {
             Ok(()) => {
                 metrics::count("quota", "granted");
                 Ok(units)
             }
-            Err(wait) => {
+            Err(Rejection { wait, reason }) => {
                 metrics::count("quota", "refused");
+                metrics::count("quota_refused", reason.name());
+                let state = bucket.state(now);
+                let (asked, granted, fraction) = match reason {
+                    Reason::Outranked(it) => (it.asked, it.granted, it.fraction),
+                    Reason::Level | Reason::Share => (0.0, 0.0, 1.0),
+                };
                 spdlog::info!("over quota", kv: {
                     request = attributes.id.as_str(),
                     workspace = workspace.name.as_str(),
+                    reason = reason.name(),
+                    rank = request.rank,
                     units = units.round() as i64,
                     left = bucket.level().round() as i64,
+                    reserved = state.reserve.round() as i64,
                     share = bucket.share().round() as i64,
+                    others = state.others.round() as i64,
+                    asked = asked.round() as i64,
+                    granted = granted.round() as i64,
+                    fraction = (fraction * 100.0).round() / 100.0,
+                    oldest_report_ms = state.oldest_report.as_millis() as u64,
                     is_joining = bucket.known_level().is_none(),
                     rate = quota.rate.round() as i64,
                     config = self.table.config.version,
@@ -63,6 +83,7 @@
     pub(super) fn set_quotas(&mut self, workspaces: &[Workspace], now: Instant) {
         // A quota that appears while this daemon runs has not been used before.
         let is_unused = self.is_first_start || self.table.config.version > 0;
+        let phase = phase(&self.context.settings.peers.to_string());
         for workspace in workspaces {
             let Some(quota) = workspace.quota else {
                 self.buckets.remove(&workspace.name);
@@ -75,6 +96,7 @@
             };
             let bucket = self.buckets.entry(workspace.name.clone()).or_insert_with(new);
             bucket.set_limit(limit, now);
+            bucket.set_phase(phase);
         }
         self.update_buckets(now);
     }
@@ -182,3 +204,9 @@
         }
     }
 }
+
+/// Returns a number in [0, 1) that differs between daemons.
+fn phase(daemon: &str) -> f64 {
+    const BITS: u32 = 32;
+    (xxh3_64(daemon.as_bytes()) >> BITS) as f64 / (1u64 << BITS) as f64
+}
--- a/crates/quota/src/lib.rs
+++ b/crates/quota/src/lib.rs
@@ -5,6 +5,8 @@
 
 pub mod endpoint;
 pub mod fleet;
+mod queue;
 pub mod retry;
 pub mod room;
+pub mod scarcity;
 pub mod workspace;
--- a/crates/quota/src/workspace.rs
+++ b/crates/quota/src/workspace.rs
@@ -11,11 +11,21 @@
 //! left than the others may have taken unheard. A daemon that has just started takes the
 //! burst for used until a peer reports what is left of it, and peers for using their even
 //! share until it hears them.
+//!
+//! While a workspace asks for more than its limit, [`Bucket::admit`] keeps the level near a reserve
+//! that covers what the others may have taken unheard. The units that come free are then spent
+//! evenly over time, by rank and size ([`crate::scarcity`]), rather than by even shares and in
+//! order of arrival.
 
 use std::collections::HashMap;
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::scarcity;
+use crate::scarcity::Demand;
+use crate::scarcity::Request;
+use crate::scarcity::Supply;
+
 /// Default time without a report after which a peer is assumed to use its even
 /// share: several gossip periods.
 const DEFAULT_REPORT_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -30,6 +40,16 @@
 /// Maximum fraction of the burst that counts as scarce, however late daemons hear of each
 /// other.
 const MAX_SCARCE_FRACTION: f64 = 0.8;
+/// Part of the burst by which the reserve exceeds what counts as scarce, so that a few requests
+/// more than usual don't make units scarce.
+const RESERVE_FRACTION: f64 = 0.1;
+/// Part of the burst that is kept when demand peaks for a moment.
+const PEAK_RESERVE_FRACTION: f64 = 0.5;
+/// Time for which the rest of the burst has to last in a peak.
+const PEAK_TIME: Duration = Duration::from_secs(1);
+/// Time over which the level returns to the reserve. Exceeds the delay of reports, after which a
+/// daemon sees the effect of what all of them do.
+const LEVELLING_TIME: Duration = Duration::from_secs(4);
 
 /// A rate limit with a burst.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -51,6 +71,48 @@
     pub age: Duration,
 }
 
+/// Rejection of a request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Rejection {
+    /// Time until a request of this rank and size is expected to be admitted.
+    pub wait: Duration,
+    /// Why it was rejected.
+    pub reason: Reason,
+}
+
+/// Why a request is rejected.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Reason {
+    /// More urgent or smaller requests, or earlier ones of its kind, need the units.
+    Outranked(scarcity::Rejection),
+    /// Fewer units are available than it takes.
+    Level,
+    /// Few units are available, and this daemon has used its even share.
+    Share,
+}
+
+impl Reason {
+    /// Returns the name used in metrics and logs.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Reason::Outranked(_) => "outranked",
+            Reason::Level => "level",
+            Reason::Share => "share",
+        }
+    }
+}
+
+/// What decisions depend on besides the level and the share.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct State {
+    /// Units that are kept while the workspace asks for more than its limit.
+    pub reserve: f64,
+    /// Units per second that the other daemons admit, as far as known.
+    pub others: f64,
+    /// Time since the report of the peer that was heard longest ago.
+    pub oldest_report: Duration,
+}
+
 /// The shared bucket as seen by one daemon.
 #[derive(Clone, Debug)]
 pub struct Bucket {
@@ -71,6 +133,7 @@
     /// Since when the level contains what other daemons admitted.
     complete_since: Instant,
     peers: HashMap<String, Peer>,
+    demand: Demand,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -96,6 +159,13 @@
 }
 
 impl Peer {
+    /// Returns the units per second that the peer is assumed to admit: at least its even share
+    /// while its reports don't arrive.
+    fn rate(&self, even_share: f64, report_timeout: Duration, now: Instant) -> f64 {
+        let rate = self.rate.unwrap_or(even_share);
+        if now < self.received_at + report_timeout { rate } else { rate.max(even_share) }
+    }
+
     /// Whether the peer has admitted nothing for some time and reports so again. With hundreds
     /// of daemons and dozens of workspaces, this holds for most reports.
     fn is_idle(&self, report: &Report) -> bool {
@@ -117,6 +187,7 @@
             joining: None,
             complete_since: now,
             peers: HashMap::new(),
+            demand: Demand::new(now),
         }
     }
 
@@ -149,7 +220,69 @@
         self.report_timeout = report_timeout;
     }
 
-    /// Takes units for a request.
+    /// Sets a number in [0, 1) that differs between daemons, so that they don't all admit and
+    /// invite callers at the same moment.
+    pub fn set_phase(&mut self, phase: f64) {
+        self.demand.set_phase(phase);
+    }
+
+    /// Takes units for a request by its rank and size.
+    ///
+    /// # Errors
+    ///
+    /// If other requests go before it, or too few units are available.
+    pub fn admit(&mut self, request: &Request, now: Instant) -> Result<(), Rejection> {
+        self.refill(now);
+        let supply = self.supply(now);
+        let decision = self.demand.request(request, &supply, now);
+        let headroom =
+            decision.map_err(|it| Rejection { wait: it.wait, reason: Reason::Outranked(it) })?;
+        let is_share_used = self.is_share_used(headroom, now);
+        self.take_within(request.units, headroom, now).map_err(|wait| {
+            self.demand.give_back(request);
+            let reason = if is_share_used { Reason::Share } else { Reason::Level };
+            Rejection { wait: self.demand.spread(wait), reason }
+        })?;
+        self.demand.admit(request.units, now);
+        Ok(())
+    }
+
+    /// Returns what decisions depend on besides the level and the share.
+    pub fn state(&self, now: Instant) -> State {
+        let ages = self.peers.values().map(|it| now.saturating_duration_since(it.received_at));
+        State {
+            reserve: self.reserve(now),
+            others: self.others(now),
+            oldest_report: ages.max().unwrap_or_default(),
+        }
+    }
+
+    /// Returns what all daemons may admit, so that the level stays near its reserve.
+    fn supply(&self, now: Instant) -> Supply {
+        let excess = self.level - self.reserve(now);
+        // Units beyond the burst are lost, so that an excess is used at once.
+        let time = if excess > 0.0 { PEAK_TIME } else { LEVELLING_TIME };
+        let total = self.limit.rate + excess / time.as_secs_f64();
+        let spare = self.level - self.limit.burst * PEAK_RESERVE_FRACTION;
+        let peak = self.limit.rate + spare.max(0.0) / PEAK_TIME.as_secs_f64();
+        let (others, daemons) = (self.others(now), self.daemons());
+        Supply { total: total.max(0.0), peak, others, daemons }
+    }
+
+    /// Returns the level that is kept while the workspace asks for more than its limit.
+    fn reserve(&self, now: Instant) -> f64 {
+        self.scarce_level(now) + self.limit.burst * RESERVE_FRACTION
+    }
+
+    /// Returns the units per second that the other daemons admit, as far as known.
+    fn others(&self, now: Instant) -> f64 {
+        let even_share = self.limit.rate / self.daemons() as f64;
+        let unheard = (self.daemons() - 1 - self.peers.len()) as f64;
+        let heard = self.peers.values().map(|it| it.rate(even_share, self.report_timeout, now));
+        even_share * unheard + heard.sum::<f64>()
+    }
+
+    /// Takes units for a request in order of arrival.
     ///
     /// # Errors
     ///
@@ -157,14 +290,18 @@
     /// most one hour.
     pub fn take(&mut self, units: f64, now: Instant) -> Result<(), Duration> {
         self.refill(now);
+        self.take_within(units, 0.0, now)
+    }
+
+    /// Takes units, unless they are scarce and this daemon has exceeded its share by `headroom`.
+    fn take_within(&mut self, units: f64, headroom: f64, now: Instant) -> Result<(), Duration> {
         // A request larger than the burst is admitted from a full bucket.
         let required = units.min(self.limit.burst);
-        let is_scarce = self.level < self.scarce_level(now);
-        let is_share_used = is_scarce && self.share <= 0.0;
+        let is_share_used = self.is_share_used(headroom, now);
         if self.level >= required && !is_share_used {
             self.level -= units;
             // A request may exceed the share; all together may exceed it by one request.
-            self.share = (self.share - units).max(-units);
+            self.share = (self.share - units).max(-units - headroom);
             self.admitted += units;
             return Ok(());
         }
@@ -174,6 +311,11 @@
         Err(Duration::from_secs_f64(wait.clamp(0.0, 3_600.0)))
     }
 
+    /// Whether units are scarce and this daemon has exceeded its even share of them by `headroom`.
+    fn is_share_used(&self, headroom: f64, now: Instant) -> bool {
+        self.share <= -headroom && self.level < self.scarce_level(now)
+    }
+
     /// Returns the level below which units are scarce: what the others use since they were
     /// heard if all use their even shares. Of a silent one, these are taken from the level.
     fn scarce_level(&self, now: Instant) -> f64 {
