--- a/crates/quota/src/scarcity.rs
+++ b/crates/quota/src/scarcity.rs
@@ -32,7 +32,7 @@
 /// Standard errors by which the demand must exceed the supply before any request is rejected.
 const CONFIDENCE: f64 = 1.5;
 /// Multiple of the other daemons' mean rate beyond which requests arrive mostly here.
-const CONCENTRATION: f64 = 4.0;
+const CONCENTRATION: f64 = 2.0;
 /// Classes that are told apart. Beyond it, requests count by their rank and size only.
 const MAX_CLASSES: usize = 256;
 /// Flows below this number of units per second are forgotten.
