Keep the orders for endpoints in a row for the next lease holder

A new holder knows neither what was ordered nor for which need, so that in a wave it waits for its own measurement of the load, up to 7 s, and may cancel what boots. Its predecessor's memory is the only record; other daemons know nothing of it.

The holder writes the latest orders, their outcome and the need into the row duties/orders when they change, at most once a second. The next one reads it before its first plan and continues from it. A row that can't be read in a second, is malformed, older than 60 s or of an earlier era is counted and logged, and nothing that serves is released until the load is known. It is neither read nor written without a service with a scale.

The random series now hand over with books that are late, missing or of a wrong clock. They found two orders more that took needed capacity: one below the count that was read, and booting endpoints kept in place of running ones.

--- a/crates/duty/src/order.rs
+++ b/crates/duty/src/order.rs
@@ -13,6 +13,12 @@
 use route::config::Scale;
 
 use crate::demand::AVERAGING_WINDOW;
+pub use crate::fleet::Capacity;
+pub use crate::fleet::Kind;
+pub use crate::fleet::Order;
+pub use crate::fleet::Origin;
+use crate::fleet::headroom;
+use crate::fleet::total;
 
 /// Share of an engine's time that load may use. Above it, prompts queue for
 /// longer than callers' objectives allow.
@@ -42,55 +48,16 @@
 /// Time on top of the boot time after which a missing endpoint is ordered again.
 const BOOT_MARGIN: Duration = Duration::from_millis(1_500);
 
-/// Purchasing model of an endpoint.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Kind {
-    /// Runs until it is released.
-    OnDemand,
-    /// May be reclaimed by the cloud.
-    Reclaimable,
-}
-
-/// Order for the number of endpoints of one kind in a zone.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Order {
-    /// Availability zone.
-    pub zone: String,
-    /// Kind of the endpoints.
-    pub kind: Kind,
-    /// Total number of endpoints wanted, including those that run.
-    pub count: u32,
-}
-
-/// Number of endpoints of a zone that serve, by kind.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Capacity {
-    /// On-demand endpoints.
-    pub on_demand: u32,
-    /// Reclaimable endpoints.
-    pub reclaimable: u32,
-}
-
-/// Who deployed the endpoints that a new lease holder finds.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum Origin {
-    /// The operators: no lease holder has placed orders, and there is no load yet.
-    #[default]
-    Deployment,
-    /// A previous lease holder, for a need that may still exist.
-    Orders,
-}
-
 /// Latest order of a kind in a zone.
 #[derive(Clone, Debug)]
-struct Placement {
-    count: u32,
+pub(crate) struct Placement {
+    pub(crate) count: u32,
     /// Endpoints of the order that fit within the limits. The cloud accepts a
     /// larger order but starts no more than these.
-    granted: u32,
-    placed_at: Instant,
+    pub(crate) granted: u32,
+    pub(crate) placed_at: Instant,
     /// When to retry, if the order was rejected.
-    retry_at: Option<Instant>,
+    pub(crate) retry_at: Option<Instant>,
 }
 
 /// Fleet that a new lease holder found.
@@ -125,11 +92,11 @@
 #[derive(Clone, Debug, Default)]
 pub struct Planner {
     origin: Origin,
-    placements: BTreeMap<(String, Kind), Placement>,
+    pub(crate) placements: BTreeMap<(String, Kind), Placement>,
     /// Reclaimable endpoints that fit into each zone at the last plan.
     headroom: BTreeMap<String, u32>,
     /// Highest recent need, and when it was seen.
-    peak_need: Option<(f64, Instant)>,
+    pub(crate) peak_need: Option<(f64, Instant)>,
     /// Fleet found by the first plans.
     inheritance: Option<Inheritance>,
     first_plan_at: Option<Instant>,
@@ -178,8 +145,12 @@
         if let Some(zone) = self.zone_to_swap(scale, present, &on_demand, reclaimable, busy, now) {
             on_demand.insert(zone, 0);
         }
-        let reclaimable =
+        let mut reclaimable =
             self.reclaimable_by_zone(scale, present, need, reclaimable, &on_demand, now);
+        if self.is_load_unknown(now) {
+            self.keep_orders(scale, &mut on_demand, Kind::OnDemand);
+            self.keep_orders(scale, &mut reclaimable, Kind::Reclaimable);
+        }
         let mut orders = Vec::new();
         for price in &scale.zones {
             let here = present.get(&price.zone).copied().unwrap_or_default();
@@ -288,6 +259,17 @@
         }
     }
 
+    /// Raises the wanted endpoints to the numbers ordered. Endpoints of these orders may serve
+    /// that this daemon has not heard of.
+    fn keep_orders(&self, scale: &Scale, wanted: &mut BTreeMap<String, u32>, kind: Kind) {
+        for price in &scale.zones {
+            let ordered = self.placements.get(&(price.zone.clone(), kind));
+            let ordered = ordered.map_or(0, |it| it.count).min(scale.max);
+            let count = wanted.entry(price.zone.clone()).or_default();
+            *count = ordered.max(*count);
+        }
+    }
+
     /// Whether endpoints serve a load that is not known yet.
     fn is_load_unknown(&mut self, now: Instant) -> bool {
         let is_ordered = self.inheritance.is_some_and(|it| it.origin == Origin::Orders);
@@ -315,8 +297,8 @@
             // The limits apply to both kinds together. Capacity that is not
             // available as one kind may be used by the other.
             let booting = self.booting(scale, &price.zone, Kind::OnDemand, now);
-            let running = here.on_demand.max(booting);
-            zones.push((price, scale.max.saturating_sub(expected), running));
+            let booting = booting.saturating_sub(here.on_demand);
+            zones.push((price, scale.max.saturating_sub(expected), here.on_demand, booting));
         }
         let serving = total(present);
         // No endpoint is released before its replacement serves.
@@ -328,15 +310,22 @@
         }
         zones.sort_by(|a, b| a.0.price.total_cmp(&b.0.price));
         let mut wanted = BTreeMap::new();
-        // Running and booting endpoints stay in their zones as far as they are needed.
-        for (price, _, running) in &zones {
+        // Running endpoints stay in their zones as far as they are needed.
+        for (price, _, running, _) in &zones {
             let kept = (*running).min(remaining);
             remaining -= kept;
             wanted.insert(price.zone.clone(), kept);
         }
+        // Booting ones may already serve unheard, so all are kept until enough are heard.
+        let is_short = serving.on_demand + serving.reclaimable < need;
+        for (price, _, _, booting) in &zones {
+            let kept = if is_short { *booting } else { (*booting).min(remaining) };
+            remaining = remaining.saturating_sub(kept);
+            *wanted.entry(price.zone.clone()).or_default() += kept;
+        }
         while remaining > 0 {
             let before = remaining;
-            for (price, headroom, _) in &zones {
+            for (price, headroom, ..) in &zones {
                 let count = wanted.entry(price.zone.clone()).or_default();
                 if remaining > 0 && *count < *headroom {
                     *count += 1;
@@ -499,23 +488,6 @@
     }
 }
 
-fn total(present: &BTreeMap<String, Capacity>) -> Capacity {
-    Capacity {
-        on_demand: present.values().map(|it| it.on_demand).sum(),
-        reclaimable: present.values().map(|it| it.reclaimable).sum(),
-    }
-}
-
-/// Returns the number of reclaimable endpoints by zone that the limits allow
-/// beside the running on-demand ones.
-fn headroom(scale: &Scale, present: &BTreeMap<String, Capacity>) -> BTreeMap<String, u32> {
-    let zone_headroom = |zone: &str| {
-        let here = present.get(zone).copied().unwrap_or_default();
-        scale.max.saturating_sub(here.on_demand)
-    };
-    scale.zones.iter().map(|it| (it.zone.clone(), zone_headroom(&it.zone))).collect()
-}
-
 /// Returns the number of reclaimable endpoints to order in each zone.
 fn reclaimable_per_zone(scale: &Scale, need: u32, inherited: u32) -> u32 {
     if scale.reclaimable_price.is_none() {
--- a/crates/duty/tests/handover.rs
+++ b/crates/duty/tests/handover.rs
@@ -8,6 +8,7 @@
 use arbtest::arbitrary::Result;
 use arbtest::arbitrary::Unstructured;
 use arbtest::arbtest;
+use duty::book::Entry;
 use duty::demand::Demand;
 use duty::order::Capacity;
 use duty::order::Kind;
@@ -55,6 +56,8 @@
     /// Recent loads.
     loads: VecDeque<f64>,
     totals: Vec<(String, f64)>,
+    /// Latest contents of the order book.
+    book: VecDeque<Entry>,
     now: Instant,
 }
 
@@ -84,6 +87,7 @@
             busy: 0.0,
             loads: VecDeque::from([0.0; KNOWN_AFTER]),
             totals: (0..DAEMONS).map(|it| (it.to_string(), 0.0)).collect(),
+            book: vec![Entry::default(); 4].into(),
             now: Instant::now(),
         }
     }
@@ -102,7 +106,7 @@
                     }
                 }
             }
-            6..=8 => self.holder = Holder::new(Origin::Orders),
+            6..=8 => self.replace_holder(u)?,
             9 => self.holder.stalled = u.int_in_range(1..=12)?,
             10 => self.holder.list_age = u.int_in_range(0..=2)?,
             _ => {}
@@ -110,8 +114,23 @@
         Ok(())
     }
 
+    /// A new holder reads the book as it is, late, with another clock, or not at all.
+    fn replace_holder(&mut self, u: &mut Unstructured<'_>) -> Result<()> {
+        self.holder = Holder::new(Origin::Orders);
+        if !u.ratio(3, 4)? {
+            return Ok(());
+        }
+        let mut entry = u.choose(self.book.make_contiguous())?.clone();
+        let skew_ms = u.choose(&[0, 0, 300, 60_000])?;
+        entry.orders.iter_mut().for_each(|it| it.age_ms += skew_ms);
+        self.holder.planner.restore(&entry, self.now);
+        Ok(())
+    }
+
     fn step(&mut self) {
         self.now += STEP;
+        self.book.push_back(self.holder.planner.entry("pool", self.now));
+        self.book.pop_front();
         self.zones.values_mut().for_each(Zone::step);
         let share = self.busy * STEP.as_secs_f64() / DAEMONS as f64;
         self.totals.iter_mut().for_each(|(_, it)| *it += share);
--- a/crates/front/src/broker/era.rs
+++ b/crates/front/src/broker/era.rs
@@ -17,6 +17,13 @@
     has_logged_irregularity: bool,
 }
 
+impl View {
+    /// Returns the latest era; `None` until the store has stated one.
+    pub(super) fn latest(&self) -> Option<u64> {
+        self.latest
+    }
+}
+
 impl Broker {
     pub(super) fn handle_era(&mut self, era: u64, now: Instant) {
         let before = self.era.latest;
@@ -31,6 +38,7 @@
             // The copy may lack the rows.
             self.stored_rejected.clear();
             self.stored_history.outdate();
+            self.order_book.outdate();
         }
     }
 
--- a/crates/front/src/broker/leader.rs
+++ b/crates/front/src/broker/leader.rs
@@ -6,6 +6,7 @@
 use std::time::Instant;
 
 use balance::subject::Subject;
+use duty::book::Entry;
 use duty::lease::Grant;
 use duty::order::Capacity;
 use duty::order::LIST_SETTLE_HEARTBEATS;
@@ -77,6 +78,7 @@
         if self.context.settings.orders_endpoints && now >= self.planned_at + PLAN_INTERVAL {
             self.planned_at = now;
             self.order_endpoints(grant, now);
+            self.store_orders(now);
         }
     }
 
@@ -276,6 +278,7 @@
             // With the same token, no other daemon has placed orders since the last term.
             if self.led_fence != Some(grant.fence) {
                 self.fleet_origin = self.fleet_origin();
+                self.order_book.start_term(self.fleet_origin);
                 self.planners.clear();
                 self.demand.clear();
                 self.remote_work_ms.clear();
@@ -319,11 +322,15 @@
             return;
         }
         let config = self.table.config.clone();
+        let has_scale = config.services.iter().any(|it| it.scale.is_some());
+        if !has_scale || !self.has_order_book(now) {
+            return;
+        }
         for service in &config.services {
             let Some(scale) = &service.scale else { continue };
             let busy = self.busy_engines(&service.name, now);
             let capacity = self.capacity(&service.name, now);
-            let new = || Planner::new(self.fleet_origin);
+            let new = || new_planner(&service.name, self.fleet_origin, &self.order_book.found, now);
             let planner = self.planners.entry(service.name.clone()).or_insert_with(new);
             for order in planner.plan(scale, &capacity, busy, now) {
                 self.leader_calls.orders += 1;
@@ -370,3 +377,12 @@
         let _ = self.context.cloud_jobs.send(job);
     }
 }
+
+/// Creates a planner that continues from the previous holder's orders, if they are known.
+fn new_planner(service: &str, origin: Origin, found: &[Entry], now: Instant) -> Planner {
+    let mut planner = Planner::new(origin);
+    if let Some(entry) = found.iter().find(|it| it.service == service) {
+        planner.restore(entry, now);
+    }
+    planner
+}
--- a/crates/front/src/broker/mod.rs
+++ b/crates/front/src/broker/mod.rs
@@ -1,5 +1,6 @@
 //! The broker actor, which owns the daemon's state and makes all decisions.
 
+mod book;
 mod brittle;
 mod crashes;
 mod endpoint_limits;
@@ -203,6 +204,7 @@
     led_fence: Option<u64>,
     /// Who deployed the endpoints that this daemon found at the start of that term.
     fleet_origin: Origin,
+    order_book: book::Stored,
     leader_calls: leader::Calls,
     planners: HashMap<String, Planner>,
     planned_at: Instant,
@@ -290,6 +292,7 @@
             is_leader: false,
             led_fence: None,
             fleet_origin: Origin::Orders,
+            order_book: book::Stored::default(),
             leader_calls: leader::Calls::default(),
             planners: HashMap::new(),
             planned_at: now,
@@ -352,6 +355,8 @@
                 self.handle_probe(&service, &endpoint, is_success, now);
             }
             Event::VersionsRead(row) => self.handle_versions_read(&row, now),
+            Event::OrdersRead(result) => self.handle_orders_read(result, now),
+            Event::OrdersStored(result) => self.handle_orders_stored(result),
             Event::VersionsStored(result) => self.handle_versions_stored(result),
             Event::UsageRecorded { window, counts, result } => {
                 self.handle_usage_record(window, counts, result);
--- a/crates/front/src/event.rs
+++ b/crates/front/src/event.rs
@@ -80,6 +80,10 @@
     VersionsRead(Row),
     /// A write of the row of software versions completed.
     VersionsStored(Result<Commit, Error>),
+    /// A read of the order book completed.
+    OrdersRead(Result<Row, Error>),
+    /// A write of the order book completed.
+    OrdersStored(Result<Commit, Error>),
     /// An attempt to record a window's counts in the store completed.
     UsageRecorded {
         /// Number of the window.
--- a/crates/front/src/lease.rs
+++ b/crates/front/src/lease.rs
@@ -24,6 +24,8 @@
 pub const REJECTED_KEY: &str = "duties/rejected";
 /// Key of the row of software versions that have served.
 pub const VERSIONS_KEY: &str = "duties/versions";
+/// Key of the row of the lease holder's orders.
+const ORDERS_KEY: &str = "duties/orders";
 /// Number of windows whose rows are retained. Each write of a window deletes the
 /// row that falls out of this range.
 const RETAINED_WINDOWS: u64 = 40;
@@ -52,6 +54,13 @@
         /// New content.
         content: String,
     },
+    /// Reads the order book.
+    ReadOrders,
+    /// Replaces the order book.
+    StoreOrders {
+        /// New content.
+        content: String,
+    },
 }
 
 /// Makes the calls sequentially.
@@ -85,6 +94,10 @@
             Job::StoreVersions { content } => {
                 Event::VersionsStored(replace(&mut client, VERSIONS_KEY, content).await)
             }
+            Job::ReadOrders => Event::OrdersRead(rows::read(&mut client, ORDERS_KEY).await),
+            Job::StoreOrders { content } => {
+                Event::OrdersStored(replace(&mut client, ORDERS_KEY, content).await)
+            }
         };
         let _ = events.send(event);
     }
