Ask the daemon that accounts for an endpoint before placing

Cause: in a fleet that a gossip round doesn't reach whole, a daemon knows the work of the others at an endpoint only from digests that are seconds old, and what is cached there only from what it has sent itself. Daemons that choose at the same moment choose the same engines, and compute shared parts again.

Change: each endpoint has an accounting daemon, by rendezvous hash over the live daemons. Daemons report each placement and start of a large prompt to it at once, and ask those of two candidates, the preferred endpoint and the one of the least cost, before a request is decided on. A daemon that doesn't answer within 8 ms isn't asked for 500 ms, and the sender decides alone. In such fleets the cost of an endpoint also counts the time for which the uncached tokens keep others waiting. Small fleets and services without an engine choose as before; daemons of former builds are neither asked nor told.

--- a/crates/balance/src/choose.rs
+++ b/crates/balance/src/choose.rs
@@ -16,6 +16,7 @@
 use route::request::Attributes;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::account::CANDIDATES;
 use crate::load::Load;
 use crate::pool::Member;
 use crate::pool::Pool;
@@ -64,13 +65,80 @@
     /// Uncached prompt tokens that the endpoint computes before the first token:
     /// those of outstanding requests and those of this request.
     pub total_prefill_tokens: u32,
+    /// Time since its accounting daemon stated what others have outstanding there; `None` if
+    /// only digests have.
+    pub known_age: Option<Duration>,
+}
+
+/// What makes an endpoint a good choice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cost {
+    /// The predicted time until the response.
+    Own,
+    /// That time, and the time for which the request's uncached tokens keep others waiting.
+    /// Daemons that know each other's work would otherwise avoid each short queue by
+    /// computing shared parts again elsewhere, which makes all queues longer.
+    Shared,
 }
 
 /// Chooses the endpoint with the earliest predicted response.
 ///
 /// Returns `None` if the service has no usable endpoint that wasn't tried.
 pub fn choose(pool: &Pool, query: &Query<'_>, now: Instant, rng: &mut impl Rng) -> Option<Choice> {
-    let is_candidate = |it: &&Member| {
+    best(pool, query, Cost::Own, 1, now, rng).pop()
+}
+
+/// Returns the endpoints of which accounting daemons are asked for a request: the preferred
+/// one, and others of the least cost.
+pub fn candidates(pool: &Pool, query: &Query<'_>, now: Instant, rng: &mut impl Rng) -> Vec<Choice> {
+    let eligible = eligible(pool, query, now);
+    let preferred = preferred_endpoint(&eligible, query.attributes);
+    let member = preferred.and_then(|it| pool.member(it));
+    let mut choices: Vec<Choice> =
+        member.map(|it| predict(pool, query, it, preferred, now)).into_iter().collect();
+    for choice in best(pool, query, Cost::Shared, CANDIDATES, now, rng) {
+        if choices.len() < CANDIDATES && choices.iter().all(|it| it.id != choice.id) {
+            choices.push(choice);
+        }
+    }
+    choices
+}
+
+/// Returns up to `count` endpoints of the least costs, the best first.
+pub fn best(
+    pool: &Pool,
+    query: &Query<'_>,
+    cost: Cost,
+    count: usize,
+    now: Instant,
+    rng: &mut impl Rng,
+) -> Vec<Choice> {
+    let eligible = eligible(pool, query, now);
+    let preferred = preferred_endpoint(&eligible, query.attributes);
+    let is_bound = *query.requirement != Requirement::Any;
+    let mut best: Vec<(f64, Choice)> = Vec::with_capacity(count + 1);
+    for member in eligible {
+        let choice = predict(pool, query, member, preferred, now);
+        let mut seconds = choice.predicted.as_secs_f64();
+        if cost == Cost::Shared {
+            seconds += member.speed.prefill_time(choice.load.prefill_tokens).as_secs_f64();
+        }
+        seconds *= 1.0 + member.health.failure_rate * FAILURE_WEIGHT;
+        seconds *= if member.health.is_paused(now) { PAUSED_WEIGHT } else { 1.0 };
+        seconds *= if is_bound && member.may_be_replaced(now) { REPLACED_WEIGHT } else { 1.0 };
+        seconds *= 1.0 + rng.random::<f64>() * JITTER;
+        let position = best.partition_point(|(it, _)| *it <= seconds);
+        if position < count {
+            best.insert(position, (seconds, choice));
+            best.truncate(count);
+        }
+    }
+    best.into_iter().map(|(_, choice)| choice).collect()
+}
+
+/// Returns the endpoints that may be sent the request.
+fn eligible<'a>(pool: &'a Pool, query: &Query<'_>, now: Instant) -> Vec<&'a Member> {
+    let is_eligible = |it: &&Member| {
         it.endpoint.service == query.service
             && it.is_usable(now)
             && it.declines_for(now).is_none()
@@ -78,22 +146,7 @@
             && !query.tried.contains(&it.endpoint.id)
             && !query.exhausted.contains(it.endpoint.id.as_str())
     };
-    let candidates: Vec<&Member> = pool.members().filter(is_candidate).collect();
-    let preferred = preferred_endpoint(&candidates, query.attributes);
-    let is_bound = *query.requirement != Requirement::Any;
-    let mut best: Option<(f64, Choice)> = None;
-    for member in candidates {
-        let choice = predict(pool, query, member, preferred, now);
-        let mut cost = choice.predicted.as_secs_f64();
-        cost *= 1.0 + member.health.failure_rate * FAILURE_WEIGHT;
-        cost *= if member.health.is_paused(now) { PAUSED_WEIGHT } else { 1.0 };
-        cost *= if is_bound && member.may_be_replaced(now) { REPLACED_WEIGHT } else { 1.0 };
-        cost *= 1.0 + rng.random::<f64>() * JITTER;
-        if best.as_ref().is_none_or(|(least, _)| cost < *least) {
-            best = Some((cost, choice));
-        }
-    }
-    best.map(|(_, choice)| choice)
+    pool.members().filter(is_eligible).collect()
 }
 
 fn predict(
@@ -104,7 +157,8 @@
     now: Instant,
 ) -> Choice {
     let endpoint = &member.endpoint;
-    let outstanding = pool.load(&endpoint.id);
+    let known = pool.outstanding(&endpoint.id, now);
+    let outstanding = known.load;
     let Some(engine) = query.engine else {
         let rounds = f64::from(outstanding.open_requests + 1) / f64::from(endpoint.slots.max(1));
         return Choice {
@@ -112,6 +166,7 @@
             predicted: Duration::from_secs_f64(PLAIN_MS * rounds.max(0.2) / 1e3),
             load: Load { open_requests: 1, prefill_tokens: 0, held_tokens: 0 },
             total_prefill_tokens: 0,
+            known_age: known.age,
         };
     };
     let is_preferred = preferred.is_some_and(|it| it == endpoint.id);
@@ -129,6 +184,7 @@
         predicted,
         load: Load { open_requests: 1, prefill_tokens, held_tokens },
         total_prefill_tokens: outstanding.prefill_tokens.saturating_add(prefill_tokens),
+        known_age: known.age,
     }
 }
 
--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -4,6 +4,7 @@
 //!
 //! Pure: no sockets and no clock.
 
+pub mod account;
 pub mod choose;
 pub mod endpoint;
 pub mod health;
--- a/crates/balance/src/model.rs
+++ b/crates/balance/src/model.rs
@@ -57,6 +57,11 @@
         )
     }
 
+    /// Returns the time in which an otherwise idle engine computes prompt tokens.
+    pub fn prefill_time(&self, tokens: u32) -> Duration {
+        Duration::from_secs_f64(f64::from(tokens) / self.prefill_tokens_per_ms / 1e3)
+    }
+
     /// Updates the prefill speed from a first token that arrived `waited` after
     /// its request was sent. `tokens` counts the uncached prompt tokens of the
     /// request and of those queued ahead of it.
--- a/crates/balance/src/pool.rs
+++ b/crates/balance/src/pool.rs
@@ -24,6 +24,8 @@
 /// Time after a broken connection within which the entry of an endpoint that has ended is
 /// removed or replaced: three heartbeats and a margin.
 const REPLACEMENT_TIME: Duration = Duration::from_secs(4);
+/// How long the statement of an accounting daemon goes before what digests say.
+const VIEW_LIFETIME: Duration = Duration::from_millis(500);
 /// How long removals are remembered; longer than a daemon needs to catch up after a
 /// network partition.
 const REMOVAL_RETENTION: Duration = Duration::from_secs(60);
@@ -61,8 +63,28 @@
     pub responded_at: Option<Instant>,
     /// When a connection of this daemon to this instance last broke or could not be opened.
     pub broke_at: Option<Instant>,
-    /// Prompt parts that this daemon has sent, with the time of the last send.
+    /// Prompt parts that were sent, as far as this daemon knows, with the time of the last
+    /// send.
     cached: HashMap<u64, Instant>,
+    /// Outstanding work of the other daemons as the accounting daemon stated it last.
+    view: Option<View>,
+}
+
+/// Outstanding work of the other daemons at an endpoint, as stated at a time.
+#[derive(Clone, Copy, Debug)]
+struct View {
+    load: Load,
+    at: Instant,
+}
+
+/// Outstanding work at an endpoint as far as it is known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Outstanding {
+    /// Outstanding work of all daemons.
+    pub load: Load,
+    /// Time since its accounting daemon stated that of the others; `None` if only digests
+    /// have.
+    pub age: Option<Duration>,
 }
 
 impl Member {
@@ -83,6 +105,7 @@
             responded_at: None,
             broke_at: None,
             cached: HashMap::new(),
+            view: None,
         }
     }
 
@@ -103,17 +126,29 @@
         self.broke_at.is_some_and(|it| now < it + REPLACEMENT_TIME)
     }
 
-    /// Whether this daemon recently sent the prompt part to the endpoint.
+    /// Whether the prompt part was recently sent to the endpoint.
     pub fn has_cached(&self, part: u64, now: Instant) -> bool {
-        self.cached.get(&part).is_some_and(|at| now - *at < CACHE_LIFETIME)
+        self.cached_age(part, now).is_some()
+    }
+
+    /// Returns the time since the prompt part was last sent to the endpoint, if that is recent.
+    pub fn cached_age(&self, part: u64, now: Instant) -> Option<Duration> {
+        let age = now.saturating_duration_since(*self.cached.get(&part)?);
+        (age < CACHE_LIFETIME).then_some(age)
     }
 
     /// Records that a prompt part was sent to the endpoint.
-    pub fn record_cached(&mut self, part: u64, now: Instant) {
+    pub fn record_cached(&mut self, part: u64, at: Instant) {
         if self.cached.len() >= MAX_CACHED_PARTS {
-            self.cached.retain(|_, at| now - *at < CACHE_LIFETIME);
+            self.cached.retain(|_, it| at.saturating_duration_since(*it) < CACHE_LIFETIME);
         }
-        self.cached.insert(part, now);
+        let latest = self.cached.entry(part).or_insert(at);
+        *latest = at.max(*latest);
+    }
+
+    /// Sets the outstanding work of the other daemons as its accounting daemon states it.
+    pub fn set_view(&mut self, load: Load, now: Instant) {
+        self.view = Some(View { load, at: now });
     }
 }
 
@@ -310,6 +345,47 @@
         own_load.plus(self.remote_loads.get(id).copied().unwrap_or_default())
     }
 
+    /// Returns the outstanding work of all daemons at an endpoint, from the latest statement
+    /// of its accounting daemon if that is recent.
+    pub fn outstanding(&self, id: &str, now: Instant) -> Outstanding {
+        let member = self.members.get(id);
+        let view = member.and_then(|it| it.view);
+        let Some((member, view)) = member.zip(view) else {
+            return Outstanding { load: self.load(id), age: None };
+        };
+        let age = now.saturating_duration_since(view.at);
+        if age >= VIEW_LIFETIME {
+            return Outstanding { load: self.load(id), age: None };
+        }
+        Outstanding { load: member.own_load.plus(view.load), age: Some(age) }
+    }
+
+    /// Returns the mean time since other daemons last reported their outstanding work; zero if
+    /// none has.
+    pub fn mean_report_age(&self, now: Instant) -> Duration {
+        let age = |it: &Report| now.saturating_duration_since(it.received_at);
+        let sum: Duration = self.reports.values().map(age).sum();
+        sum / self.reports.len().max(1) as u32
+    }
+
+    /// Returns the outstanding work at an endpoint of all daemons except one.
+    pub fn load_of_others(&self, id: &str, daemon: &str) -> Load {
+        let report = self.reports.get(daemon).and_then(|it| it.loads.get(id));
+        self.load(id).minus(report.copied().unwrap_or_default())
+    }
+
+    /// Sets the outstanding work that another daemon reports at one endpoint.
+    pub fn set_remote_load(&mut self, daemon: &str, id: &str, load: Load, now: Instant) {
+        let report = self.reports.entry(daemon.to_owned());
+        let report = report.or_insert_with(|| Report { loads: HashMap::new(), received_at: now });
+        let before = report.loads.insert(id.to_owned(), load).unwrap_or_default();
+        let sum = self.remote_loads.entry(id.to_owned()).or_default();
+        *sum = sum.minus(before).plus(load);
+        if *sum == Load::default() {
+            self.remote_loads.remove(id);
+        }
+    }
+
     /// Returns an endpoint.
     pub fn member(&self, id: &str) -> Option<&Member> {
         self.members.get(id)
--- /dev/null
+++ b/crates/front/src/broker/accounts.rs
@@ -0,0 +1,62 @@
+//! Messages to and from the daemons that account for endpoints.
+
+use std::time::Instant;
+
+use balance::account;
+use balance::account::MAX_PARTS;
+use balance::account::MIN_TOKENS;
+use balance::account::Message;
+use balance::account::Question;
+use balance::account::Report;
+use membership::digest;
+use membership::digest::FANOUT;
+use route::request::Part;
+
+use super::Broker;
+use crate::metrics;
+
+impl Broker {
+    pub(super) fn handle_account_message(&mut self, message: Message, now: Instant) {
+        match message {
+            Message::Question(question) => self.answer(&question, now),
+            Message::Answer(answer) => self.handle_answer(&answer, now),
+            Message::Report(report) => {
+                if report.daemon != self.context.instance_id {
+                    account::merge_report(&mut self.pool, &report, now);
+                }
+            }
+        }
+    }
+
+    /// Whether daemons account for endpoints: a gossip round doesn't reach all of them.
+    pub(super) fn uses_accounts(&self) -> bool {
+        self.peers.count() > FANOUT
+    }
+
+    /// Tells the accounting daemon of an endpoint what this daemon has outstanding there.
+    /// `tokens` are the prompt tokens by which that has changed.
+    pub(super) fn report_load(&mut self, id: &str, tokens: u32, parts: &[Part], now: Instant) {
+        if tokens < MIN_TOKENS || !self.uses_accounts() {
+            return;
+        }
+        let Some(member) = self.pool.member(id) else { return };
+        let Some(to) = self.peers.accounting(id, &self.context.instance_id, now) else { return };
+        let report = Report {
+            daemon: self.context.instance_id.clone(),
+            endpoint: id.to_owned(),
+            instance: member.instance,
+            load: member.own_load,
+            parts: parts.iter().take(MAX_PARTS).map(|it| it.id).collect(),
+        };
+        metrics::count("account", "reported");
+        let message = digest::Message::Accounts(Message::Report(report));
+        self.context.streams.send(to, &message, now);
+    }
+
+    fn answer(&mut self, question: &Question, now: Instant) {
+        metrics::count("account", "answered");
+        let answer = account::answer(&self.pool, question, self.context.settings.peers, now);
+        let message = digest::Message::Accounts(Message::Answer(answer));
+        self.context.streams.send(question.to, &message, now);
+    }
+}
--- a/crates/front/src/broker/gossip.rs
+++ b/crates/front/src/broker/gossip.rs
@@ -186,6 +186,7 @@
             }
             Message::ConfigDelta(delta) => self.apply_delta(*delta, now),
             Message::Interruptions(reports) => self.merge_suspects(&reports, now),
+            Message::Accounts(message) => self.handle_account_message(message, now),
             Message::Reads(reads) => self.reads.merge(&reads, now),
             Message::Usage { daemon, report } => self.merge_usage(&daemon, report),
             Message::Push { config, roster } => {
--- a/crates/front/src/broker/mod.rs
+++ b/crates/front/src/broker/mod.rs
@@ -1,5 +1,6 @@
 //! The broker actor, which owns the daemon's state and makes all decisions.
 
+mod accounts;
 mod brittle;
 mod crashes;
 mod endpoint_limits;
@@ -10,6 +11,7 @@
 mod limits;
 mod origins;
 mod pending;
+mod placing;
 mod reach;
 mod reading;
 mod refusal;
@@ -73,6 +75,7 @@
 use tokio::sync::watch;
 
 use self::pending::Pending;
+use self::placing::Placing;
 use crate::clock;
 use crate::cloud;
 use crate::drain::Drain;
@@ -165,6 +168,8 @@
     origins_swept_at: Instant,
     /// Questions to other daemons about streams that callers take up.
     queries: HashMap<Key, origins::Query>,
+    /// Requests that wait for accounting daemons.
+    placing: Placing,
     /// Whether this daemon reaches endpoints.
     reach: Reach,
     /// Number of probes of endpoints so far.
@@ -257,6 +262,7 @@
             origins: Origins::default(),
             origins_swept_at: now,
             queries: HashMap::new(),
+            placing: Placing::default(),
             reach: Reach::default(),
             probe_count: 0,
             history: History::new(match context.settings.is_first_start {
@@ -308,7 +314,10 @@
     pub fn handle(&mut self, cx: CX![], event: Event) {
         let now = cx.now();
         match event {
-            Event::Request(message) => self.handle_request_message(message, now),
+            Event::Request(message) => {
+                self.handle_request_message(message, now);
+                self.set_placing_timer(cx);
+            }
             Event::Config(Document::Config(config)) => self.set_config(*config, "store", now),
             Event::Config(Document::Malformed { detail }) => {
                 spdlog::error!("configuration can't be decoded; the previous one stays in force",
--- a/crates/front/src/broker/origins.rs
+++ b/crates/front/src/broker/origins.rs
@@ -83,7 +83,7 @@
             return;
         }
         let Some(key) = self.unknown_stream(&arrival, now) else {
-            return self.decide(arrival, reply, now);
+            return self.decide_informed(arrival, reply, now);
         };
         let daemons = self.peers.remembering(key, QUERIED, now);
         // The row of software versions may hold the answer as well.
--- a/crates/front/src/broker/requests.rs
+++ b/crates/front/src/broker/requests.rs
@@ -7,12 +7,16 @@
 
 use balance::choose;
 use balance::choose::Choice;
+use balance::choose::Cost;
 use balance::choose::Query;
 use balance::health;
 use balance::load::Load;
 use balance::pool::Member;
+use balance::pool::Pool;
 use balance::software::Requirement;
 use balance::subject::Subject;
+use quota::endpoint;
+use quota::room::Rooms;
 use relay::admission::Admission;
 use relay::admission::Arrival;
 use relay::admission::Decision;
@@ -129,6 +133,8 @@
         self.next_ticket += 1;
         let ticket = self.next_ticket;
         let plan = plan(ticket, &found, !table.config.workspaces.is_empty());
+        let prompt_tokens = attributes.size.map_or(0, |it| it.prompt);
+        let load_age = choice.known_age.unwrap_or_else(|| self.pool.mean_report_age(now));
         spdlog::info!("placed", kv: {
             request = id,
             route = found.route.name.as_str(),
@@ -143,6 +149,10 @@
             known_from = known_from,
             predicted_ms = choice.predicted.as_millis() as u64,
             unread = choice.total_prefill_tokens,
+            outstanding = choice.total_prefill_tokens - choice.load.prefill_tokens,
+            cached = prompt_tokens.saturating_sub(choice.load.prefill_tokens),
+            load_from = if choice.known_age.is_some() { "account" } else { "digests" },
+            load_age_ms = load_age.as_millis() as u64,
             parts = part_ids(&attributes.parts),
             config = table.config.version,
             endpoints = self.pool.store_version,
@@ -276,6 +286,7 @@
             waited_ms = waited.as_millis() as u64,
             predicted_ms = pending.predicted.as_millis() as u64,
         });
+        self.report_load(&endpoint, prefill.prefill_tokens, &[], now);
     }
 
     /// Counts a run of the request in the usage of its workspace.
@@ -334,6 +345,8 @@
         pending.sent_at = now;
         pending.began_at = None;
         pending.is_fresh = false;
+        let (id, parts) = (pending.endpoint.clone(), pending.attributes.parts.clone());
+        self.report_load(&id, choice.load.prefill_tokens, &parts, now);
     }
 
     /// Removes a request from its endpoint and records the attempt's outcome.
@@ -358,6 +371,7 @@
         if matches!(outcome, Outcome::Failed | Outcome::Broken) && !pending.has_started {
             self.count_run(ticket);
         }
+        self.report_load(&endpoint, load.prefill_tokens, &[], now);
         let Some(pending) = self.requests.get(&ticket) else { return };
         let health_outcome = match outcome {
             Outcome::Served | Outcome::ServedToClose => Some(health::Outcome::Success),
@@ -395,12 +409,11 @@
         now: Instant,
     ) -> Option<Choice> {
         let engine = self.table.service(service).and_then(|it| it.engine.as_ref());
-        let mut exhausted: BTreeSet<&str> =
-            self.endpoint_limits.exhausted(now).into_iter().collect();
-        exhausted.extend(brittle::closed(&self.pool, &self.rooms, service, now));
+        let exhausted = exhausted(&self.pool, &self.endpoint_limits, &self.rooms, service, now);
         let query =
             Query { service, engine, attributes, requirement, tried, exhausted: &exhausted };
-        choose::choose(&self.pool, &query, now, &mut self.rng)
+        let cost = if self.uses_accounts() { Cost::Shared } else { Cost::Own };
+        choose::best(&self.pool, &query, cost, 1, now, &mut self.rng).pop()
     }
 
     /// Returns the software version of an endpoint for logs.
@@ -415,6 +428,19 @@
     }
 }
 
+/// Returns the endpoints that take no further request of this daemon now.
+pub(super) fn exhausted<'a>(
+    pool: &'a Pool,
+    limits: &'a endpoint::Limits,
+    rooms: &Rooms,
+    service: &str,
+    now: Instant,
+) -> BTreeSet<&'a str> {
+    let mut exhausted: BTreeSet<&str> = limits.exhausted(now).into_iter().collect();
+    exhausted.extend(brittle::closed(pool, rooms, service, now));
+    exhausted
+}
+
 pub(super) fn time_limit(found: &Match<'_>, attributes: &Attributes) -> Duration {
     let timeout = Duration::from_millis(found.route.timeout_ms);
     attributes.timeout.map_or(timeout, |it| it.min(timeout))
--- a/crates/membership/src/digest.rs
+++ b/crates/membership/src/digest.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use balance::account;
 use balance::endpoint::Roster;
 use balance::load::Load;
 use balance::origin;
@@ -185,6 +186,8 @@
     ConfigDelta(Box<Delta>),
     /// Reads of the store by any daemons.
     Reads(Vec<reads::Notice>),
+    /// Work at endpoints, to and from the daemons that account for them.
+    Accounts(account::Message),
 }
 
 /// Latest known state of another daemon.
@@ -378,6 +381,24 @@
         ranked.into_iter().take(limit).map(|(_, address)| address).collect()
     }
 
+    /// Returns the daemon that accounts for an endpoint; `None` if it is `instance_id` or if
+    /// each gossip round reaches all daemons.
+    pub fn accounting(
+        &self,
+        endpoint: &str,
+        instance_id: &str,
+        now: Instant,
+    ) -> Option<SocketAddr> {
+        if self.by_instance.len() <= FANOUT {
+            return None;
+        }
+        let is_running = |it: &Peer| it.digest.as_ref().is_some_and(|it| !it.stopping);
+        let running = self.live(now).filter(|(_, it)| is_running(it));
+        let (rank, address) =
+            running.map(|(id, it)| (account::rank(endpoint, id), it.address)).min()?;
+        (rank < account::rank(endpoint, instance_id)).then_some(address)
+    }
+
     /// Returns the number of live daemons that come before `instance_id` when a subject is
     /// tried again.
     pub fn preceding(&self, subject: Subject, instance_id: &str, now: Instant) -> usize {
--- a/crates/membership/src/protocol.rs
+++ b/crates/membership/src/protocol.rs
@@ -11,11 +11,13 @@
     Changes,
     /// [`Message::Reads`].
     Reads,
+    /// [`Message::Accounts`].
+    Accounts,
 }
 
 impl Protocol {
     /// The version that this build understands.
-    pub const PRESENT: Protocol = Protocol::Reads;
+    pub const PRESENT: Protocol = Protocol::Accounts;
 
     /// Returns the number that states the version to other daemons.
     pub fn number(self) -> u32 {
@@ -23,6 +25,7 @@
             Protocol::Unstated => 0,
             Protocol::Changes => 1,
             Protocol::Reads => 2,
+            Protocol::Accounts => 3,
         }
     }
 
@@ -31,7 +34,8 @@
         match number {
             0 => Protocol::Unstated,
             1 => Protocol::Changes,
-            _ => Protocol::Reads,
+            2 => Protocol::Reads,
+            _ => Protocol::Accounts,
         }
     }
 }
@@ -49,6 +53,7 @@
             | Message::Push { .. } => Protocol::Unstated,
             Message::Usage { .. } | Message::ConfigDelta(_) => Protocol::Changes,
             Message::Reads(_) => Protocol::Reads,
+            Message::Accounts(_) => Protocol::Accounts,
         }
     }
 }
--- a/crates/peer/tests/compatibility.rs
+++ b/crates/peer/tests/compatibility.rs
@@ -3,6 +3,7 @@
 
 use std::net::SocketAddr;
 
+use balance::account;
 use balance::endpoint::Endpoint;
 use balance::endpoint::Instance;
 use balance::endpoint::Roster;
@@ -68,7 +69,7 @@
 
 #[test]
 fn versions_are_stated_by_ascending_numbers() {
-    let versions = [Protocol::Unstated, Protocol::Changes, Protocol::Reads];
+    let versions = [Protocol::Unstated, Protocol::Changes, Protocol::Reads, Protocol::Accounts];
 
     for (number, version) in versions.into_iter().enumerate() {
         assert_eq!(version.number(), number as u32);
@@ -132,6 +133,9 @@
             })),
         ),
         ("reads", Message::Reads(vec![reads::Notice { reader: 66, config: 67, endpoints: 68 }])),
+        ("account_question", Message::Accounts(account::Message::Question(question()))),
+        ("account_answer", Message::Accounts(account::Message::Answer(answer()))),
+        ("account_report", Message::Accounts(account::Message::Report(load_report()))),
     ]
 }
 
@@ -189,6 +193,40 @@
     }
 }
 
+fn question() -> account::Question {
+    account::Question {
+        daemon: "front-1#2".to_owned(),
+        to: address(),
+        number: 69,
+        endpoints: vec!["i-0".to_owned()],
+        parts: vec![70],
+    }
+}
+
+fn answer() -> account::Answer {
+    let load = Load { open_requests: 72, prefill_tokens: 73, held_tokens: 74 };
+    account::Answer {
+        from: address(),
+        number: 69,
+        states: vec![account::State {
+            endpoint: "i-0".to_owned(),
+            instance: Instance(71),
+            load,
+            cached_ms: vec![75],
+        }],
+    }
+}
+
+fn load_report() -> account::Report {
+    account::Report {
+        daemon: "front-1#2".to_owned(),
+        endpoint: "i-0".to_owned(),
+        instance: Instance(71),
+        load: Load { open_requests: 76, prefill_tokens: 77, held_tokens: 78 },
+        parts: vec![79],
+    }
+}
+
 fn interrupted() -> suspects::Report {
     suspects::Report {
         subject: Subject::Part(32),
