Bound the waits for accounting daemons in a module that tests can play

The requests that wait, their time limits and the silence of daemons were fields of the broker and had no test. They are now front::asking, without a network or a clock.

--- a/crates/front/src/broker/mod.rs
+++ b/crates/front/src/broker/mod.rs
@@ -75,7 +75,7 @@
 use tokio::sync::watch;
 
 use self::pending::Pending;
-use self::placing::Placing;
+use crate::asking::Asking;
 use crate::clock;
 use crate::cloud;
 use crate::drain::Drain;
@@ -169,7 +169,8 @@
     /// Questions to other daemons about streams that callers take up.
     queries: HashMap<Key, origins::Query>,
     /// Requests that wait for accounting daemons.
-    placing: Placing,
+    asking: Asking,
+    is_asking_timer_set: bool,
     /// Whether this daemon reaches endpoints.
     reach: Reach,
     /// Number of probes of endpoints so far.
@@ -262,7 +263,8 @@
             origins: Origins::default(),
             origins_swept_at: now,
             queries: HashMap::new(),
-            placing: Placing::default(),
+            asking: Asking::default(),
+            is_asking_timer_set: false,
             reach: Reach::default(),
             probe_count: 0,
             history: History::new(match context.settings.is_first_start {
@@ -316,7 +318,7 @@
         match event {
             Event::Request(message) => {
                 self.handle_request_message(message, now);
-                self.set_placing_timer(cx);
+                self.set_asking_timer(cx);
             }
             Event::Config(Document::Config(config)) => self.set_config(*config, "store", now),
             Event::Config(Document::Malformed { detail }) => {
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -1,6 +1,7 @@
 //! The daemon that forwards callers' requests on the users' platform: the
 //! broker actor, the tasks that own sockets, and their wiring.
 
+pub mod asking;
 pub mod broker;
 pub mod drain;
 pub mod durations;
