Bound the memory of bodies in front

Cause: a body was collected for each caller whatever the others held, so callers that announce 4 MiB, send 3 MiB and stay open held all of it for the idle timeout.

Ruled out: fewer connections (a small body needs one too), and a shorter timeout (a slow but sound caller needs it).

While it is short, the body whose caller is late for the longest time is given up with 503 and Retry-After; if none is late, the new one is refused with them. Pieces are copied into one buffer, so that many small ones cost no more than a large one.

--- /dev/null
+++ b/crates/front/src/doors.rs
@@ -0,0 +1,36 @@
+//! Metrics and log lines about what callers hold.
+
+use std::time::Duration;
+
+use relay::budget::Budget;
+use relay::budget::Usage;
+use tokio::time::sleep;
+
+use crate::metrics;
+
+/// Interval at which the use is read, so that a flood causes one line in it.
+const INTERVAL: Duration = Duration::from_secs(1);
+
+/// Exports the use of the budget, and logs bodies that were refused or given up.
+pub async fn watch(budget: Budget) {
+    let mut last = Usage::default();
+    loop {
+        sleep(INTERVAL).await;
+        let usage = budget.usage();
+        metrics::set_state("body_bytes", i64::try_from(usage.bytes).unwrap_or(i64::MAX));
+        metrics::set_state("bodies", i64::try_from(usage.bodies).unwrap_or(i64::MAX));
+        let refused = usage.refused - last.refused;
+        let evicted = usage.evicted - last.evicted;
+        metrics::count_many("body", "refused", refused);
+        metrics::count_many("body", "evicted", evicted);
+        if refused > 0 || evicted > 0 {
+            spdlog::warn!("short of memory for bodies", kv: {
+                bytes = usage.bytes,
+                bodies = usage.bodies,
+                refused = refused,
+                evicted = evicted,
+            });
+        }
+        last = usage;
+    }
+}
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -13,6 +13,7 @@
 
 mod clock;
 mod cloud;
+mod doors;
 mod feeds;
 mod lease;
 mod probe;
--- a/crates/front/src/metrics.rs
+++ b/crates/front/src/metrics.rs
@@ -55,6 +55,13 @@
     }
 }
 
+/// Adds to the counter of an event.
+pub fn count_many(event: &str, cause: &str, number: u64) {
+    if let Some(metrics) = metrics().filter(|_| number > 0) {
+        metrics.counters.with_label_values(&[event, cause]).inc_by(number);
+    }
+}
+
 /// Counts a log line that was dropped because the reader of the log is too slow.
 pub fn record_dropped_line() {
     DROPPED_LINES.fetch_add(1, Ordering::Relaxed);
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -13,6 +13,7 @@
 use platform::settings;
 use platform::settings::Settings;
 use rand::RngExt;
+use relay::budget::Budget;
 use relay::exchange::Exchanges;
 use relay::server;
 use relay::server::Phase;
@@ -40,6 +41,7 @@
 use crate::broker::Broker;
 use crate::broker::Context;
 use crate::cloud;
+use crate::doors;
 use crate::event::Event;
 use crate::feeds;
 use crate::feeds::Returns;
@@ -151,7 +153,10 @@
     spawn_local(probe::run(readiness, is_ready.clone()));
     spawn_local(probe::run(metrics, is_ready));
     spawn_local(watch_signals(path, events.clone()));
-    spawn_local(close_idle_connections(serve_callers(callers, &events, limits, phases, exchanges)));
+    let budget = Budget::new(settings.memory_bytes);
+    let server = serve_callers(callers, &events, limits, phases, exchanges, budget.clone());
+    spawn_local(close_idle_connections(server));
+    spawn_local(doors::watch(budget));
     let (secret_sender, secret) = unbounded_channel();
     let candidate: String =
         (0..SECRET_BYTES).map(|_| format!("{:02x}", rng.random::<u8>())).collect();
@@ -203,6 +208,7 @@
     limits: Rc<Cell<Limits>>,
     phases: watch::Receiver<Phase>,
     exchanges: Exchanges,
+    budget: Budget,
 ) -> Server {
     let (messages, mut received) = unbounded_channel();
     let events = events.clone();
@@ -211,7 +217,7 @@
             let _ = events.send(Event::Request(message));
         }
     });
-    let server = Server::new(messages, limits, phases, exchanges);
+    let server = Server::new(messages, limits, phases, exchanges, budget);
     spawn_local(server.clone().run(callers));
     server
 }
--- a/crates/relay/src/buffered.rs
+++ b/crates/relay/src/buffered.rs
@@ -3,36 +3,52 @@
 use bytes::Bytes;
 use http::Response;
 use http_body_util::BodyExt;
-use http_body_util::Limited;
+use hyper::body::Body;
+use hyper::body::Incoming;
 use platform::head;
+use tokio::time::Instant;
 use tokio::time::timeout_at;
 
 use crate::admission::Outcome;
 use crate::attempt::Call;
 use crate::attempt::Head;
 use crate::body::Payload;
-use crate::connection::Pool;
+use crate::budget::Shortage;
+use crate::buffer::Buffer;
+use crate::server::Server;
 
 /// Maximum size of a buffered response; bounds the memory of a daemon.
 const MAX_BODY_BYTES: usize = 16 << 20;
 
 /// Reads the response completely and returns its connection to the pool.
 pub async fn collect(
-    pool: &Pool,
+    server: &Server,
     call: &Call,
     endpoint: &str,
     head: Head,
 ) -> Result<Response<Payload>, Outcome> {
     let Head { status, headers, attributes, body, connection } = head;
-    let body: Bytes =
-        match timeout_at(call.deadline, Limited::new(body, MAX_BODY_BYTES).collect()).await {
-            Ok(Ok(body)) => body.to_bytes(),
-            Ok(Err(_)) => return Err(Outcome::Broken),
-            Err(_) => return Err(Outcome::TimedOut),
-        };
-    pool.release(endpoint, connection, attributes.keep_alive);
+    let body = match timeout_at(call.deadline, read(server, body)).await {
+        Ok(body) => body?,
+        Err(_) => return Err(Outcome::TimedOut),
+    };
+    server.pool().release(endpoint, connection, attributes.keep_alive);
     let mut response = Response::new(Payload::buffered(body));
     *response.status_mut() = status;
     *response.headers_mut() = head::forward_response(&headers);
     Ok(response)
 }
+
+/// Reads a body. One that is too large, or larger than the memory that is left, counts as
+/// broken.
+async fn read(server: &Server, mut body: Incoming) -> Result<Bytes, Outcome> {
+    let mut buffer = Buffer::new(server.budget().buffer(), body.size_hint().exact());
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame.map_err(|_| Outcome::Broken)?.into_data() else { continue };
+        if data.len() > MAX_BODY_BYTES - buffer.len() {
+            return Err(Outcome::Broken);
+        }
+        buffer.push(&data, Instant::now()).map_err(|Shortage| Outcome::Broken)?;
+    }
+    buffer.complete().map_err(|Shortage| Outcome::Broken)
+}
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -6,6 +6,8 @@
 
 pub mod admission;
 pub mod body;
+pub mod budget;
+pub mod buffer;
 pub mod connection;
 pub mod event;
 pub mod exchange;
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -11,7 +11,6 @@
 use http::header::HOST;
 use http::header::HeaderValue;
 use http_body_util::BodyExt;
-use http_body_util::Limited;
 use hyper::body::Body;
 use hyper::body::Incoming;
 use platform::head;
@@ -34,9 +33,12 @@
 use crate::attempt::Head;
 use crate::body::Payload;
 use crate::body::Tracked;
+use crate::budget::Shortage;
+use crate::buffer::Buffer;
 use crate::buffered;
 use crate::exchange::Progress;
 use crate::hop;
+use crate::server::SHORT_OF_MEMORY;
 use crate::server::STOPPING;
 use crate::server::Server;
 use crate::stream;
@@ -66,7 +68,7 @@
     progress.begin(&attributes.id);
     let received = tokio::select! {
         biased;
-        received = receive(body, limits, arrived_at) => received,
+        received = receive(server, body, limits, arrived_at) => received,
         () = server.ending() => Err(STOPPING),
     };
     let body = match received {
@@ -117,19 +119,38 @@
 }
 
 /// Receives the body of a request.
-async fn receive(body: Incoming, limits: Limits, arrived_at: Instant) -> Result<Bytes, Refusal> {
+async fn receive(
+    server: &Server,
+    mut body: Incoming,
+    limits: Limits,
+    arrived_at: Instant,
+) -> Result<Bytes, Refusal> {
     let refuse = |status: StatusCode| Err(Refusal { status: status.as_u16(), retry_after: None });
-    if body.size_hint().lower() > limits.body_bytes as u64 {
+    let size = body.size_hint();
+    if size.lower() > limits.body_bytes as u64 {
         return refuse(StatusCode::PAYLOAD_TOO_LARGE);
     }
-    let body = Limited::new(body, limits.body_bytes).collect();
-    match timeout_at(arrived_at + limits.idle(), body).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
-            refuse(StatusCode::PAYLOAD_TOO_LARGE)
+    let mut buffer = Buffer::new(server.budget().receive(arrived_at), size.exact());
+    let deadline = arrived_at + limits.idle();
+    loop {
+        let received = tokio::select! {
+            biased;
+            received = timeout_at(deadline, body.frame()) => received,
+            () = buffer.evicted() => return Err(SHORT_OF_MEMORY),
+        };
+        let frame = match received {
+            Ok(Some(Ok(frame))) => frame,
+            Ok(None) => return buffer.complete().map_err(|Shortage| SHORT_OF_MEMORY),
+            Ok(Some(Err(_))) => return refuse(StatusCode::BAD_REQUEST),
+            Err(_) => return refuse(StatusCode::REQUEST_TIMEOUT),
+        };
+        let Ok(data) = frame.into_data() else { continue };
+        if data.len() > limits.body_bytes - buffer.len() {
+            return refuse(StatusCode::PAYLOAD_TOO_LARGE);
+        }
+        if buffer.push(&data, Instant::now()).is_err() {
+            return Err(SHORT_OF_MEMORY);
         }
-        Ok(Err(_)) => refuse(StatusCode::BAD_REQUEST),
-        Err(_) => refuse(StatusCode::REQUEST_TIMEOUT),
     }
 }
 
@@ -193,7 +214,7 @@
     if is_success {
         ticket.report_started();
     }
-    let response = buffered::collect(server.pool(), call, &target.id, head).await?;
+    let response = buffered::collect(server, call, &target.id, head).await?;
     if is_server_error && plan.is_idempotent {
         // Another endpoint may succeed. If there is none, the caller gets this response.
         return match ticket.retry(Outcome::Failed).await {
@@ -223,7 +244,7 @@
         Ok(head) if head.status.is_success() && !plan.is_stream => {
             ticket.report_started();
             let is_framed = head.attributes.is_framed;
-            let collected = buffered::collect(server.pool(), call, &target.id, head).await;
+            let collected = buffered::collect(server, call, &target.id, head).await;
             collected.map(|it| (Outcome::served(is_framed), it))
         }
         Ok(_) => Err(Outcome::Failed),
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -31,6 +31,7 @@
 use crate::admission::Message;
 use crate::admission::Refusal;
 use crate::admission::Ticket;
+use crate::budget::Budget;
 use crate::connection::Pool;
 use crate::exchange::Cause;
 use crate::exchange::Exchanges;
@@ -56,6 +57,11 @@
 pub const STOPPING: Refusal =
     Refusal { status: 503, retry_after: Some(Duration::from_millis(100)) };
 
+/// Refusal of a request whose body does not fit into the memory that is left. Others may end
+/// soon, and other daemons have memory of their own.
+pub const SHORT_OF_MEMORY: Refusal =
+    Refusal { status: 503, retry_after: Some(Duration::from_millis(500)) };
+
 /// Phase of the daemon's shutdown, which determines how callers' connections are
 /// handled.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
@@ -80,6 +86,7 @@
     limits: Rc<Cell<Limits>>,
     phase: watch::Receiver<Phase>,
     exchanges: Exchanges,
+    budget: Budget,
 }
 
 impl Server {
@@ -89,8 +96,9 @@
         limits: Rc<Cell<Limits>>,
         phase: watch::Receiver<Phase>,
         exchanges: Exchanges,
+        budget: Budget,
     ) -> Server {
-        Server { messages, pool: Pool::default(), limits, phase, exchanges }
+        Server { messages, pool: Pool::default(), limits, phase, exchanges, budget }
     }
 
     /// Returns the connections to endpoints.
@@ -103,6 +111,11 @@
         self.limits.get()
     }
 
+    /// Returns the bytes that bodies may use.
+    pub fn budget(&self) -> &Budget {
+        &self.budget
+    }
+
     /// Whether responses close their connections.
     pub fn is_closing(&self) -> bool {
         *self.phase.borrow() != Phase::Serving
