Bound the number of callers' connections, and describe the doors

Cause: connections were accepted until descriptors ran out, so that callers without a request kept them from endpoints, other daemons and the store.

Ruled out: to stop accepting at the bound, as connections that do nothing would keep out ordinary callers.

Change: the bound follows from limits.max_fds and limits.memory_mb. At it, the connection without a complete head for the longest time is closed; if all are in use, the new one is. Both are counted and logged once a second.

--- a/crates/front/src/doors.rs
+++ b/crates/front/src/doors.rs
@@ -4,6 +4,8 @@
 
 use relay::budget::Budget;
 use relay::budget::Usage;
+use relay::open::Closed;
+use relay::open::Connections;
 use tokio::time::sleep;
 
 use crate::metrics;
@@ -11,9 +13,10 @@
 /// Interval at which the use is read, so that a flood causes one line in it.
 const INTERVAL: Duration = Duration::from_secs(1);
 
-/// Exports the use of the budget, and logs bodies that were refused or given up.
-pub async fn watch(budget: Budget) {
+/// Exports the use of the budget, and logs bodies and connections that were refused or given up.
+pub async fn watch(budget: Budget, connections: Connections) {
     let mut last = Usage::default();
+    let mut last_closed = Closed::default();
     loop {
         sleep(INTERVAL).await;
         let usage = budget.usage();
@@ -32,5 +35,17 @@
             });
         }
         last = usage;
+        let closed = connections.closed();
+        report_closed(last_closed, closed);
+        last_closed = closed;
+    }
+}
+
+fn report_closed(last: Closed, closed: Closed) {
+    let (unused, new) = (closed.unused - last.unused, closed.new - last.new);
+    metrics::count_many("connection", "unused_closed", unused);
+    metrics::count_many("connection", "new_closed", new);
+    if unused > 0 || new > 0 {
+        spdlog::warn!("too many connections of callers", kv: { unused = unused, new = new });
     }
 }
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -13,8 +13,11 @@
 use platform::settings;
 use platform::settings::Settings;
 use rand::RngExt;
+use relay::admission::Message;
 use relay::budget::Budget;
 use relay::exchange::Exchanges;
+use relay::open;
+use relay::open::Connections;
 use relay::server;
 use relay::server::Phase;
 use relay::server::Server;
@@ -26,7 +29,6 @@
 use stakker::actor;
 use stakker::call;
 use stakker::ret_nop;
-use tokio::net::TcpListener;
 use tokio::runtime::Builder;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
@@ -154,9 +156,14 @@
     spawn_local(probe::run(metrics, is_ready));
     spawn_local(watch_signals(path, events.clone()));
     let budget = Budget::new(settings.memory_bytes);
-    let server = serve_callers(callers, &events, limits, phases, exchanges, budget.clone());
+    let connections = Connections::new(open::capacity(settings.descriptors, settings.memory_bytes));
+    let (messages, requests) = unbounded_channel();
+    spawn_local(pass_messages(requests, events.clone()));
+    let (doors_budget, doors_connections) = (budget.clone(), connections.clone());
+    let server = Server::new(messages, limits, phases, exchanges, budget, connections);
+    spawn_local(server.clone().run(callers));
     spawn_local(close_idle_connections(server));
-    spawn_local(doors::watch(budget));
+    spawn_local(doors::watch(doors_budget, doors_connections));
     let (secret_sender, secret) = unbounded_channel();
     let candidate: String =
         (0..SECRET_BYTES).map(|_| format!("{:02x}", rng.random::<u8>())).collect();
@@ -202,24 +209,11 @@
     }
 }
 
-fn serve_callers(
-    callers: TcpListener,
-    events: &UnboundedSender<Event>,
-    limits: Rc<Cell<Limits>>,
-    phases: watch::Receiver<Phase>,
-    exchanges: Exchanges,
-    budget: Budget,
-) -> Server {
-    let (messages, mut received) = unbounded_channel();
-    let events = events.clone();
-    spawn_local(async move {
-        while let Some(message) = received.recv().await {
-            let _ = events.send(Event::Request(message));
-        }
-    });
-    let server = Server::new(messages, limits, phases, exchanges, budget);
-    spawn_local(server.clone().run(callers));
-    server
+/// Passes messages of callers' requests on to the broker.
+async fn pass_messages(mut messages: UnboundedReceiver<Message>, events: UnboundedSender<Event>) {
+    while let Some(message) = messages.recv().await {
+        let _ = events.send(Event::Request(message));
+    }
 }
 
 async fn close_idle_connections(server: Server) {
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -25,6 +25,7 @@
 use tokio::sync::watch;
 use tokio::task::spawn_local;
 use tokio::task::yield_now;
+use tokio::time::Instant;
 use tokio::time::sleep;
 use tokio::time::timeout_at;
 
@@ -37,6 +38,7 @@
 use crate::exchange::Exchanges;
 use crate::exchange::Progress;
 use crate::exchange::Stage;
+use crate::open::Connections;
 use crate::serve::serve;
 use crate::socket::Socket;
 
@@ -87,6 +89,7 @@
     phase: watch::Receiver<Phase>,
     exchanges: Exchanges,
     budget: Budget,
+    connections: Connections,
 }
 
 impl Server {
@@ -97,8 +100,10 @@
         phase: watch::Receiver<Phase>,
         exchanges: Exchanges,
         budget: Budget,
+        connections: Connections,
     ) -> Server {
-        Server { messages, pool: Pool::default(), limits, phase, exchanges, budget }
+        let pool = Pool::default();
+        Server { messages, pool, limits, phase, exchanges, budget, connections }
     }
 
     /// Returns the connections to endpoints.
@@ -164,7 +169,14 @@
 
     async fn spawn(&self, accepted: io::Result<(TcpStream, SocketAddr)>) {
         match accepted {
-            Ok((stream, _)) => drop(spawn_local(serve_connection(self.clone(), stream))),
+            Ok((stream, _)) if self.connections.make_room() => {
+                let progress = Progress::new(&self.exchanges, &self.messages);
+                let weak = Rc::downgrade(&progress);
+                let serving = serve_connection(self.clone(), stream, progress);
+                self.connections.add(weak, spawn_local(serving).abort_handle(), Instant::now());
+            }
+            // The caller may come back when others have left.
+            Ok(_) => {}
             Err(error) => {
                 spdlog::warn!("failed to accept a connection", kv: { cause = error.to_string() });
                 sleep(ACCEPT_PAUSE).await;
@@ -182,13 +194,12 @@
     socket.listen(BACKLOG)
 }
 
-async fn serve_connection(server: Server, stream: TcpStream) {
+async fn serve_connection(server: Server, stream: TcpStream, progress: Rc<Progress>) {
     // Latency of small events matters more than the number of packets.
     let _ = stream.set_nodelay(true);
     let _ = SockRef::from(&stream).set_tcp_notsent_lowat(MAX_UNSENT_BYTES);
     let limits = server.limits();
     let mut phase = server.phase.clone();
-    let progress = Progress::new(&server.exchanges, &server.messages);
     let service_progress = progress.clone();
     let service = service_fn(move |request: Request<Incoming>| {
         let (server, progress) = (server.clone(), service_progress.clone());
