--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -6,10 +6,13 @@
 
 pub mod admission;
 pub mod body;
+pub mod budget;
+pub mod buffer;
 pub mod connection;
 pub mod event;
 pub mod exchange;
 pub mod hop;
+pub mod open;
 pub mod server;
 
 pub mod attempt;
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -25,17 +25,20 @@
 use tokio::sync::watch;
 use tokio::task::spawn_local;
 use tokio::task::yield_now;
+use tokio::time::Instant;
 use tokio::time::sleep;
 use tokio::time::timeout_at;
 
 use crate::admission::Message;
 use crate::admission::Refusal;
 use crate::admission::Ticket;
+use crate::budget::Budget;
 use crate::connection::Pool;
 use crate::exchange::Cause;
 use crate::exchange::Exchanges;
 use crate::exchange::Progress;
 use crate::exchange::Stage;
+use crate::open::Connections;
 use crate::serve::serve;
 use crate::socket::Socket;
 
@@ -56,6 +59,11 @@
 pub const STOPPING: Refusal =
     Refusal { status: 503, retry_after: Some(Duration::from_millis(100)) };
 
+/// Refusal of a request whose body does not fit into the memory that is left. Others may end
+/// soon, and other daemons have memory of their own.
+pub const SHORT_OF_MEMORY: Refusal =
+    Refusal { status: 503, retry_after: Some(Duration::from_millis(500)) };
+
 /// Phase of the daemon's shutdown, which determines how callers' connections are
 /// handled.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
@@ -80,6 +88,8 @@
     limits: Rc<Cell<Limits>>,
     phase: watch::Receiver<Phase>,
     exchanges: Exchanges,
+    budget: Budget,
+    connections: Connections,
 }
 
 impl Server {
@@ -89,8 +99,11 @@
         limits: Rc<Cell<Limits>>,
         phase: watch::Receiver<Phase>,
         exchanges: Exchanges,
+        budget: Budget,
+        connections: Connections,
     ) -> Server {
-        Server { messages, pool: Pool::default(), limits, phase, exchanges }
+        let pool = Pool::default();
+        Server { messages, pool, limits, phase, exchanges, budget, connections }
     }
 
     /// Returns the connections to endpoints.
@@ -103,6 +116,11 @@
         self.limits.get()
     }
 
+    /// Returns the bytes that bodies may use.
+    pub fn budget(&self) -> &Budget {
+        &self.budget
+    }
+
     /// Whether responses close their connections.
     pub fn is_closing(&self) -> bool {
         *self.phase.borrow() != Phase::Serving
@@ -151,7 +169,14 @@
 
     async fn spawn(&self, accepted: io::Result<(TcpStream, SocketAddr)>) {
         match accepted {
-            Ok((stream, _)) => drop(spawn_local(serve_connection(self.clone(), stream))),
+            Ok((stream, _)) if self.connections.make_room() => {
+                let progress = Progress::new(&self.exchanges, &self.messages);
+                let weak = Rc::downgrade(&progress);
+                let serving = serve_connection(self.clone(), stream, progress);
+                self.connections.add(weak, spawn_local(serving).abort_handle(), Instant::now());
+            }
+            // The caller may come back when others have left.
+            Ok(_) => {}
             Err(error) => {
                 spdlog::warn!("failed to accept a connection", kv: { cause = error.to_string() });
                 sleep(ACCEPT_PAUSE).await;
@@ -169,13 +194,12 @@
     socket.listen(BACKLOG)
 }
 
-async fn serve_connection(server: Server, stream: TcpStream) {
+async fn serve_connection(server: Server, stream: TcpStream, progress: Rc<Progress>) {
     // Latency of small events matters more than the number of packets.
     let _ = stream.set_nodelay(true);
     let _ = SockRef::from(&stream).set_tcp_notsent_lowat(MAX_UNSENT_BYTES);
     let limits = server.limits();
     let mut phase = server.phase.clone();
-    let progress = Progress::new(&server.exchanges, &server.messages);
     let service_progress = progress.clone();
     let service = service_fn(move |request: Request<Incoming>| {
         let (server, progress) = (server.clone(), service_progress.clone());
