Measure quotas under scarcity, and describe who gets the units

Cause: a workspace at several times its limit was served in order of arrival, so that large requests of the lowest rank used most of its units, and all daemons spent a second's units at once and then rejected everything. Ruled out: reserving the level alone, since all daemons act on the same level before they hear of each other.

Kinds and sizes get 0.3 and 0.6 as their least ratio instead of the 0.25 and 0.5 that callers need, since chance undercut them (0.25 measured at 0.25).

--- a/crates/quota/src/scarcity.rs
+++ b/crates/quota/src/scarcity.rs
@@ -25,10 +25,12 @@
 const ADMITTED_TIME: Duration = Duration::from_secs(2);
 /// Delay of the average, like that with which other daemons are heard.
 const REPORT_DELAY: Duration = Duration::from_millis(1_200);
-/// Requests of any kind are served at least this often, relative to all requests.
-const MIN_KIND_RATIO: f64 = 0.25;
-/// Requests of any size are served at least this often, relative to all of their kind.
-const MIN_SIZE_RATIO: f64 = 0.5;
+/// Requests of any kind are served at least this often, relative to all requests. Callers need a
+/// quarter, which chance must not undercut.
+const MIN_KIND_RATIO: f64 = 0.3;
+/// Requests of any size are served at least this often, relative to all of their kind. Callers
+/// need half.
+const MIN_SIZE_RATIO: f64 = 0.6;
 /// Standard errors by which the demand must exceed the supply before any request is rejected.
 const CONFIDENCE: f64 = 1.5;
 /// Multiple of the other daemons' mean rate beyond which requests arrive mostly here.
--- a/crates/quota/tests/scarcity.rs
+++ b/crates/quota/tests/scarcity.rs
@@ -37,8 +37,8 @@
     until_s: f64,
 }
 
-/// Guards against a workspace at seven times its limit whose units went to the first to ask: large
-/// requests of the lowest rank used 77 % of them, and 4 of 5 of the most urgent were rejected.
+/// Guards against a workspace at seven times its limit whose units went to the first to ask: all
+/// kinds were admitted alike, 0.17 of the most urgent and smallest requests.
 #[test]
 fn most_urgent_and_smallest_requests_go_first() {
     for seed in 1..4 {
@@ -50,7 +50,7 @@
         assert!(served(TINY) > served(MEDIUM), "seed {seed}: {:.3} of tiny", served(TINY));
         for it in [LARGE, MEDIUM, SMALL, TINY] {
             let ratio = served(it) / all;
-            assert!(ratio > 0.25 * 0.8, "seed {seed}: {it:?} at {ratio:.3} of all");
+            assert!(ratio >= 0.25, "seed {seed}: {it:?} at {ratio:.3} of all");
         }
     }
 }
