Count requests for units by what the bucket can admit

Change: requests without units aren't ranked; units count up to the burst; headroom follows what was admitted; a grant says whether it took credit; half of the rate is always supplied; growth counts only at a daemon that admitted a quarter of the mean.

Whether the new test fails on the former code was not run.

--- a/crates/quota/src/queue.rs
+++ b/crates/quota/src/queue.rs
@@ -20,14 +20,19 @@
 }
 
 /// Groups in the order in which they are served.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct Queue {
-    groups: Vec<(u64, Group)>,
+#[derive(Clone, Debug)]
+pub(crate) struct Queue<K> {
+    groups: Vec<(K, Group)>,
 }
 
-impl Queue {
+impl<K: PartialEq> Queue<K> {
+    /// Creates a queue without groups.
+    pub(crate) fn new() -> Queue<K> {
+        Queue { groups: Vec::new() }
+    }
+
     /// Adds a group at the end of the queue.
-    pub(crate) fn push(&mut self, key: u64, group: Group) {
+    pub(crate) fn push(&mut self, key: K, group: Group) {
         self.groups.push((key, group));
     }
 
@@ -38,7 +43,7 @@
 
     /// Returns the fraction of a group's demand that is served with `granted` units per second.
     /// Each group is served at least `min_ratio` times as often as all requests.
-    pub(crate) fn fraction(&self, key: u64, granted: f64, min_ratio: f64) -> f64 {
+    pub(crate) fn fraction(&self, key: K, granted: f64, min_ratio: f64) -> f64 {
         let (mut low, mut high) = (0.0, (granted / self.units()).min(1.0));
         for _ in 0..SEARCH_STEPS {
             let middle = (low + high) / 2.0;
--- a/crates/quota/src/scarcity.rs
+++ b/crates/quota/src/scarcity.rs
@@ -35,6 +35,9 @@
 const CONFIDENCE: f64 = 1.5;
 /// Multiple of the other daemons' mean rate beyond which requests arrive mostly here.
 const CONCENTRATION: f64 = 2.0;
+/// Part of the mean of the other daemons that this one must have admitted for its growth to say
+/// something about theirs.
+const MIN_COMPARABLE: f64 = 0.25;
 /// Classes that are told apart. Beyond it, requests count by their rank and size only.
 const MAX_CLASSES: usize = 256;
 /// Flows below this number of units per second are forgotten.
@@ -82,6 +85,17 @@
     pub fraction: f64,
 }
 
+/// Part of the supply that a request gets.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Grant {
+    /// Units by which the request may exceed the daemon's share: while units are short, requests
+    /// that are served in full use what a larger one might, so that they needn't wait until the
+    /// share of one is paid.
+    pub headroom: f64,
+    /// Whether it took credit of its class.
+    is_charged: bool,
+}
+
 /// Requests of one kind and similar size.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Class {
@@ -133,6 +147,8 @@
     requests: Average,
     /// Units due to the class that no request has taken yet. Negative if one took more.
     credit: f64,
+    /// Whether a request of the class was admitted recently.
+    is_admitted: bool,
 }
 
 /// Recent demand for the units of a workspace at one daemon.
@@ -170,9 +186,7 @@
         self.phase = phase;
     }
 
-    /// Counts a request and decides whether it gets a part of the supply. Returns the units by
-    /// which it may exceed the daemon's share: while units are short, requests that are served in
-    /// full use what a larger one might, so that they needn't wait until the share of one is paid.
+    /// Counts a request and decides whether it gets a part of the supply.
     ///
     /// # Errors
     ///
@@ -182,53 +196,67 @@
         request: &Request,
         supply: &Supply,
         now: Instant,
-    ) -> Result<f64, Rejection> {
+    ) -> Result<Grant, Rejection> {
+        // Callers may ask for nothing, which would have no fraction.
+        if request.units.is_nan() || request.units <= 0.0 {
+            return Ok(Grant::default());
+        }
         let class = self.class(request);
         self.follow_admitted(now);
         self.count(class, request.units, now);
         let asked: f64 = self.flows.values().map(|it| it.asked.rate(now)).sum();
         if self.is_concentrated(supply) || !self.is_scarce(asked, supply, now) {
-            return Ok(0.0);
+            return Ok(Grant::default());
         }
         let granted = supply.total * asked / (asked + self.others(asked, supply));
         let fraction = self.fraction(class, granted.min(asked), now);
-        let Some(flow) = self.flows.get_mut(&class) else { return Ok(0.0) };
+        let largest = self.largest_admitted();
+        let Some(flow) = self.flows.get_mut(&class) else { return Ok(Grant::default()) };
         flow.credit += fraction * request.units;
         let is_served_in_full = fraction > 1.0 - TOLERANCE;
         if is_served_in_full || flow.credit >= request.units / 2.0 {
             flow.credit = (flow.credit - request.units).max(-request.units);
-            let headroom = (self.largest() - request.units).max(0.0);
-            return Ok(if is_served_in_full { headroom } else { 0.0 });
+            let headroom = if is_served_in_full { (largest - request.units).max(0.0) } else { 0.0 };
+            return Ok(Grant { headroom, is_charged: true });
         }
         let rate = fraction * flow.asked.rate(now);
         let wait = wait(request.units / 2.0 - flow.credit, rate);
         Err(Rejection { wait: self.spread(wait), asked, granted, fraction })
     }
 
-    /// Counts units that were admitted.
-    pub fn admit(&mut self, units: f64, now: Instant) {
-        self.admitted.add(units, now);
+    /// Counts a request that was admitted.
+    pub fn admit(&mut self, request: &Request, now: Instant) {
+        self.admitted.add(request.units, now);
+        let class = self.class(request);
+        if let Some(flow) = self.flows.get_mut(&class) {
+            flow.is_admitted = true;
+        }
     }
 
-    /// Returns what a request that got a part of the supply did not use.
-    pub fn give_back(&mut self, request: &Request) {
+    /// Returns the credit of a request that the bucket rejected.
+    pub fn give_back(&mut self, request: &Request, grant: &Grant) {
         let class = self.class(request);
-        if let Some(flow) = self.flows.get_mut(&class) {
+        if let Some(flow) = self.flows.get_mut(&class).filter(|_| grant.is_charged) {
             flow.credit = (flow.credit + request.units).min(request.units);
         }
     }
 
+    /// Takes back units that admitted requests did not use.
+    pub fn refund(&mut self, units: f64) {
+        self.admitted.sum = (self.admitted.sum - units).max(0.0);
+    }
+
     /// Extends a wait, so that callers rejected at the same time come back one after the other.
     pub fn spread(&mut self, wait: Duration) -> Duration {
         const GOLDEN_RATIO: f64 = 0.618_033_988_749_895;
         self.rejected = self.rejected.wrapping_add(1);
         let position = (self.phase + f64::from(self.rejected) * GOLDEN_RATIO).fract();
-        wait.mul_f64(1.0 + position / 2.0).min(MAX_WAIT)
+        wait.mul_f64(1.0 + position / 2.0)
     }
 
-    /// Returns the least units of the class of the largest requests.
-    fn largest(&self) -> f64 {
-        let sizes = self.flows.keys().map(|it| it.size);
+    /// Returns the least units of the class of the largest requests that were admitted.
+    fn largest_admitted(&self) -> f64 {
+        let sizes = self.flows.iter().filter(|(_, it)| it.is_admitted).map(|(it, _)| it.size);
         sizes.max().map_or(0.0, |it| f64::from(it).exp2())
     }
 
@@ -254,6 +282,7 @@
             asked: Average::new(DEMAND_TIME, now),
             requests: Average::new(DEMAND_TIME, now),
             credit: (phase - 0.5) * units,
+            is_admitted: false,
         });
         flow.asked.add(units, now);
         flow.requests.add(1.0, now);
@@ -276,9 +305,14 @@
     }
 
     /// Returns the units per second that the other daemons are asked for, if demand has grown
-    /// there as much as it has here.
+    /// there as much as it has here. Load that has moved here from other daemons says nothing
+    /// about theirs.
     fn others(&self, asked: f64, supply: &Supply) -> f64 {
-        let alike = asked * supply.daemons.saturating_sub(1) as f64;
+        let others = supply.daemons.saturating_sub(1) as f64;
+        if self.formerly_admitted * others < MIN_COMPARABLE * supply.others {
+            return supply.others;
+        }
+        let alike = asked * others;
         let admitted = self.formerly_admitted.max(MIN_FLOW);
         supply.others.max((supply.others * asked / admitted).min(alike))
     }
@@ -286,7 +320,7 @@
     /// Returns the fraction of a class that is admitted if `granted` units per second are.
     fn fraction(&self, class: Class, granted: f64, now: Instant) -> f64 {
         let mut kinds: Vec<Kind> = Vec::new();
-        let mut sizes = Queue::default();
+        let mut sizes = Queue::new();
         for (it, flow) in &self.flows {
             let group = Group { units: flow.asked.rate(now), requests: flow.requests.rate(now) };
             match kinds.last_mut().filter(|last| (last.rank, last.id) == (it.rank, it.kind)) {
@@ -294,14 +328,14 @@
                 None => kinds.push(Kind { rank: it.rank, id: it.kind, group }),
             }
             if (it.rank, it.kind) == (class.rank, class.kind) {
-                sizes.push(u64::from(it.size), group);
+                sizes.push(it.size, group);
             }
         }
         kinds.sort_by(Kind::order);
-        let mut queue = Queue::default();
-        kinds.iter().for_each(|it| queue.push(it.id, it.group));
-        let of_kind = queue.fraction(class.kind, granted, MIN_KIND_RATIO);
-        sizes.fraction(u64::from(class.size), of_kind * sizes.units(), MIN_SIZE_RATIO)
+        let mut queue = Queue::new();
+        kinds.iter().for_each(|it| queue.push((it.rank, it.id), it.group));
+        let of_kind = queue.fraction((class.rank, class.kind), granted, MIN_KIND_RATIO);
+        sizes.fraction(class.size, of_kind * sizes.units(), MIN_SIZE_RATIO)
     }
 }
 
@@ -323,5 +357,6 @@
 
 fn wait(units: f64, rate: f64) -> Duration {
     let seconds = if rate > 0.0 { units / rate } else { f64::MAX };
-    Duration::from_secs_f64(seconds.clamp(0.0, MAX_WAIT.as_secs_f64()))
+    // A clamp would keep a value that is not a number, from which no duration can be made.
+    Duration::from_secs_f64(seconds.max(0.0).min(MAX_WAIT.as_secs_f64()))
 }
--- a/crates/quota/src/workspace.rs
+++ b/crates/quota/src/workspace.rs
@@ -43,6 +43,9 @@
 /// Part of the burst by which the reserve exceeds what counts as scarce, so that a few requests
 /// more than usual don't make units scarce.
 const RESERVE_FRACTION: f64 = 0.1;
+/// Part of the rate that is supplied whatever the level, so that a deep debt or a burst of many
+/// seconds doesn't stop all requests at once.
+const MIN_SUPPLY: f64 = 0.5;
 /// Part of the burst that is kept when demand peaks for a moment.
 const PEAK_RESERVE_FRACTION: f64 = 0.5;
 /// Time for which the rest of the burst has to last in a peak.
@@ -162,7 +165,8 @@
     /// Returns the units per second that the peer is assumed to admit: at least its even share
     /// while its reports don't arrive.
     fn rate(&self, even_share: f64, report_timeout: Duration, now: Instant) -> f64 {
-        let rate = self.rate.unwrap_or(even_share);
+        // Refunds may make the rate negative.
+        let rate = self.rate.unwrap_or(even_share).max(0.0);
         if now < self.received_at + report_timeout { rate } else { rate.max(even_share) }
     }
 
@@ -234,16 +238,18 @@
     pub fn admit(&mut self, request: &Request, now: Instant) -> Result<(), Rejection> {
         self.refill(now);
         let supply = self.supply(now);
-        let decision = self.demand.request(request, &supply, now);
-        let headroom =
+        // A request larger than the burst is admitted from a full bucket, whatever its size.
+        let counted = Request { units: request.units.min(self.limit.burst), ..*request };
+        let decision = self.demand.request(&counted, &supply, now);
+        let grant =
             decision.map_err(|it| Rejection { wait: it.wait, reason: Reason::Outranked(it) })?;
-        let is_share_used = self.is_share_used(headroom, now);
-        self.take_within(request.units, headroom, now).map_err(|wait| {
-            self.demand.give_back(request);
+        let is_share_used = self.is_share_used(grant.headroom, now);
+        self.take_within(request.units, grant.headroom, now).map_err(|wait| {
+            self.demand.give_back(&counted, &grant);
             let reason = if is_share_used { Reason::Share } else { Reason::Level };
             Rejection { wait: self.demand.spread(wait), reason }
         })?;
-        self.demand.admit(request.units, now);
+        self.demand.admit(&counted, now);
         Ok(())
     }
 
@@ -266,12 +272,14 @@
         let spare = self.level - self.limit.burst * PEAK_RESERVE_FRACTION;
         let peak = self.limit.rate + spare.max(0.0) / PEAK_TIME.as_secs_f64();
         let (others, daemons) = (self.others(now), self.daemons());
-        Supply { total: total.max(0.0), peak, others, daemons }
+        let total = total.max(self.limit.rate * MIN_SUPPLY);
+        Supply { total, peak, others, daemons }
     }
 
     /// Returns the level that is kept while the workspace asks for more than its limit.
     fn reserve(&self, now: Instant) -> f64 {
-        self.scarce_level(now) + self.limit.burst * RESERVE_FRACTION
+        let unheard = 1.0 - 1.0 / self.daemons() as f64;
+        self.scarce_level(now) + self.limit.burst * RESERVE_FRACTION * unheard
     }
 
     /// Returns the units per second that the other daemons admit, as far as known.
@@ -305,7 +313,10 @@
             self.admitted += units;
             return Ok(());
         }
-        let missing_share = if is_share_used { -self.share * self.daemons() as f64 } else { 0.0 };
+        let missing_share = match is_share_used {
+            true => -(self.share + headroom) * self.daemons() as f64,
+            false => 0.0,
+        };
         let missing = missing_share.max(required - self.level);
         let wait = if self.limit.rate > 0.0 { missing / self.limit.rate } else { f64::MAX };
         Err(Duration::from_secs_f64(wait.clamp(0.0, 3_600.0)))
@@ -334,6 +345,7 @@
         self.level = (self.level + units).min(self.limit.burst);
         self.share = (self.share + units).min(self.limit.burst / self.daemons() as f64);
         self.admitted -= units;
+        self.demand.refund(units);
     }
 
     /// Returns the units available at the last update. Negative if too many were
--- a/crates/quota/tests/scarcity.rs
+++ b/crates/quota/tests/scarcity.rs
@@ -220,3 +220,27 @@
         }
     }
 }
+
+/// Guards against a division by nothing: callers choose the sizes that they state.
+#[test]
+fn requests_of_odd_sizes_change_nothing_for_others() {
+    let now = Instant::now();
+    let rate = 10_000.0;
+    let mut bucket = Bucket::new(Limit { rate, burst: rate }, now);
+    let mut admitted = 0.0;
+
+    for step in 1..2_000u32 {
+        let at = now + STEP * step;
+        for units in [0.0, 1.0, 1e9, f64::from(u32::MAX) * 2.0] {
+            let odd = Request { units, ..LARGE };
+            if let Err(rejection) = bucket.admit(&odd, at) {
+                assert!(rejection.wait > Duration::ZERO, "{units}: {rejection:?}");
+            }
+        }
+        admitted += bucket.admit(&TINY, at).map_or(0.0, |()| TINY.units);
+    }
+
+    let elapsed_s = (STEP * 2_000).as_secs_f64();
+    assert!(admitted > 0.0, "none of {} asked", elapsed_s / STEP.as_secs_f64());
+    assert!(admitted <= rate * (elapsed_s + 1.0), "{admitted}");
+}
