Tie the read of the order book to a term, and keep the age of its need

Change: the read carries the fencing token of its term; an entry has the time since its need, which counts for what is left of the scale-down delay, but at least until the load is measured.

Tests: cargo test -p duty -p front green (duty 36, front 20). No test of the late read: the broker has no harness without a store.

--- a/crates/duty/src/book.rs
+++ b/crates/duty/src/book.rs
@@ -7,8 +7,10 @@
 use std::time::Instant;
 
 use crate::order::Kind;
+use crate::order::LOAD_SETTLE_TIME;
 use crate::order::Placement;
 use crate::order::Planner;
+use crate::order::SCALE_DOWN_DELAY;
 
 /// Longest age of an entry at which its need may still exist. The holder writes the book more
 /// often.
@@ -24,6 +26,8 @@
     pub service: String,
     /// Number of endpoints needed.
     pub need: f64,
+    /// Time since that many were needed, in milliseconds.
+    pub need_age_ms: u64,
     /// Latest orders.
     pub orders: Vec<Order>,
 }
@@ -70,14 +74,16 @@
         Entry {
             service: service.to_owned(),
             need: self.peak_need.map_or(0.0, |it| it.0),
+            need_age_ms: self.peak_need.map_or(0, |it| age_ms(it.1)),
             orders: self.placements.iter().map(order).collect(),
         }
     }
 
-    /// Continues from the entry of a previous holder. Its need counts until this holder has
-    /// measured the load; rejected orders are tried again at once.
+    /// Continues from the entry of a previous holder. Its need counts for its remaining time, but
+    /// at least until this holder has measured the load; rejected orders are tried again at once.
     pub fn restore(&mut self, entry: &Entry, now: Instant) {
-        self.peak_need = Some((entry.need, now));
+        let age = Duration::from_millis(entry.need_age_ms).min(SCALE_DOWN_DELAY - LOAD_SETTLE_TIME);
+        self.peak_need = Some((entry.need, now.checked_sub(age).unwrap_or(now)));
         for order in &entry.orders {
             let age = Duration::from_millis(order.age_ms);
             let placement = Placement {
--- a/crates/duty/src/order.rs
+++ b/crates/duty/src/order.rs
@@ -29,7 +29,7 @@
 /// How long on-demand endpoints are kept after they were last needed.
 const ON_DEMAND_COOLDOWN: Duration = Duration::from_secs(6);
 /// How long scaling down is delayed after a higher load.
-const SCALE_DOWN_DELAY: Duration = Duration::from_secs(15);
+pub(crate) const SCALE_DOWN_DELAY: Duration = Duration::from_secs(15);
 /// Time after the first plan in which endpoints from before may still be
 /// discovered: several of their heartbeats.
 const DISCOVERY_TIME: Duration = Duration::from_secs(4);
@@ -39,7 +39,7 @@
 pub const LIST_SETTLE_HEARTBEATS: f64 = 1.1;
 /// Time after the first load that a new lease holder needs to measure it: twice
 /// the averaging window.
-const LOAD_SETTLE_TIME: Duration = AVERAGING_WINDOW.saturating_mul(2);
+pub(crate) const LOAD_SETTLE_TIME: Duration = AVERAGING_WINDOW.saturating_mul(2);
 /// How long endpoints are kept without any load: longer than callers take
 /// to come back after a restart of all daemons.
 const IDLE_RETENTION: Duration = Duration::from_secs(60);
--- a/crates/front/src/book.rs
+++ b/crates/front/src/book.rs
@@ -64,6 +64,7 @@
 struct Service {
     name: String,
     need: f64,
+    needed_at_ms: i64,
     orders: Vec<Placed>,
 }
 
@@ -92,6 +93,7 @@
     let service = |it: &Entry| Service {
         name: it.service.clone(),
         need: it.need,
+        needed_at_ms: now_ms.saturating_sub_unsigned(it.need_age_ms),
         orders: it.orders.iter().map(placed).collect(),
     };
     let services = entries.iter().map(service).collect();
@@ -136,6 +138,7 @@
         entries.push(Entry {
             service: service.name,
             need: service.need,
+            need_age_ms: age_ms(service.needed_at_ms),
             orders: service.orders.into_iter().map(order).collect(),
         });
     }
--- a/crates/front/src/broker/book.rs
+++ b/crates/front/src/broker/book.rs
@@ -68,7 +68,8 @@
         match self.order_book.reading {
             Reading::NotBegun => {
                 self.order_book.reading = Reading::Since(now);
-                self.call_store(lease::Job::ReadOrders);
+                let fence = self.led_fence.unwrap_or(0);
+                self.call_store(lease::Job::ReadOrders { fence });
                 false
             }
             Reading::Since(since) if now < since + READ_PATIENCE => false,
@@ -80,8 +81,15 @@
         }
     }
 
-    pub(super) fn handle_orders_read(&mut self, result: Result<Row, Error>, now: Instant) {
-        if !matches!(self.order_book.reading, Reading::Since(_)) {
+    pub(super) fn handle_orders_read(
+        &mut self,
+        fence: u64,
+        result: Result<Row, Error>,
+        now: Instant,
+    ) {
+        // Another daemon may have replaced the row since an earlier term.
+        let is_current = self.led_fence == Some(fence);
+        if !is_current || !matches!(self.order_book.reading, Reading::Since(_)) {
             return;
         }
         // The next tick plans.
--- a/crates/front/src/broker/mod.rs
+++ b/crates/front/src/broker/mod.rs
@@ -366,7 +366,9 @@
                 self.handle_probe(&service, &endpoint, is_success, now);
             }
             Event::VersionsRead(row) => self.handle_versions_read(&row, now),
-            Event::OrdersRead(result) => self.handle_orders_read(result, now),
+            Event::OrdersRead { fence, result } => {
+                self.handle_orders_read(fence, result, now);
+            }
             Event::OrdersStored(result) => self.handle_orders_stored(result),
             Event::VersionsStored(result) => self.handle_versions_stored(result),
             Event::UsageRecorded { window, counts, result } => {
--- a/crates/front/src/event.rs
+++ b/crates/front/src/event.rs
@@ -81,7 +81,12 @@
     /// A write of the row of software versions completed.
     VersionsStored(Result<Commit, Error>),
     /// A read of the order book completed.
-    OrdersRead(Result<Row, Error>),
+    OrdersRead {
+        /// Fencing token of the term that asked for it.
+        fence: u64,
+        /// The row.
+        result: Result<Row, Error>,
+    },
     /// A write of the order book completed.
     OrdersStored(Result<Commit, Error>),
     /// An attempt to record a window's counts in the store completed.
--- a/crates/front/src/lease.rs
+++ b/crates/front/src/lease.rs
@@ -55,7 +55,10 @@
         content: String,
     },
     /// Reads the order book.
-    ReadOrders,
+    ReadOrders {
+        /// Fencing token of the term that asks for it.
+        fence: u64,
+    },
     /// Replaces the order book.
     StoreOrders {
         /// New content.
@@ -94,7 +97,9 @@
             Job::StoreVersions { content } => {
                 Event::VersionsStored(replace(&mut client, VERSIONS_KEY, content).await)
             }
-            Job::ReadOrders => Event::OrdersRead(rows::read(&mut client, ORDERS_KEY).await),
+            Job::ReadOrders { fence } => {
+                Event::OrdersRead { fence, result: rows::read(&mut client, ORDERS_KEY).await }
+            }
             Job::StoreOrders { content } => {
                 Event::OrdersStored(replace(&mut client, ORDERS_KEY, content).await)
             }
--- a/crates/front/tests/book.rs
+++ b/crates/front/tests/book.rs
@@ -60,5 +60,5 @@
         is_rejected,
     };
     let orders = vec![order("a", Kind::OnDemand, false), order("a", Kind::Reclaimable, true)];
-    Entry { service: "pool".to_owned(), need: 12.5, orders }
+    Entry { service: "pool".to_owned(), need: 12.5, need_age_ms: age_ms, orders }
 }
