Use late answers of accounting daemons, and report ended requests to them

Change: late answers are merged and end a silence; a wait that ended late silences nobody; a daemon answers nothing until it has run for a liveness timeout (unless the fleet started with it); each end of a reported request is reported; one line a second about silences, with their number.

Ruled out: a longer wait, whose cost every asking request pays.

--- a/crates/front/src/asking.rs
+++ b/crates/front/src/asking.rs
@@ -15,8 +15,10 @@
 
 /// How long a request waits for accounting daemons.
 pub const MAX_WAIT: Duration = Duration::from_millis(8);
-/// How long a daemon that didn't answer in time isn't asked again.
+/// How long a daemon that didn't answer in time isn't asked again, unless it answers late.
 const SILENCE: Duration = Duration::from_millis(500);
+/// Time of a wait from which on this daemon itself was held up, so that answers may have arrived.
+const HELD_UP: Duration = MAX_WAIT.saturating_mul(2);
 /// Maximum number of requests that wait at the same time.
 const MAX_WAITING: usize = 256;
 
@@ -72,6 +74,11 @@
         self.waiting.get(&number).map(|it| it.parts.as_slice())
     }
 
+    /// Records that a daemon has answered, in time or late, so that it is asked again.
+    pub fn record_response(&mut self, from: SocketAddr) {
+        self.silent_until.remove(&from);
+    }
+
     /// Records an answer. Returns the request if all daemons have answered.
     pub fn record_answer(&mut self, number: u64, from: SocketAddr) -> Option<Waiting> {
         let waiting = self.waiting.get_mut(&number)?;
@@ -91,7 +98,8 @@
         numbers.sort_unstable();
         let taken: Vec<Waiting> = numbers.iter().filter_map(|it| self.waiting.remove(it)).collect();
         self.silent_until.retain(|_, until| now < *until);
-        for daemon in taken.iter().flat_map(|it| &it.unanswered) {
+        let in_time = taken.iter().filter(|it| now < it.since + HELD_UP);
+        for daemon in in_time.flat_map(|it| &it.unanswered) {
             self.silent_until.insert(*daemon, now + SILENCE);
         }
         taken
--- a/crates/front/src/broker/accounts.rs
+++ b/crates/front/src/broker/accounts.rs
@@ -55,7 +55,11 @@
 
     fn answer(&mut self, question: &Question, now: Instant) {
         metrics::count("account", "answered");
-        let answer = account::answer(&self.pool, question, self.context.settings.peers, now);
+        let mut answer = account::answer(&self.pool, question, self.context.settings.peers, now);
+        // A daemon that has just started knows less than those that ask.
+        if now < self.started_at + self.peers.liveness_timeout() && !self.is_first_start {
+            answer.states.clear();
+        }
         let message = digest::Message::Accounts(Message::Answer(answer));
         self.context.streams.send(question.to, &message, now);
     }
--- a/crates/front/src/broker/mod.rs
+++ b/crates/front/src/broker/mod.rs
@@ -173,6 +173,9 @@
     /// Requests that wait for accounting daemons.
     asking: Asking,
     is_asking_timer_set: bool,
+    /// Silences of accounting daemons since the last log line about one, and its time.
+    unreported_silences: u64,
+    silence_reported_at: Instant,
     /// Whether this daemon reaches endpoints.
     reach: Reach,
     /// Number of probes of endpoints so far.
@@ -272,6 +275,8 @@
             queries: HashMap::new(),
             asking: Asking::default(),
             is_asking_timer_set: false,
+            unreported_silences: 0,
+            silence_reported_at: now,
             reach: Reach::default(),
             probe_count: 0,
             history: History::new(match context.settings.is_first_start {
--- a/crates/front/src/broker/placing.rs
+++ b/crates/front/src/broker/placing.rs
@@ -31,6 +31,9 @@
 use crate::asking::Waiting;
 use crate::metrics;
 
+/// Minimum interval between log lines about silent accounting daemons.
+const SILENCE_REPORT_INTERVAL: Duration = Duration::from_secs(1);
+
 impl Broker {
     /// Decides on a new request, after the accounting daemons of the endpoints that suit it
     /// best have said what is outstanding there.
@@ -64,11 +67,10 @@
     }
 
     pub(super) fn handle_answer(&mut self, answer: &Answer, now: Instant) {
-        let Some(parts) = self.asking.parts(answer.number) else {
-            metrics::count("account", "late");
-            return;
-        };
+        // What a late answer says of the load holds for the next requests.
+        let parts = self.asking.parts(answer.number).unwrap_or_default();
         account::merge_answer(&mut self.pool, answer, parts, now);
+        self.asking.record_response(answer.from);
         if let Some(waiting) = self.asking.record_answer(answer.number, answer.from) {
             self.end_wait(waiting, now);
         }
@@ -90,16 +92,29 @@
         for waiting in self.asking.take_overdue(now) {
             for daemon in &waiting.unanswered {
                 metrics::count("account", "silent");
-                spdlog::info!("accounting daemon silent", kv: {
-                    daemon = daemon.to_string(),
-                    request = waiting.arrival.attributes.id.as_str(),
-                });
+                self.report_silence(*daemon, &waiting.arrival.attributes.id, now);
             }
             self.end_wait(waiting, now);
         }
         self.set_asking_timer(cx);
     }
 
+    /// Logs that a daemon did not answer in time; one line in an interval, with the number of
+    /// those that were not logged.
+    fn report_silence(&mut self, daemon: SocketAddr, request: &str, now: Instant) {
+        self.unreported_silences += 1;
+        if now < self.silence_reported_at + SILENCE_REPORT_INTERVAL {
+            return;
+        }
+        let count = std::mem::take(&mut self.unreported_silences);
+        self.silence_reported_at = now;
+        spdlog::info!("accounting daemon silent", kv: {
+            daemon = daemon.to_string(),
+            request = request,
+            count = count,
+        });
+    }
+
     fn end_wait(&mut self, waiting: Waiting, now: Instant) {
         let Waiting { mut arrival, reply, since, .. } = waiting;
         if reply.is_closed() {
--- a/crates/front/src/broker/requests.rs
+++ b/crates/front/src/broker/requests.rs
@@ -371,7 +371,8 @@
         if matches!(outcome, Outcome::Failed | Outcome::Broken) && !pending.has_started {
             self.count_run(ticket);
         }
-        self.report_load(&endpoint, load.prefill_tokens, &[], now);
+        let Some(pending) = self.requests.get(&ticket) else { return };
+        self.report_load(&endpoint, pending.prefill_tokens, &[], now);
         let Some(pending) = self.requests.get(&ticket) else { return };
         let health_outcome = match outcome {
             Outcome::Served | Outcome::ServedToClose => Some(health::Outcome::Success),
--- a/crates/front/tests/asking.rs
+++ b/crates/front/tests/asking.rs
@@ -48,6 +48,25 @@
     assert!(asking.record_answer(number, daemon(2)).is_none(), "a late answer");
 }
 
+#[test]
+fn a_daemon_is_asked_again_once_it_answers_or_if_this_one_was_held_up() {
+    let now = Instant::now();
+    let mut asking = Asking::default();
+    let (first, _reply) = waiting(&[1], now);
+    let (second, _reply) = waiting(&[2], now);
+    asking.add(first);
+
+    asking.take_overdue(now + MAX_WAIT);
+    let may_ask_silent = asking.may_ask(daemon(1), now + MAX_WAIT);
+    asking.record_response(daemon(1));
+    asking.add(second);
+    asking.take_overdue(now + MAX_WAIT * 10);
+
+    assert!(!may_ask_silent);
+    assert!(asking.may_ask(daemon(1), now + MAX_WAIT));
+    assert!(asking.may_ask(daemon(2), now + MAX_WAIT * 10));
+}
+
 #[test]
 fn few_requests_wait_at_a_time() {
     let now = Instant::now();
