Leave a share of the memory for bodies to answers

Cause (found in review): callers' bodies could fill the whole budget, so that the answer of a sound endpoint found no bytes and counted as broken. Late bodies were given up one by one although the new one was refused in the end. A caller that had paused stayed late however much it sent afterwards, as its due time advanced from the past.

Change: an eighth of the capacity is left to answers, which may fill all of it. Callers' large bodies stay at three quarters as before; small ones now end at seven eighths. All callers at three quarters would contradict the existing test that keeps a small body beside large ones that fill three quarters. What late bodies hold is summed first; if it is too little, none is given up. A pause counts as at most half a second.

Not mended: an answer that finds the whole capacity taken still fails and counts as broken (`buffered.rs`). Keeping it beyond the capacity contradicts the bound on all bytes that `all_bytes_are_given_back_in_whatever_order_bodies_grow_and_end` asserts; that test is left as it is.

--- a/crates/relay/src/budget.rs
+++ b/crates/relay/src/budget.rs
@@ -20,6 +20,9 @@
 /// Share of the capacity that is left to small bodies, as a divisor, so that a few large ones
 /// don't keep out ordinary callers.
 const SMALL_DIVISOR: usize = 4;
+/// Share of the capacity that is left to endpoints' answers, as a divisor, so that callers'
+/// bodies can't fill it: what an answer holds has run already.
+const ANSWERS_DIVISOR: usize = 8;
 /// Maximum size of a body that counts as small.
 const SMALL_BYTES: usize = 64 * 1_024;
 /// How long a caller may send nothing before it is late.
@@ -123,20 +126,44 @@
 }
 
 impl State {
-    /// Whether a body may grow to `bytes`, of which `held` are reserved.
-    fn fits(&self, held: usize, bytes: usize) -> bool {
-        let others = self.usage.bytes - held;
-        let small = if bytes > SMALL_BYTES { self.capacity / SMALL_DIVISOR } else { 0 };
+    /// Whether a body may grow to `bytes` beside the `others` that are reserved.
+    fn fits(&self, others: usize, bytes: usize, is_answer: bool) -> bool {
+        let left = match is_answer {
+            true => 0,
+            false if bytes > SMALL_BYTES => self.capacity / SMALL_DIVISOR,
+            false => self.capacity / ANSWERS_DIVISOR,
+        };
         // A single body is served whatever its size.
-        others == 0 || others + bytes + small <= self.capacity
+        others == 0 || others + bytes + left <= self.capacity
+    }
+
+    /// Makes room for a body to grow to `bytes`, and returns whether there is
+    /// enough. Nothing is given up if it would not be enough.
+    fn make_room(&mut self, body: &Reservation, bytes: usize, now: Instant) -> bool {
+        let is_answer = !body.is_evictable;
+        let late: usize = self.late(body.number, now).map(|(_, it)| it.bytes).sum();
+        if !self.fits(self.usage.bytes - body.bytes - late, bytes, is_answer) {
+            return false;
+        }
+        while !self.fits(self.usage.bytes - body.bytes, bytes, is_answer) {
+            if !self.evict(body.number, now) {
+                return false;
+            }
+        }
+        true
+    }
+
+    /// Returns the bodies that are late, except `number`.
+    fn late(&self, number: u64, now: Instant) -> impl Iterator<Item = (&u64, &Receiving)> {
+        let others = self.receiving.iter().filter(move |(other, _)| **other != number);
+        others.filter(move |(_, it)| it.bytes > 0 && it.due <= now)
     }
 
     /// Gives up the body that is late for the longest time, except `number`. Returns whether
     /// there was one.
     fn evict(&mut self, number: u64, now: Instant) -> bool {
-        let late = self.receiving.iter();
-        let late = late.filter(|(other, it)| **other != number && it.bytes > 0 && it.due <= now);
-        let Some(latest) = late.min_by_key(|(_, it)| it.due).map(|(other, _)| *other) else {
+        let latest = self.late(number, now).min_by_key(|(_, it)| it.due);
+        let Some(latest) = latest.map(|(other, _)| *other) else {
             return false;
         };
         if let Some(evicted) = self.receiving.remove(&latest) {
@@ -159,11 +186,9 @@
         if self.is_evictable && !state.receiving.contains_key(&self.number) {
             return Err(Shortage);
         }
-        while !state.fits(self.bytes, bytes) {
-            if !state.evict(self.number, now) {
-                state.usage.refused += 1;
-                return Err(Shortage);
-            }
+        if !state.make_room(self, bytes, now) {
+            state.usage.refused += 1;
+            return Err(Shortage);
         }
         state.usage.bodies += usize::from(self.bytes == 0);
         state.usage.bytes += bytes - self.bytes;
@@ -178,7 +203,9 @@
     pub fn record_received(&self, bytes: usize, now: Instant) {
         if let Some(receiving) = self.budget.lock().receiving.get_mut(&self.number) {
             let credit = Duration::from_secs_f64(bytes as f64 / MIN_BYTES_PER_S);
-            receiving.due = (receiving.due + credit).min(now + PATIENCE);
+            // A pause counts for at most `PATIENCE`, so that a caller that sends again is in time.
+            let since = now.checked_sub(PATIENCE).map_or(receiving.due, |it| it.max(receiving.due));
+            receiving.due = (since + credit).min(now + PATIENCE);
         }
     }
 
--- a/crates/relay/tests/budget.rs
+++ b/crates/relay/tests/budget.rs
@@ -113,6 +113,51 @@
     });
 }
 
+#[test]
+fn late_bodies_are_kept_if_they_hold_too_little_for_another() {
+    let budget = Budget::new(MEMORY_BYTES);
+    let now = Instant::now();
+    let (mut kept, _) = fill(&budget, now);
+    kept[1..].iter().for_each(|it| it.record_received(LARGE_BYTES, now + LATE));
+
+    let added = budget.receive(now + LATE).grow(LARGE_BYTES * 2, now + LATE);
+
+    assert_eq!(added, Err(Shortage));
+    assert_eq!(budget.usage().evicted, 0);
+    assert!(kept.iter_mut().all(|it| it.complete().is_ok()));
+}
+
+#[test]
+fn a_caller_that_sends_again_after_a_pause_is_in_time() {
+    let budget = Budget::new(MEMORY_BYTES);
+    let began = Instant::now();
+    let (kept, _) = fill(&budget, began);
+    let now = began + LATE * 10;
+
+    kept.iter().for_each(|it| it.record_received(64 * 1_024, now));
+
+    assert_eq!(budget.receive(now).grow(LARGE_BYTES, now), Err(Shortage));
+    assert_eq!(budget.usage().evicted, 0);
+}
+
+#[test]
+fn callers_leave_a_share_to_answers() {
+    let budget = Budget::new(MEMORY_BYTES);
+    let now = Instant::now();
+    let (mut kept, _) = fill(&budget, now);
+    loop {
+        let mut small = budget.receive(now);
+        if small.grow(64 * 1_024, now).is_err() {
+            break;
+        }
+        kept.push(small);
+    }
+
+    let mut answer = budget.buffer();
+
+    assert_eq!(answer.grow(CAPACITY_BYTES / 8, now), Ok(()));
+}
+
 /// Reserves large bodies until one is refused, and returns those that are kept.
 fn fill(budget: &Budget, now: Instant) -> (Vec<Reservation>, Shortage) {
     let mut kept = Vec::new();
