--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -128,6 +128,8 @@
     Caller,
     /// This daemon ended a response that it could not complete.
     Aborted,
+    /// This daemon closed the connection for a newer one.
+    Replaced,
     /// This daemon exited.
     Stopped,
 }
@@ -137,6 +139,7 @@
         match self {
             Cause::Caller => "caller",
             Cause::Aborted => "aborted",
+            Cause::Replaced => "replaced",
             Cause::Stopped => "stopped",
         }
     }
@@ -151,6 +154,8 @@
     stage: Cell<Stage>,
     /// Id of the current request.
     request: RefCell<String>,
+    /// When the current request began or its latest bytes were received.
+    received_at: Cell<Option<Instant>>,
     /// Whether bytes were received after the current request.
     has_early_bytes: Cell<bool>,
     /// Bytes of the response's body that the HTTP library has taken.
@@ -174,6 +179,7 @@
             messages: messages.clone(),
             stage: Cell::new(Stage::Idle),
             request: RefCell::default(),
+            received_at: Cell::default(),
             has_early_bytes: Cell::default(),
             taken: Cell::default(),
             untaken: Cell::default(),
@@ -194,8 +200,14 @@
         self.sent_at.get()
     }
 
+    /// Returns since when the body of a request has been awaited without receiving bytes.
+    pub fn body_silent_since(&self) -> Option<Instant> {
+        self.received_at.get().filter(|_| self.stage.get() == Stage::Body)
+    }
+
     /// Records that bytes were received.
     pub fn record_read(&self) {
+        self.received_at.set(Some(Instant::now()));
         match self.stage.get() {
             Stage::Idle => self.set_stage(Stage::Head),
             Stage::Running | Stage::Sending => self.has_early_bytes.set(true),
@@ -206,6 +218,8 @@
     /// Records that the head of a request was received.
     pub fn begin(&self, request: &str) {
         request.clone_into(&mut self.request.borrow_mut());
+        // The head may have been received while the request before it was running.
+        self.received_at.set(Some(Instant::now()));
         self.has_early_bytes.set(false);
         self.taken.set(0);
         self.untaken.set(0);
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -169,7 +169,7 @@
 
     async fn spawn(&self, accepted: io::Result<(TcpStream, SocketAddr)>) {
         match accepted {
-            Ok((stream, _)) if self.connections.make_room() => {
+            Ok((stream, _)) if self.connections.make_room(Instant::now()) => {
                 let progress = Progress::new(&self.exchanges, &self.messages);
                 let weak = Rc::downgrade(&progress);
                 let serving = serve_connection(self.clone(), stream, progress);
