Leave an endpoint's answer with it while memory is short

Change: while there is no room, the answer isn't read further (the endpoint's connection holds it back), until there is room or the request's time is over.

Tests: cargo test -p relay -p front green. No test fills the budget with answers: named as open.

--- a/crates/relay/src/buffered.rs
+++ b/crates/relay/src/buffered.rs
@@ -1,5 +1,7 @@
 //! Responses that are buffered completely before they are sent to the caller.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use http::Response;
 use http_body_util::BodyExt;
@@ -7,6 +9,7 @@
 use hyper::body::Incoming;
 use platform::head;
 use tokio::time::Instant;
+use tokio::time::sleep;
 use tokio::time::timeout_at;
 
 use crate::admission::Outcome;
@@ -20,6 +23,9 @@
 /// Maximum size of a buffered response; bounds the memory of a daemon.
 const MAX_BODY_BYTES: usize = 16 << 20;
 
+/// Pause after which memory is asked for again.
+const SHORTAGE_PAUSE: Duration = Duration::from_millis(20);
+
 /// Reads the response completely and returns its connection to the pool.
 pub async fn collect(
     server: &Server,
@@ -39,8 +45,8 @@
     Ok(response)
 }
 
-/// Reads a body. One that is too large, or larger than the memory that is left, counts as
-/// broken.
+/// Reads a body. One that is too large counts as broken. While memory is short, it is left with
+/// the endpoint: a shortage here says nothing about the endpoint or the request.
 async fn read(server: &Server, mut body: Incoming) -> Result<Bytes, Outcome> {
     let mut buffer = Buffer::new(server.budget().buffer(), body.size_hint().exact());
     while let Some(frame) = body.frame().await {
@@ -48,7 +54,9 @@
         if data.len() > MAX_BODY_BYTES - buffer.len() {
             return Err(Outcome::Broken);
         }
-        buffer.push(&data, Instant::now()).map_err(|Shortage| Outcome::Broken)?;
+        while let Err(Shortage) = buffer.push(&data, Instant::now()) {
+            sleep(SHORTAGE_PAUSE).await;
+        }
     }
     buffer.complete().map_err(|Shortage| Outcome::Broken)
 }
