Rank requests for a short quota only in large fleets

Change: fleets that a gossip round reaches whole serve in order of arrival, as before; the same condition as for accounting daemons.

Ruled out: ranking by worth a token (the configuration doesn't state it).

--- a/crates/front/src/broker/accounts.rs
+++ b/crates/front/src/broker/accounts.rs
@@ -28,15 +28,16 @@
         }
     }
 
-    /// Whether daemons account for endpoints: a gossip round doesn't reach all of them.
-    pub(super) fn uses_accounts(&self) -> bool {
+    /// Whether a gossip round doesn't reach all daemons, so that what this one knows of others is
+    /// seconds old.
+    pub(super) fn is_large_fleet(&self) -> bool {
         self.peers.count() > FANOUT
     }
 
     /// Tells the accounting daemon of an endpoint what this daemon has outstanding there.
     /// `tokens` are the prompt tokens by which that has changed.
     pub(super) fn report_load(&mut self, id: &str, tokens: u32, parts: &[Part], now: Instant) {
-        if tokens < MIN_TOKENS || !self.uses_accounts() {
+        if tokens < MIN_TOKENS || !self.is_large_fleet() {
             return;
         }
         let Some(member) = self.pool.member(id) else { return };
--- a/crates/front/src/broker/limits.rs
+++ b/crates/front/src/broker/limits.rs
@@ -36,11 +36,17 @@
     ) -> Result<f64, Refusal> {
         let Some(workspace) = found.workspace else { return Ok(0.0) };
         let Some(quota) = workspace.quota else { return Ok(0.0) };
+        // The daemons of a small fleet know the level at once, and serve in order of arrival.
+        let is_large_fleet = self.is_large_fleet();
         let Some(bucket) = self.buckets.get_mut(&workspace.name) else { return Ok(0.0) };
         let units = quota.unit.count(attributes.tokens());
         let kind = xxh3_64(found.route.name.as_bytes());
         let request = Request { rank: found.route.priority, kind, units };
-        match bucket.admit(&request, now) {
+        let admitted = match is_large_fleet {
+            true => bucket.admit(&request, now),
+            false => bucket.admit_in_order(&request, now),
+        };
+        match admitted {
             Ok(()) => {
                 metrics::count("quota", "granted");
                 Ok(units)
--- a/crates/front/src/broker/placing.rs
+++ b/crates/front/src/broker/placing.rs
@@ -135,7 +135,7 @@
         let mut daemons: HashMap<SocketAddr, Vec<String>> = HashMap::new();
         let attributes = &arrival.attributes;
         // A stream that is taken up has few endpoints, which are told apart later.
-        if !self.uses_accounts() || !self.asking.has_room() || attributes.resumes.is_some() {
+        if !self.is_large_fleet() || !self.asking.has_room() || attributes.resumes.is_some() {
             return daemons;
         }
         let key = attributes.key.as_deref();
--- a/crates/front/src/broker/requests.rs
+++ b/crates/front/src/broker/requests.rs
@@ -413,7 +413,7 @@
         let exhausted = exhausted(&self.pool, &self.endpoint_limits, &self.rooms, service, now);
         let query =
             Query { service, engine, attributes, requirement, tried, exhausted: &exhausted };
-        let cost = if self.uses_accounts() { Cost::Shared } else { Cost::Own };
+        let cost = if self.is_large_fleet() { Cost::Shared } else { Cost::Own };
         choose::best(&self.pool, &query, cost, 1, now, &mut self.rng).pop()
     }
 
--- a/crates/quota/src/workspace.rs
+++ b/crates/quota/src/workspace.rs
@@ -253,6 +253,17 @@
         Ok(())
     }
 
+    /// Takes units for a request in order of arrival, whatever its rank.
+    ///
+    /// # Errors
+    ///
+    /// If too few units are available.
+    pub fn admit_in_order(&mut self, request: &Request, now: Instant) -> Result<(), Rejection> {
+        self.refill(now);
+        let reason = if self.is_share_used(0.0, now) { Reason::Share } else { Reason::Level };
+        self.take_within(request.units, 0.0, now).map_err(|wait| Rejection { wait, reason })
+    }
+
     /// Returns what decisions depend on besides the level and the share.
     pub fn state(&self, now: Instant) -> State {
         let ages = self.peers.values().map(|it| now.saturating_duration_since(it.received_at));
