Ask a process for its start on the connection on which a stream begins or goes on

Callers saw streams with events of two software versions. Cause: who an endpoint is was taken from an entry that somebody had read earlier, not from the process that answers. An endpoint that starts again under its id and address answers by its former entry until the new one is read.

A connection now tells which process is at its other end: the report that the process gives on it states when it started, and a restart ends the connection. A stream that needs a version is sent only to a process that the endpoint's entry describes; one that begins at a process whose entry was not read yet gets its version when it is read, and callers that take it up wait for that. Where an endpoint states no start, a request waits until a complete list of endpoints is some time younger than the first of the connections to it that have been open without interruption.

--- a/crates/balance/src/choose.rs
+++ b/crates/balance/src/choose.rs
@@ -29,8 +29,8 @@
 const PLAIN_MS: f64 = 30.0;
 /// Cost factor of a paused endpoint; it is chosen only when all are paused.
 const PAUSED_WEIGHT: f64 = 100.0;
-/// Cost factor for a stream that needs one software version, of an endpoint that may have
-/// been replaced by one of another version.
+/// Cost factor for a stream that needs one software version, of an endpoint whose connections
+/// broke. It may run another version, which shows only when a connection to it is open.
 const REPLACED_WEIGHT: f64 = 100.0;
 /// Maximum random increase of a cost, as a share. Endpoints whose costs differ by
 /// less count as equal.
@@ -143,6 +143,7 @@
             && it.is_usable(now)
             && it.declines_for(now).is_none()
             && query.requirement.admits(&it.endpoint.software)
+            && !(it.has_restarted && *query.requirement != Requirement::Any)
             && !query.tried.contains(&it.endpoint.id)
             && !query.exhausted.contains(it.endpoint.id.as_str())
     };
--- a/crates/balance/src/endpoint.rs
+++ b/crates/balance/src/endpoint.rs
@@ -43,12 +43,28 @@
     pub fn of(identity: &str) -> Instance {
         Instance(xxh3_64(identity.as_bytes()))
     }
+
+    /// Returns the instance of an endpoint that its entry describes.
+    pub fn described(id: &str, started_at_ms: u64, address: SocketAddr) -> Instance {
+        Instance::of(&format!("{id} {started_at_ms} {address}"))
+    }
+
+    /// Returns the instance of an endpoint that has itself stated its start on the connection
+    /// that is used. It never equals one that is taken from an entry.
+    pub fn confirmed(id: &str, started_at_ms: u64) -> Instance {
+        Instance::of(&format!("confirmed {id} {started_at_ms}"))
+    }
 }
 
 impl Endpoint {
     /// Returns the identity of this instance of the endpoint.
     pub fn instance(&self) -> Instance {
-        Instance::of(&format!("{} {} {}", self.id, self.started_at_ms, self.address))
+        Instance::described(&self.id, self.started_at_ms, self.address)
+    }
+
+    /// Returns the identity of this instance once it has itself stated its start.
+    pub fn confirmed(&self) -> Instance {
+        Instance::confirmed(&self.id, self.started_at_ms)
     }
 }
 
--- a/crates/balance/src/origin.rs
+++ b/crates/balance/src/origin.rs
@@ -15,6 +15,8 @@
 
 /// Maximum number of streams that are remembered.
 const MAX_STREAMS: usize = 16_384;
+/// Maximum number of instances whose versions are remembered.
+const MAX_INSTANCES: usize = 8_192;
 /// Maximum difference between the clocks of an endpoint and a daemon.
 pub const MAX_CLOCK_SKEW: Duration = Duration::from_secs(1);
 
@@ -42,12 +44,33 @@
 pub struct Origin {
     /// Service name.
     pub service: String,
-    /// Software version; `None` if it is in doubt.
+    /// Software version; `None` if it is in doubt, and empty until the entry of the instance is
+    /// read.
     pub software: Option<String>,
-    /// Instance of the endpoint, as known when the stream began.
+    /// Instance of the endpoint. If it is a confirmed one, the version is that of its entry;
+    /// otherwise it is the instance that was known when the stream began.
     pub instance: Instance,
 }
 
+impl Origin {
+    /// Merges what is known of the same stream from elsewhere.
+    fn merge(&mut self, other: &Origin) {
+        if self.service != other.service {
+            self.software = None;
+        } else if self.is_unread() && other.software.is_some() {
+            self.software.clone_from(&other.software);
+        } else if self.software != other.software && !other.is_unread() {
+            // Two versions under one id, for example if a caller has used the id twice.
+            self.software = None;
+        }
+    }
+
+    /// Whether the stream began at an instance whose entry was not read yet.
+    pub fn is_unread(&self) -> bool {
+        self.software.as_deref() == Some("")
+    }
+}
+
 /// A stream in a message to another daemon.
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
 pub struct Notice {
@@ -81,6 +104,13 @@
     expires_at: Instant,
 }
 
+impl Entry {
+    /// Returns when the stream began.
+    pub fn began_at(&self) -> Instant {
+        self.began_at
+    }
+}
+
 /// Streams that began recently, here or at other daemons.
 #[derive(Clone, Debug, Default)]
 pub struct Origins {
@@ -89,6 +119,12 @@
     order: VecDeque<Key>,
     /// Streams to be sent to other daemons.
     unsent: Vec<Key>,
+    /// Software versions of confirmed instances, from their entries.
+    versions: HashMap<Instance, String>,
+    /// Instances in the order in which their entries were read.
+    instances: VecDeque<Instance>,
+    /// Streams at instances whose entries were not read yet.
+    unread: Vec<Key>,
 }
 
 impl Origins {
@@ -113,6 +149,26 @@
         self.insert(notice.key, entry);
     }
 
+    /// Records the software version of a confirmed instance, from its entry.
+    pub fn learn(&mut self, instance: Instance, software: &str) {
+        if self.versions.insert(instance, software.to_owned()).is_none() {
+            self.instances.push_back(instance);
+        }
+        if self.instances.len() > MAX_INSTANCES
+            && let Some(oldest) = self.instances.pop_front()
+        {
+            self.versions.remove(&oldest);
+        }
+        let by_key = &mut self.by_key;
+        self.unread.retain(|key| {
+            let Some(entry) = by_key.get_mut(key) else { return false };
+            if entry.origin.is_unread() && entry.origin.instance == instance {
+                entry.origin.software = Some(software.to_owned());
+            }
+            entry.origin.is_unread()
+        });
+    }
+
     /// Returns what is known of a stream.
     pub fn get(&self, key: Key, now: Instant) -> Option<&Entry> {
         self.by_key.get(&key).filter(|it| now < it.expires_at)
@@ -172,14 +228,14 @@
     }
 
     /// Adds an entry or merges it with what is known. Returns whether it is new.
-    fn insert(&mut self, key: Key, entry: Entry) -> bool {
+    fn insert(&mut self, key: Key, mut entry: Entry) -> bool {
+        if entry.origin.is_unread()
+            && let Some(software) = self.versions.get(&entry.origin.instance)
+        {
+            entry.origin.software = Some(software.clone());
+        }
         if let Some(known) = self.by_key.get_mut(&key) {
-            // Two versions under one id, for example if a caller has used the id twice.
-            if known.origin.service != entry.origin.service
-                || known.origin.software != entry.origin.software
-            {
-                known.origin.software = None;
-            }
+            known.origin.merge(&entry.origin);
             let is_later = entry.expires_at > known.expires_at;
             known.expires_at = known.expires_at.max(entry.expires_at);
             return is_later;
@@ -190,6 +246,9 @@
             self.by_key.remove(&oldest);
         }
         self.order.push_back(key);
+        if entry.origin.is_unread() {
+            self.unread.push(key);
+        }
         self.by_key.insert(key, entry);
         true
     }
--- a/crates/balance/src/pool.rs
+++ b/crates/balance/src/pool.rs
@@ -41,6 +41,8 @@
     pub instance: Instance,
     /// The instance whose description this one has replaced, and its software version.
     pub replaced: Option<(Instance, String)>,
+    /// Whether a later process has answered in its place, whose entry was not read yet.
+    pub has_restarted: bool,
     /// Whether the list contains its entry.
     pub listed: bool,
     /// Whether the endpoint is known to be leaving, from its description or from
@@ -93,6 +95,7 @@
         Member {
             instance: endpoint.instance(),
             replaced: None,
+            has_restarted: false,
             endpoint,
             listed: true,
             leaving,
--- a/crates/front/src/broker/crashes.rs
+++ b/crates/front/src/broker/crashes.rs
@@ -188,7 +188,7 @@
             Outcome::Broken | Outcome::TimedOut | Outcome::Abandoned => {
                 self.record_interruption(ticket, outcome, now);
             }
-            Outcome::Unreachable | Outcome::Misdirected => {}
+            Outcome::Unreachable | Outcome::Misdirected | Outcome::OtherProcess => {}
         }
     }
 
--- a/crates/front/src/broker/mod.rs
+++ b/crates/front/src/broker/mod.rs
@@ -9,6 +9,7 @@
 mod era;
 mod gossip;
 mod history;
+mod identity;
 mod leader;
 mod limits;
 mod origins;
@@ -19,6 +20,7 @@
 mod refusal;
 mod requests;
 mod roster;
+mod unread;
 mod usage;
 
 use std::cell::Cell;
@@ -166,6 +168,8 @@
     origins_swept_at: Instant,
     /// Questions to other daemons about streams that callers take up.
     queries: HashMap<Key, origins::Query>,
+    /// Callers that take up streams at processes whose entries were not read yet.
+    unread_arrivals: unread::Arrivals,
     /// Requests that wait for accounting daemons.
     asking: Asking,
     is_asking_timer_set: bool,
@@ -237,6 +241,8 @@
     reads_since: Option<Instant>,
     /// Whether this daemon's list of endpoints can be relied on.
     freshness: Freshness,
+    /// Until when this daemon's list of endpoints is known to be complete.
+    list_complete_until: Option<Instant>,
     settling: Settling,
     /// Number of dropped log lines already reported, and the time of the last report.
     reported_drops: (u64, Instant),
@@ -273,6 +279,7 @@
             origins: Origins::default(),
             origins_swept_at: now,
             queries: HashMap::new(),
+            unread_arrivals: unread::Arrivals::default(),
             asking: Asking::default(),
             is_asking_timer_set: false,
             unreported_silences: 0,
@@ -321,6 +328,7 @@
             stated_read_at: None,
             reads_since: None,
             freshness: Freshness::new(since_boot),
+            list_complete_until: None,
             settling: Settling::default(),
             reported_drops: (0, now),
             era: era::View::default(),
@@ -410,9 +418,11 @@
         after!(TICK, [cx], tick());
         let now = cx.now();
         self.freshness.tick(self.pool.roster_version, clock::since_boot());
+        self.track_list(now);
         self.context.ready.send_replace(self.is_ready());
         self.record_progress(now);
         self.sweep_origins(now);
+        self.end_waits_for_entries(now);
         self.judge_links(now);
         let is_urgent = self.has_urgent_changes || self.spread.has_news();
         let is_round = self.pace.is_due(self.peers.count(), is_urgent, now);
--- a/crates/front/src/broker/origins.rs
+++ b/crates/front/src/broker/origins.rs
@@ -54,10 +54,10 @@
 
 /// An arrival that waits until it is known where its stream began.
 #[derive(Debug)]
-struct Waiting {
-    arrival: Arrival,
-    reply: oneshot::Sender<Decision>,
-    since: Instant,
+pub(super) struct Waiting {
+    pub(super) arrival: Arrival,
+    pub(super) reply: oneshot::Sender<Decision>,
+    pub(super) since: Instant,
 }
 
 /// A request with the service and software version that it needs.
@@ -93,13 +93,13 @@
             return;
         }
         let Some(key) = self.unknown_stream(&arrival, now) else {
-            return self.decide_informed(arrival, reply, now);
+            return self.decide_read(arrival, reply, now);
         };
         let daemons = self.peers.remembering(key, QUERIED, now);
         // The row of software versions may hold the answer as well.
         let unanswered = daemons.len() + usize::from(!self.stored_history.has_read);
         if unanswered == 0 || self.queries.len() >= MAX_QUERIES {
-            return self.decide(arrival, reply, now);
+            return self.decide_read(arrival, reply, now);
         }
         let waiting = Waiting { arrival, reply, since: now };
         if let Some(query) = self.queries.get_mut(&key) {
@@ -133,7 +133,8 @@
                     Source::Own => "own",
                     Source::Peer(_) => "peer",
                 };
-                entry.origin.software.clone().map(|it| (found, it, source))
+                let software = entry.origin.software.clone();
+                software.filter(|_| !self.awaits_entry(entry)).map(|it| (found, it, source))
             }
             (Some(_), None) => None,
             (None, _) => {
@@ -157,6 +158,7 @@
             service = known.map_or("", |it| it.origin.service.as_str()),
             is_routed = began_at.is_some(),
             in_doubt = known.is_some_and(|it| it.origin.software.is_none()),
+            awaits_entry = known.is_some_and(|it| self.awaits_entry(it)),
             is_list_fresh = self.freshness.is_fresh(
                 self.pool.roster_version,
                 self.read_age(now),
@@ -193,13 +195,16 @@
             return;
         }
         if pending.requirement == Requirement::Any {
-            pending.requirement = Requirement::Exactly(pending.software.clone());
+            pending.requirement = match pending.is_unread() {
+                true => Requirement::Unknown,
+                false => Requirement::Exactly(pending.software.clone()),
+            };
         }
         let Some(key) = pending.stream else { return };
         let origin = Origin {
             service: pending.service.clone(),
             software: Some(pending.software.clone()),
-            instance: pending.instance,
+            instance: pending.confirmed.unwrap_or(pending.instance),
         };
         let lifetime = pending.limit + TAKE_UP_TIME;
         self.origins.record(key, origin, lifetime, now);
@@ -221,6 +226,7 @@
         let is_affected = |it: &&mut Pending| {
             it.is_stream
                 && it.instance == instance
+                && it.confirmed.is_none()
                 && it.sent_at + origin::MAX_CLOCK_SKEW >= replaced_at
         };
         for pending in self.requests.values_mut().filter(is_affected) {
@@ -364,10 +370,45 @@
         let Some(query) = self.queries.remove(&key) else { return };
         for Waiting { mut arrival, reply, since } in query.waiting {
             arrival.waited += now.saturating_duration_since(since);
-            self.decide(arrival, reply, now);
+            self.decide_read(arrival, reply, now);
         }
     }
 
+    /// Decides on an arrival that has waited.
+    pub(super) fn resume_arrival(&mut self, waiting: Waiting, now: Instant) {
+        let Waiting { mut arrival, reply, since } = waiting;
+        arrival.waited += now.saturating_duration_since(since);
+        self.decide(arrival, reply, now);
+    }
+
+    /// Decides on an arrival, after the entry was read that describes the process that began its
+    /// stream.
+    fn decide_read(&mut self, arrival: Arrival, reply: oneshot::Sender<Decision>, now: Instant) {
+        let Some(key) = self.unread_stream(&arrival, now) else {
+            return self.decide_informed(arrival, reply, now);
+        };
+        if let Some(waiting) = self.await_entry(key, Waiting { arrival, reply, since: now }) {
+            self.resume_arrival(waiting, now);
+        }
+    }
+
+    /// Returns the stream that a request takes up if the entry of the process that began it was
+    /// not read yet.
+    fn unread_stream(&self, arrival: &Arrival, now: Instant) -> Option<Key> {
+        let key = self.taken_up_stream(arrival)?;
+        self.origins.get(key, now).is_some_and(|it| self.awaits_entry(it)).then_some(key)
+    }
+
+    /// Returns the stream that a request takes up, if it names it.
+    fn taken_up_stream(&self, arrival: &Arrival) -> Option<Key> {
+        let attributes = &arrival.attributes;
+        attributes.resumes.as_ref()?;
+        let key = attributes.key.as_deref();
+        let found =
+            self.table.find(&arrival.host, &arrival.path, key, attributes.stream_id()).ok()?;
+        takes_up(&found, attributes).then(|| stream_key(&found, attributes))?
+    }
+
     /// Returns the stream that a request takes up if other daemons have to be asked of it.
     fn unknown_stream(&self, arrival: &Arrival, now: Instant) -> Option<Key> {
         let attributes = &arrival.attributes;
--- a/crates/front/src/broker/pending.rs
+++ b/crates/front/src/broker/pending.rs
@@ -41,8 +41,10 @@
     pub(super) endpoint: String,
     pub(super) address: SocketAddr,
     pub(super) instance: Instance,
-    /// Software version of the current endpoint.
+    /// Software version of the current endpoint; empty until the entry of its process is read.
     pub(super) software: String,
+    /// The current endpoint's process, if it has itself stated when it started.
+    pub(super) confirmed: Option<Instance>,
     pub(super) load: Load,
     /// Prompt tokens that the endpoint computes before the request's first token: those
     /// already queued and those of this request.
@@ -64,6 +66,11 @@
 }
 
 impl Pending {
+    /// Whether the entry of the process that runs the request was not read yet.
+    pub(super) fn is_unread(&self) -> bool {
+        self.software.is_empty()
+    }
+
     /// Creates a request that is not assigned to an endpoint yet.
     pub(super) fn new(
         found: &Match<'_>,
@@ -91,6 +98,7 @@
             address: SocketAddr::from(([0, 0, 0, 0], 0)),
             instance: Instance(0),
             software: String::new(),
+            confirmed: None,
             load: Load::default(),
             prefill_tokens: 0,
             predicted: Duration::ZERO,
--- a/crates/front/src/broker/reach.rs
+++ b/crates/front/src/broker/reach.rs
@@ -76,7 +76,11 @@
             | Outcome::Misdirected => {
                 self.reach.record_response(&pending.service, pending.is_fresh, now);
             }
-            Outcome::Broken | Outcome::Unreachable | Outcome::TimedOut | Outcome::Abandoned => {}
+            Outcome::Broken
+            | Outcome::Unreachable
+            | Outcome::OtherProcess
+            | Outcome::TimedOut
+            | Outcome::Abandoned => {}
         }
     }
 
--- a/crates/front/src/broker/requests.rs
+++ b/crates/front/src/broker/requests.rs
@@ -11,7 +11,6 @@
 use balance::choose::Query;
 use balance::health;
 use balance::load::Load;
-use balance::pool::Member;
 use balance::pool::Pool;
 use balance::software::Requirement;
 use balance::subject::Subject;
@@ -61,9 +60,9 @@
                 // If the caller has disconnected, its ticket reports the request as finished.
                 let _ = reply.send(self.retry(ticket, outcome, now));
             }
-            Message::Confirm { ticket, reply } => {
+            Message::Confirm { ticket, identity, is_fresh, reply } => {
                 // If the caller has disconnected, its ticket reports the request as finished.
-                let _ = reply.send(self.confirm(ticket, now));
+                let _ = reply.send(self.confirm(ticket, identity, is_fresh, now));
             }
             Message::LimitStated { ticket, statement } => {
                 self.handle_limit_statement(ticket, statement, now);
@@ -171,7 +170,7 @@
             return Err(Refusal { status: 502, retry_after: None });
         };
         pending.may_have_run |= matches!(outcome, Outcome::Broken | Outcome::Failed);
-        if outcome != Outcome::Unreachable {
+        if outcome.was_sent() {
             pending.attempts_left = pending.attempts_left.saturating_sub(1);
         }
         let (may_have_run, attempts_left) = (pending.may_have_run, pending.attempts_left);
@@ -206,7 +205,7 @@
             return Err(refuse(&id, cause, status, delay_if_not_run(delay)));
         };
         // An attempt that never reached its endpoint doesn't count as a retry.
-        if outcome != Outcome::Unreachable && !self.take_retry(&id, &service, now) {
+        if outcome.was_sent() && !self.take_retry(&id, &service, now) {
             return Err(refuse(&id, Cause::RetryBudget, status, delay_if_not_run(DECLINED_DELAY)));
         }
         metrics::count("retry", outcome.name());
@@ -222,33 +221,6 @@
         Ok(target)
     }
 
-    /// Whether a request may still be sent to the endpoint to which it was assigned.
-    fn confirm(&mut self, ticket: u64, now: Instant) -> bool {
-        let Some(pending) = self.requests.get_mut(&ticket) else { return false };
-        pending.is_fresh = true;
-        let Some(pending) = self.requests.get(&ticket) else { return false };
-        if self.is_rejected(pending, now) {
-            metrics::count("crash", "rejected_before_send");
-            spdlog::info!("request rejected before it was sent",
-                kv: { request = pending.attributes.id.as_str() });
-            return false;
-        }
-        let member = self.pool.member(&pending.endpoint);
-        let is_current = |it: &Member| {
-            it.instance == pending.instance && it.endpoint.software == pending.software
-        };
-        if member.is_some_and(|it| is_current(it) && it.is_usable(now)) {
-            return true;
-        }
-        metrics::count("endpoint", "left_before_send");
-        spdlog::info!("endpoint left before the request was sent", kv: {
-            request = pending.attributes.id.as_str(),
-            endpoint = pending.endpoint.as_str(),
-            waited_ms = now.saturating_duration_since(pending.sent_at).as_millis() as u64,
-        });
-        false
-    }
-
     fn handle_start(&mut self, ticket: u64, now: Instant) {
         let Some(pending) = self.requests.get_mut(&ticket) else { return };
         if pending.has_started {
@@ -284,6 +256,7 @@
             request = pending.attributes.id.as_str(),
             endpoint = pending.endpoint.as_str(),
             software = pending.software.as_str(),
+            is_confirmed = pending.confirmed.is_some(),
             waited_ms = waited.as_millis() as u64,
             predicted_ms = pending.predicted.as_millis() as u64,
         });
@@ -340,6 +313,7 @@
         pending.address = member.endpoint.address;
         pending.instance = member.instance;
         pending.software.clone_from(&member.endpoint.software);
+        pending.confirmed = None;
         pending.load = choice.load;
         pending.prefill_tokens = choice.total_prefill_tokens;
         pending.predicted = choice.predicted;
@@ -383,7 +357,7 @@
             Outcome::Unreachable | Outcome::Misdirected => Some(health::Outcome::Unreachable),
             Outcome::Declined => Some(health::Outcome::Overloaded),
             Outcome::TimedOut => (!pending.has_started).then_some(health::Outcome::Failure),
-            Outcome::Abandoned => None,
+            Outcome::OtherProcess | Outcome::Abandoned => None,
         };
         if outcome == Outcome::Declined {
             self.record_rejection(&endpoint, now);
--- a/crates/front/src/broker/roster.rs
+++ b/crates/front/src/broker/roster.rs
@@ -80,6 +80,7 @@
         }
         for (id, effect) in effects {
             self.doubt_software(&id, now);
+            self.learn_software(&id);
             match effect {
                 Effect::Joined => self.handle_joined(&id, now),
                 Effect::Left => self.handle_left(&id),
--- a/crates/relay/src/admission.rs
+++ b/crates/relay/src/admission.rs
@@ -9,6 +9,7 @@
 use tokio::sync::oneshot;
 
 use crate::exchange::End;
+use crate::identity::Identity;
 
 /// A request that was received completely.
 #[derive(Clone, Debug)]
@@ -45,6 +46,28 @@
     pub strips_key: bool,
 }
 
+impl Plan {
+    /// Whether it matters which process of an endpoint runs the request, since another one may
+    /// have to go on with it.
+    pub fn needs_identity(&self) -> bool {
+        self.is_stream && self.is_idempotent
+    }
+}
+
+/// Whether a request may be sent on a connection to its endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Confirmation {
+    /// It may.
+    Sound,
+    /// The endpoint takes no requests any more, or not this one.
+    Unsound,
+    /// It will be known later whether the process has the software version that the request
+    /// needs.
+    Later,
+    /// The process is not known to have that version.
+    OtherProcess,
+}
+
 /// An endpoint to which a request is sent.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Target {
@@ -84,6 +107,9 @@
     Declined,
     /// Another endpoint now has the address; the request did not run.
     Misdirected,
+    /// The request was not sent, since the endpoint's process is not known to have the software
+    /// version that it needs.
+    OtherProcess,
     /// The deadline passed.
     TimedOut,
     /// The caller disconnected.
@@ -102,6 +128,11 @@
         matches!(self, Outcome::Served | Outcome::ServedToClose)
     }
 
+    /// Whether the request was sent to the endpoint.
+    pub fn was_sent(self) -> bool {
+        !matches!(self, Outcome::Unreachable | Outcome::OtherProcess)
+    }
+
     /// Returns the name used in logs and metrics.
     pub fn name(self) -> &'static str {
         match self {
@@ -112,6 +143,7 @@
             Outcome::Unreachable => "unreachable",
             Outcome::Declined => "turned_away",
             Outcome::Misdirected => "misdirected",
+            Outcome::OtherProcess => "other_process",
             Outcome::TimedOut => "timed_out",
             Outcome::Abandoned => "abandoned",
         }
@@ -154,13 +186,16 @@
         /// Receives the next endpoint, or the refusal if there is none.
         reply: oneshot::Sender<Result<Target, Refusal>>,
     },
-    /// Asks whether the request's endpoint still takes requests, after a connection to it
-    /// was opened.
+    /// Asks whether the request may be sent on a connection to its endpoint.
     Confirm {
         /// Number of the request.
         ticket: u64,
+        /// The process at the other end, if that matters.
+        identity: Option<Identity>,
+        /// Whether the connection was opened for the request.
+        is_fresh: bool,
         /// Receives the answer.
-        reply: oneshot::Sender<bool>,
+        reply: oneshot::Sender<Confirmation>,
     },
     /// The endpoint's response says something about its request limit.
     LimitStated {
@@ -254,11 +289,12 @@
         let _ = self.messages.send(Message::PauseStated { ticket: self.number, duration });
     }
 
-    /// Returns whether the request's endpoint still takes requests.
-    pub async fn confirm(&self) -> bool {
+    /// Returns whether the request may be sent on a connection to this process.
+    pub async fn confirm(&self, identity: Option<Identity>, is_fresh: bool) -> Confirmation {
         let (reply, answer) = oneshot::channel();
-        let _ = self.messages.send(Message::Confirm { ticket: self.number, reply });
-        answer.await.unwrap_or(false)
+        let ticket = self.number;
+        let _ = self.messages.send(Message::Confirm { ticket, identity, is_fresh, reply });
+        answer.await.unwrap_or(Confirmation::Unsound)
     }
 
     /// Requests another endpoint after an attempt with this outcome.
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -1,5 +1,7 @@
 //! A single attempt: sends a request to one endpoint and reads the response head.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use http::HeaderMap;
 use http::Method;
@@ -12,15 +14,20 @@
 use platform::head::Overrides;
 use quota::endpoint::Statement;
 use tokio::time::Instant;
+use tokio::time::sleep;
 use tokio::time::timeout_at;
 
+use crate::admission::Confirmation;
 use crate::admission::Outcome;
 use crate::admission::Plan;
 use crate::admission::Target;
 use crate::admission::Ticket;
 use crate::connection::Connection;
 use crate::connection::Pool;
-use crate::connection::connect;
+use crate::identity::Identity;
+
+/// Interval at which the broker is asked again whether a request may be sent.
+const CONFIRMATION_INTERVAL: Duration = Duration::from_millis(50);
 
 /// A caller's request, received completely.
 #[derive(Clone, Debug)]
@@ -67,23 +74,22 @@
     ticket: &Ticket,
     last_event: Option<&str>,
 ) -> Result<Head, Outcome> {
-    // An endpoint that was tried before may write an earlier response of the same id once more
-    // on a connection that it has kept.
-    let is_repeat = call.tried.contains(&target.id);
-    let acquiring = async {
-        match is_repeat {
-            true => connect(target.address).await,
-            false => pool.acquire(&target.id, target.address).await,
-        }
-    };
-    let acquired = match timeout_at(call.deadline, acquiring).await {
+    let acquired = match timeout_at(call.deadline, acquire(pool, call, plan, target)).await {
         Ok(acquired) => acquired,
         Err(_) => return Err(Outcome::TimedOut),
     };
     let Ok(mut connection) = acquired else { return Err(Outcome::Unreachable) };
     let is_fresh = !connection.is_reused;
-    if is_fresh && !ticket.confirm().await {
-        return Err(Outcome::Unreachable);
+    let identity = plan.needs_identity().then(|| connection.identity());
+    if is_fresh || identity.is_some() {
+        match confirm(&connection, call, ticket, identity).await {
+            Ok(()) => {}
+            Err(Outcome::OtherProcess) => {
+                pool.release(&target.id, connection, None);
+                return Err(Outcome::OtherProcess);
+            }
+            Err(outcome) => return Err(outcome),
+        }
     }
     let request = request(call, plan, target, last_event);
     let response = match timeout_at(call.deadline, connection.sender.send_request(request)).await {
@@ -127,6 +133,51 @@
     Ok(Head { status: parts.status, headers: parts.headers, attributes, body, connection })
 }
 
+/// Waits until it is known whether the request may be sent on a connection. Fails with the outcome
+/// of the attempt if it may not.
+async fn confirm(
+    connection: &Connection,
+    call: &Call,
+    ticket: &Ticket,
+    identity: Option<Identity>,
+) -> Result<(), Outcome> {
+    loop {
+        match ticket.confirm(identity, !connection.is_reused).await {
+            Confirmation::Sound => return Ok(()),
+            Confirmation::Unsound => return Err(Outcome::Unreachable),
+            Confirmation::OtherProcess => return Err(Outcome::OtherProcess),
+            Confirmation::Later => sleep(CONFIRMATION_INTERVAL).await,
+        }
+        if Instant::now() >= call.deadline {
+            return Err(Outcome::OtherProcess);
+        }
+        // The process may have ended meanwhile.
+        if connection.sender.is_closed() {
+            return Err(Outcome::Unreachable);
+        }
+    }
+}
+
+/// Returns a connection to the endpoint; one on which the process has been asked for its identity
+/// if the request depends on that.
+async fn acquire(
+    pool: &Pool,
+    call: &Call,
+    plan: &Plan,
+    target: &Target,
+) -> Result<Connection, String> {
+    // An endpoint that was tried before may write an earlier response of the same id once more
+    // on a connection that it has kept.
+    let connection = match call.tried.contains(&target.id) {
+        true => pool.connect(&target.id, target.address).await?,
+        false => pool.acquire(&target.id, target.address).await?,
+    };
+    if !plan.needs_identity() {
+        return Ok(connection);
+    }
+    pool.identify(connection, &target.id, target.address).await
+}
+
 fn request(
     call: &Call,
     plan: &Plan,
--- a/crates/relay/src/connection.rs
+++ b/crates/relay/src/connection.rs
@@ -1,9 +1,11 @@
 //! Pool of connections to endpoints.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::rc::Weak;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -15,9 +17,14 @@
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 use tokio::task::spawn_local;
+use tokio::task::yield_now;
 use tokio::time::Instant;
 use tokio::time::timeout;
 
+use crate::identity;
+use crate::identity::Failure;
+use crate::identity::Identity;
+
 /// Connect timeout. Endpoints accept within a few milliseconds, and a lost SYN is
 /// retransmitted only after a second.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
@@ -34,6 +41,9 @@
 /// Maximum number of idle connections to one endpoint.
 const MAX_IDLE: usize = 8;
 
+/// Time for which an endpoint that has stated no start isn't asked for it again.
+const UNSTATED_TIME: Duration = Duration::from_secs(3);
+
 /// A connection to an endpoint. Closed when dropped.
 #[derive(Debug)]
 pub struct Connection {
@@ -42,6 +52,32 @@
     /// Whether the connection has carried a request before.
     pub is_reused: bool,
     _driver: Driver,
+    continuity: Rc<Continuity>,
+    /// When the process at the other end started, if it has stated that on this connection, in
+    /// milliseconds since 1970.
+    started_at_ms: Option<u64>,
+}
+
+impl Connection {
+    /// Returns what is known of the process at the other end.
+    pub fn identity(&self) -> Identity {
+        Identity { started_at_ms: self.started_at_ms, since: self.continuity.since }
+    }
+}
+
+/// A time in which some connection to an endpoint was open. Connections that are opened in it
+/// lead to the same process as the earlier ones.
+#[derive(Debug)]
+struct Continuity {
+    since: Instant,
+    /// Whether the endpoint has closed or reset a connection, as at the end of its process.
+    has_ended: Cell<bool>,
+}
+
+impl Continuity {
+    fn begin() -> Rc<Continuity> {
+        Rc::new(Continuity { since: Instant::now(), has_ended: Cell::new(false) })
+    }
 }
 
 /// Handle of the task that drives a connection. Aborts the task when dropped.
@@ -64,6 +100,9 @@
 #[derive(Clone, Debug, Default)]
 pub struct Pool {
     idle: Rc<RefCell<HashMap<String, Vec<Idle>>>>,
+    continuities: Rc<RefCell<HashMap<String, Weak<Continuity>>>>,
+    /// Endpoints that have stated no start, until they are asked again.
+    unstated: Rc<RefCell<HashMap<String, Instant>>>,
 }
 
 impl Pool {
@@ -73,7 +112,51 @@
         if let Some(connection) = self.take_idle(id) {
             return Ok(connection);
         }
-        connect(address).await
+        self.connect(id, address).await
+    }
+
+    /// Opens a new connection to the endpoint.
+    pub async fn connect(&self, id: &str, address: SocketAddr) -> Result<Connection, String> {
+        let stream = open(address).await?;
+        // Connections whose end the kernel has received by now are noticed to have ended.
+        yield_now().await;
+        let known = self.continuities.borrow().get(id).and_then(Weak::upgrade);
+        let continuity = known.filter(|it| !it.has_ended.get()).unwrap_or_else(Continuity::begin);
+        self.continuities.borrow_mut().insert(id.to_owned(), Rc::downgrade(&continuity));
+        handshake(stream, continuity).await
+    }
+
+    /// Returns a connection on which the process at the other end has stated when it started,
+    /// unless the endpoint doesn't state that.
+    pub async fn identify(
+        &self,
+        mut connection: Connection,
+        id: &str,
+        address: SocketAddr,
+    ) -> Result<Connection, String> {
+        loop {
+            let now = Instant::now();
+            let is_unstated = self.unstated.borrow().get(id).is_some_and(|it| now < *it);
+            if connection.started_at_ms.is_some() || is_unstated {
+                return Ok(connection);
+            }
+            match identity::ask(&mut connection, address).await {
+                Ok(started_at_ms) => {
+                    connection.started_at_ms = Some(started_at_ms);
+                    return Ok(connection);
+                }
+                // The endpoint may have closed a connection that was idle.
+                Err(Failure::Unusable) if connection.is_reused => {}
+                Err(failure) => {
+                    let until = Instant::now() + UNSTATED_TIME;
+                    self.unstated.borrow_mut().insert(id.to_owned(), until);
+                    if failure == Failure::NotStated {
+                        return Ok(connection);
+                    }
+                }
+            }
+            connection = self.connect(id, address).await?;
+        }
     }
 
     /// Returns a connection whose response was read completely to the pool.
@@ -100,6 +183,8 @@
             connections.retain(|it| now < it.expires_at && !it.connection.sender.is_closed());
         }
         idle.retain(|_, connections| !connections.is_empty());
+        self.continuities.borrow_mut().retain(|_, it| it.strong_count() > 0);
+        self.unstated.borrow_mut().retain(|_, it| now < *it);
     }
 
     fn take_idle(&self, id: &str) -> Option<Connection> {
@@ -116,20 +201,31 @@
     }
 }
 
-/// Opens a connection.
+/// Opens a connection that has nothing to do with others.
 pub async fn connect(address: SocketAddr) -> Result<Connection, String> {
+    handshake(open(address).await?, Continuity::begin()).await
+}
+
+async fn open(address: SocketAddr) -> Result<TcpStream, String> {
     let stream = match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
         Ok(Ok(stream)) => stream,
         Ok(Err(error)) => return Err(error.to_string()),
         Err(_) => return Err("no connection within the timeout".to_owned()),
     };
     configure_socket(&stream, SILENCE_TIMEOUT);
+    Ok(stream)
+}
+
+async fn handshake(stream: TcpStream, continuity: Rc<Continuity>) -> Result<Connection, String> {
     let handshake =
         http1::Builder::new().max_buf_size(MAX_BUFFER_BYTES).handshake(TokioIo::new(stream));
     let (sender, driver) = handshake.await.map_err(|it| it.to_string())?;
+    let driven = Rc::clone(&continuity);
     let task = spawn_local(async move {
         // An error also reaches the request that waits for the response.
         let _ = driver.await;
+        driven.has_ended.set(true);
     });
-    Ok(Connection { sender, is_reused: false, _driver: Driver(task.abort_handle()) })
+    let driver = Driver(task.abort_handle());
+    Ok(Connection { sender, is_reused: false, _driver: driver, continuity, started_at_ms: None })
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod event;
 pub mod exchange;
 pub mod hop;
+pub mod identity;
 pub mod open;
 pub mod server;
 
--- a/crates/relay/tests/attempt.rs
+++ b/crates/relay/tests/attempt.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use http::HeaderMap;
 use http::Method;
+use relay::admission::Confirmation;
 use relay::admission::Message;
 use relay::admission::Outcome;
 use relay::admission::Plan;
@@ -64,7 +65,8 @@
 async fn answer(mut messages: UnboundedReceiver<Message>, is_usable: bool) {
     while let Some(message) = messages.recv().await {
         if let Message::Confirm { reply, .. } = message {
-            reply.send(is_usable).unwrap();
+            let confirmation = if is_usable { Confirmation::Sound } else { Confirmation::Unsound };
+            reply.send(confirmation).unwrap();
         }
     }
 }
