Treat a process whose entry was not read yet as an instance of its own

A review of the fix found places where the former entry still counted: a daemon that knows nothing of a stream took the only version that it knew, a failed question marked an endpoint as one that states no start for 3 s, streams that began at a process that states none were bound to the entry's version at once, and what a restarted process stated (limits, pauses, leaving) or crashed under was dropped or put down to the instance before.

The list of endpoints now holds the later process as soon as it has stated its start, with an empty version until its entry is read, so that statements, evidence, caches and load belong to it. Other daemons are always asked for a stream that this one doesn't know, and the only version isn't concluded while an endpoint's connections broke or a process is unread. After an outage of the store, the list counts as complete only once entries had time to be written again. Waits end in time for the caller's limit.

--- a/crates/balance/src/choose.rs
+++ b/crates/balance/src/choose.rs
@@ -143,7 +143,6 @@
             && it.is_usable(now)
             && it.declines_for(now).is_none()
             && query.requirement.admits(&it.endpoint.software)
-            && !(it.has_restarted && *query.requirement != Requirement::Any)
             && !query.tried.contains(&it.endpoint.id)
             && !query.exhausted.contains(it.endpoint.id.as_str())
     };
--- a/crates/balance/src/origin.rs
+++ b/crates/balance/src/origin.rs
@@ -220,6 +220,13 @@
         let by_key = &mut self.by_key;
         by_key.retain(|_, it| now < it.expires_at);
         self.order.retain(|it| by_key.contains_key(it));
+        self.unread.retain(|it| by_key.contains_key(it));
+    }
+
+    /// Whether a stream of the service began at a process whose entry was not read yet.
+    pub fn has_unread(&self, service: &str) -> bool {
+        let origins = self.unread.iter().filter_map(|it| self.by_key.get(it));
+        origins.into_iter().any(|it| it.origin.service == service)
     }
 
     /// Returns the number of streams.
--- a/crates/balance/src/pool.rs
+++ b/crates/balance/src/pool.rs
@@ -41,8 +41,6 @@
     pub instance: Instance,
     /// The instance whose description this one has replaced, and its software version.
     pub replaced: Option<(Instance, String)>,
-    /// Whether a later process has answered in its place, whose entry was not read yet.
-    pub has_restarted: bool,
     /// Whether the list contains its entry.
     pub listed: bool,
     /// Whether the endpoint is known to be leaving, from its description or from
@@ -95,7 +93,6 @@
         Member {
             instance: endpoint.instance(),
             replaced: None,
-            has_restarted: false,
             endpoint,
             listed: true,
             leaving,
@@ -112,6 +109,18 @@
         }
     }
 
+    /// Returns the state of a later instance, which has the requests that are outstanding.
+    fn replace(&self, endpoint: Endpoint) -> Member {
+        let replaced = Some((self.instance, self.endpoint.software.clone()));
+        Member { own_load: self.own_load, replaced, ..Member::new(endpoint) }
+    }
+
+    /// Whether the entry of the process was not read yet, so that its software version is not
+    /// known.
+    pub fn is_unread(&self) -> bool {
+        self.endpoint.software.is_empty()
+    }
+
     /// Whether the endpoint may receive new requests.
     pub fn is_usable(&self, now: Instant) -> bool {
         !self.leaving
@@ -292,6 +301,20 @@
         Effect::Left
     }
 
+    /// Records that a later process has answered in the place of the one that an endpoint's entry
+    /// describes. Its software version is empty until its own entry is read.
+    pub fn record_restart(&mut self, id: &str, started_at_ms: u64) -> Effect {
+        let Some(member) = self.members.get_mut(id) else { return Effect::Unchanged };
+        if member.leaving || member.endpoint.started_at_ms >= started_at_ms {
+            return Effect::Unchanged;
+        }
+        let software = String::new();
+        let later = Endpoint { started_at_ms, software, ..member.endpoint.clone() };
+        let (listed, expires_at) = (member.listed, member.expires_at);
+        *member = Member { listed, expires_at, ..member.replace(later) };
+        Effect::Joined
+    }
+
     /// Returns the latest removals that other daemons have to know of after the store has
     /// returned from an older copy, which may contain the endpoints.
     pub fn removal_notices(&self, limit: usize) -> Vec<Notice> {
@@ -493,17 +516,16 @@
         if endpoint.started_at_ms < member.endpoint.started_at_ms {
             return Effect::Unchanged;
         }
+        let is_read = member.is_unread() && !endpoint.software.is_empty();
         let is_new_instance = endpoint.started_at_ms > member.endpoint.started_at_ms
             || endpoint.address != member.endpoint.address
             || endpoint.service != member.endpoint.service
-            || endpoint.software != member.endpoint.software;
+            || endpoint.software != member.endpoint.software && !is_read;
         if is_new_instance {
-            let own_load = member.own_load;
-            let replaced = Some((member.instance, member.endpoint.software.clone()));
-            *member = Member { own_load, replaced, ..Member::new(endpoint) };
+            *member = member.replace(endpoint);
             return if member.leaving { Effect::Left } else { Effect::Joined };
         }
-        let was_usable = !member.leaving && member.listed;
+        let was_usable = !member.leaving && member.listed && !is_read;
         member.listed = true;
         member.expires_at = None;
         member.leaving |= endpoint.leaving;
--- a/crates/balance/src/software.rs
+++ b/crates/balance/src/software.rs
@@ -99,7 +99,9 @@
             return false;
         }
         let before = std::mem::replace(&mut self.serving, serving);
-        for version in before.difference(&self.serving) {
+        // The version of a process whose entry was not read, which is empty, turns out later.
+        let is_known = |(_, software): &&(String, String)| !software.is_empty();
+        for version in before.difference(&self.serving).filter(is_known) {
             self.left.insert(version.clone(), now);
         }
         self.limit_size();
@@ -115,7 +117,7 @@
             return None;
         }
         let mut serving = self.serving.iter().filter(|(it, _)| it == service);
-        let (_, sole) = serving.next()?;
+        let (_, sole) = serving.next().filter(|(_, software)| !software.is_empty())?;
         let has_left = |(name, software): &(String, String), at: Instant| {
             name == service && software != sole && now < at + window
         };
@@ -156,7 +158,8 @@
             software: software.clone(),
             age_ms,
         };
-        let serving = self.serving.iter().map(|it| version(it, 0));
+        let serving = self.serving.iter().filter(|(_, software)| !software.is_empty());
+        let serving = serving.map(|it| version(it, 0));
         let left = self.left.iter().filter(|(it, _)| !self.serving.contains(*it));
         let left = left.map(|(it, at)| version(it, age_ms(*at).max(1)));
         Notice { covered_ms, versions: serving.chain(left).collect() }
--- a/crates/front/src/broker/identity.rs
+++ b/crates/front/src/broker/identity.rs
@@ -18,8 +18,20 @@
 /// Time after the start of a process within which its entry is in the store and in the lists of
 /// all daemons.
 pub(super) const REGISTRATION_TIME: Duration = Duration::from_secs(2);
-/// How long a request waits until the process of an endpoint that states no start is known.
-const MAX_WAIT: Duration = Duration::from_secs(4);
+/// How long a request waits in all until the processes of endpoints that state no start are known.
+const MAX_WAIT: Duration = Duration::from_secs(3);
+/// Maximum time by which the clock of an endpoint is ahead of this daemon's.
+const MAX_CLOCK_LEAD: Duration = Duration::from_secs(60);
+
+/// Until when this daemon knows all endpoints that there were.
+#[derive(Debug, Default)]
+pub(super) struct Listing {
+    complete_until: Option<Instant>,
+    /// When the list could be relied on again after an outage.
+    resumed_at: Option<Instant>,
+    /// Era of the store.
+    era: Option<u64>,
+}
 
 impl Broker {
     /// Whether a request may be sent on a connection to this process of its endpoint.
@@ -32,29 +44,43 @@
     ) -> Confirmation {
         let Some(pending) = self.requests.get_mut(&ticket) else { return Confirmation::Unsound };
         pending.is_fresh |= is_fresh;
-        if !self.may_be_sent(ticket, now) {
-            return Confirmation::Unsound;
+        let confirmation = self.confirm_endpoint(ticket, now);
+        if confirmation != Confirmation::Sound {
+            return confirmation;
         }
         let Some(Identity { started_at_ms, since }) = identity else { return Confirmation::Sound };
         match started_at_ms.filter(|_| self.is_start_described(ticket)) {
-            Some(started_at_ms) => self.confirm_stated(ticket, started_at_ms),
+            Some(started_at_ms) => self.confirm_stated(ticket, started_at_ms, now),
             None => self.confirm_unstated(ticket, since.into_std(), now),
         }
     }
 
-    /// Updates until when the list of endpoints is known to be complete.
+    /// Updates until when the list of endpoints is known to be complete. After an outage of the
+    /// store, entries are written again within [`REGISTRATION_TIME`].
     pub(super) fn track_list(&mut self, now: Instant) {
-        let Some(age) = self.read_age(now) else { return };
-        let version = self.pool.roster_version;
-        if self.freshness.is_fresh(version, Some(age), clock::since_boot()) {
-            self.list_complete_until = self.list_complete_until.max(now.checked_sub(age));
+        let (version, age) = (self.pool.roster_version, self.read_age(now));
+        let era = self.context.eras.latest();
+        let is_fresh = self.freshness.is_fresh(version, age, clock::since_boot());
+        let listing = &mut self.listing;
+        if !is_fresh || listing.era != era {
+            listing.resumed_at = listing.complete_until.map(|_| now);
+            listing.era = era;
+        }
+        let has_settled = listing.resumed_at.is_none_or(|it| now >= it + REGISTRATION_TIME);
+        if let Some(age) = age.filter(|_| is_fresh && has_settled) {
+            listing.complete_until = listing.complete_until.max(now.checked_sub(age));
         }
     }
 
+    /// Whether the entry of a process that had started by then has been read.
+    pub(super) fn is_registered(&self, started_by: Instant) -> bool {
+        self.listing.complete_until.is_some_and(|it| started_by + REGISTRATION_TIME <= it)
+    }
+
     /// Records the software version of an endpoint's instance, for streams that began there
     /// before its entry was read.
     pub(super) fn learn_software(&mut self, id: &str) {
-        let Some(member) = self.pool.member(id) else { return };
+        let Some(member) = self.pool.member(id).filter(|it| !it.is_unread()) else { return };
         let (instance, software) = (member.endpoint.confirmed(), &member.endpoint.software);
         self.origins.learn(instance, software);
         let is_unread = |it: &&mut Pending| it.confirmed == Some(instance) && it.is_unread();
@@ -67,28 +93,30 @@
     }
 
     /// Whether a request may still be sent to the endpoint to which it was assigned.
-    fn may_be_sent(&self, ticket: u64, now: Instant) -> bool {
-        let Some(pending) = self.requests.get(&ticket) else { return false };
+    fn confirm_endpoint(&self, ticket: u64, now: Instant) -> Confirmation {
+        let Some(pending) = self.requests.get(&ticket) else { return Confirmation::Unsound };
         if self.is_rejected(pending, now) {
             metrics::count("crash", "rejected_before_send");
             spdlog::info!("request rejected before it was sent",
                 kv: { request = pending.attributes.id.as_str() });
-            return false;
+            return Confirmation::Unsound;
         }
         let is_current = |it: &Member| {
             it.instance == pending.instance && it.endpoint.software == pending.software
         };
         let member = self.pool.member(&pending.endpoint);
-        if member.is_some_and(|it| is_current(it) && it.is_usable(now)) {
-            return true;
-        }
+        let confirmation = match member.filter(|it| it.is_usable(now)) {
+            Some(member) if is_current(member) => return Confirmation::Sound,
+            Some(_) => Confirmation::OtherProcess,
+            None => Confirmation::Unsound,
+        };
         metrics::count("endpoint", "left_before_send");
         spdlog::info!("endpoint left before the request was sent", kv: {
             request = pending.attributes.id.as_str(),
             endpoint = pending.endpoint.as_str(),
             waited_ms = now.saturating_duration_since(pending.sent_at).as_millis() as u64,
         });
-        false
+        confirmation
     }
 
     /// Whether the entry of a request's endpoint states when the process started.
@@ -99,21 +127,17 @@
     }
 
     /// Compares the start that the process has stated with its endpoint's entry.
-    fn confirm_stated(&mut self, ticket: u64, started_at_ms: u64) -> Confirmation {
+    fn confirm_stated(&mut self, ticket: u64, started_at_ms: u64, now: Instant) -> Confirmation {
         let Some(pending) = self.requests.get_mut(&ticket) else { return Confirmation::Unsound };
-        let Some(member) = self.pool.member_mut(&pending.endpoint) else {
+        let Some(member) = self.pool.member(&pending.endpoint) else {
             return Confirmation::Unsound;
         };
         let described_ms = member.endpoint.started_at_ms;
-        let is_described = described_ms == started_at_ms;
         let is_bound = pending.requirement != Requirement::Any;
-        if is_described || !is_bound {
-            pending.confirmed = Some(Instance::confirmed(&pending.endpoint, started_at_ms));
-        }
-        if is_described {
+        if described_ms == started_at_ms {
+            pending.confirmed = Some(member.endpoint.confirmed());
             return Confirmation::Sound;
         }
-        member.has_restarted |= started_at_ms > described_ms;
         metrics::count("identity", "not_described");
         spdlog::info!("the endpoint's process is not the one that its entry describes", kv: {
             request = pending.attributes.id.as_str(),
@@ -123,25 +147,35 @@
             requires = pending.requirement.name(),
             entry = member.endpoint.version,
         });
-        if is_bound {
-            return Confirmation::OtherProcess;
+        let (id, address) = (pending.endpoint.clone(), pending.address);
+        if !is_bound {
+            pending.confirmed = Some(Instance::confirmed(&id, started_at_ms));
+            pending.instance = Instance::described(&id, started_at_ms, address);
+            pending.software.clear();
         }
-        pending.instance = Instance::described(&pending.endpoint, started_at_ms, pending.address);
-        pending.software.clear();
-        Confirmation::Sound
+        let now_ms = self.clock.now_ms(clock::since_boot());
+        let latest_ms = now_ms.saturating_add(MAX_CLOCK_LEAD.as_millis() as i64);
+        if i64::try_from(started_at_ms).is_ok_and(|it| it <= latest_ms) {
+            let effect = self.pool.record_restart(&id, started_at_ms);
+            self.handle_effects(vec![(id, effect)], "endpoint", now);
+        }
+        if is_bound { Confirmation::OtherProcess } else { Confirmation::Sound }
     }
 
     /// Concludes from a list that was complete some time after the first connection to a process
     /// whether it is the one that its endpoint's entry describes.
-    fn confirm_unstated(&self, ticket: u64, since: Instant, now: Instant) -> Confirmation {
-        let Some(pending) = self.requests.get(&ticket) else { return Confirmation::Unsound };
-        let registered_at = since + REGISTRATION_TIME;
-        if pending.requirement == Requirement::Any
-            || self.list_complete_until.is_some_and(|it| registered_at <= it)
-        {
+    fn confirm_unstated(&mut self, ticket: u64, since: Instant, now: Instant) -> Confirmation {
+        let is_described = self.is_registered(since);
+        let Some(pending) = self.requests.get_mut(&ticket) else { return Confirmation::Unsound };
+        if is_described {
+            let member = self.pool.member(&pending.endpoint);
+            pending.confirmed = member.map(|it| it.endpoint.confirmed());
+            return Confirmation::Sound;
+        }
+        if pending.requirement == Requirement::Any {
             return Confirmation::Sound;
         }
-        if now < pending.sent_at + MAX_WAIT {
+        if now < *pending.confirm_until.get_or_insert(now + MAX_WAIT) {
             return Confirmation::Later;
         }
         metrics::count("identity", "not_known");
@@ -150,7 +184,7 @@
             request = pending.attributes.id.as_str(),
             endpoint = pending.endpoint.as_str(),
             connected_ms = now.saturating_duration_since(since).as_millis() as u64,
-            list_age_ms = self.list_complete_until
+            list_age_ms = self.listing.complete_until
                 .map_or(-1, |it| now.saturating_duration_since(it).as_millis() as i64),
             requires = pending.requirement.name(),
         });
--- a/crates/front/src/broker/mod.rs
+++ b/crates/front/src/broker/mod.rs
@@ -241,8 +241,7 @@
     reads_since: Option<Instant>,
     /// Whether this daemon's list of endpoints can be relied on.
     freshness: Freshness,
-    /// Until when this daemon's list of endpoints is known to be complete.
-    list_complete_until: Option<Instant>,
+    listing: identity::Listing,
     settling: Settling,
     /// Number of dropped log lines already reported, and the time of the last report.
     reported_drops: (u64, Instant),
@@ -328,7 +327,7 @@
             stated_read_at: None,
             reads_since: None,
             freshness: Freshness::new(since_boot),
-            list_complete_until: None,
+            listing: identity::Listing::default(),
             settling: Settling::default(),
             reported_drops: (0, now),
             era: era::View::default(),
--- a/crates/front/src/broker/origins.rs
+++ b/crates/front/src/broker/origins.rs
@@ -200,6 +200,9 @@
                 false => Requirement::Exactly(pending.software.clone()),
             };
         }
+        if pending.confirmed.is_none() {
+            pending.unconfirmed_origin = Some((pending.instance, now));
+        }
         let Some(key) = pending.stream else { return };
         let origin = Origin {
             service: pending.service.clone(),
@@ -420,8 +423,7 @@
             return None;
         }
         let stream = stream_key(&found, attributes)?;
-        let is_known = self.origins.get(stream, now).is_some();
-        (!is_known && self.sole_version(&found, now).is_none()).then_some(stream)
+        self.origins.get(stream, now).is_none().then_some(stream)
     }
 
     /// Returns the only software version that can have begun a stream of the route. `None` as
@@ -432,6 +434,13 @@
             return None;
         }
         let window = self.stream_window();
+        // A stream that nobody knows may have begun at a process of another version whose entry
+        // was not read yet.
+        let of_service = self.pool.members().filter(|it| it.endpoint.service == found.service);
+        let may_be_unread = of_service.into_iter().any(|it| it.may_be_replaced(now));
+        if may_be_unread || self.origins.has_unread(found.service) {
+            return None;
+        }
         let moved_at = self.rerouted.get(&found.route.name);
         if moved_at.is_some_and(|it| now < *it + window) {
             return None;
--- a/crates/front/src/broker/pending.rs
+++ b/crates/front/src/broker/pending.rs
@@ -45,6 +45,10 @@
     pub(super) software: String,
     /// The current endpoint's process, if it has itself stated when it started.
     pub(super) confirmed: Option<Instance>,
+    /// End of the time in which the processes of its endpoints may become known.
+    pub(super) confirm_until: Option<Instant>,
+    /// Where it began, if the process there has not stated when it started.
+    pub(super) unconfirmed_origin: Option<(Instance, Instant)>,
     pub(super) load: Load,
     /// Prompt tokens that the endpoint computes before the request's first token: those
     /// already queued and those of this request.
@@ -99,6 +103,8 @@
             instance: Instance(0),
             software: String::new(),
             confirmed: None,
+            confirm_until: None,
+            unconfirmed_origin: None,
             load: Load::default(),
             prefill_tokens: 0,
             predicted: Duration::ZERO,
--- a/crates/front/src/broker/requests.rs
+++ b/crates/front/src/broker/requests.rs
@@ -186,7 +186,11 @@
         );
         let (service, attributes, tried) =
             (pending.service.clone(), pending.attributes.clone(), pending.tried.clone());
-        let requirement = pending.requirement.clone();
+        let (known, origin) = (pending.requirement.clone(), pending.unconfirmed_origin);
+        let requirement = match origin {
+            Some((instance, at)) if self.awaits_registration(instance, at) => Requirement::Unknown,
+            _ => known,
+        };
         let suspicion =
             self.requests.get(&ticket).and_then(|it| self.cause_to_end(it, outcome, now));
         if let Some((cause, delay)) = suspicion {
@@ -337,7 +341,8 @@
         }
         if let Some(member) = self.pool.member_mut(&endpoint) {
             member.own_load = member.own_load.minus(load);
-            if matches!(outcome, Outcome::Broken | Outcome::Unreachable) {
+            let is_current = member.instance == pending.instance;
+            if is_current && matches!(outcome, Outcome::Broken | Outcome::Unreachable) {
                 member.broke_at = Some(now);
             }
         }
--- a/crates/front/src/broker/unread.rs
+++ b/crates/front/src/broker/unread.rs
@@ -4,16 +4,18 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use balance::endpoint::Instance;
 use balance::origin::Entry;
 use balance::origin::Key;
 
 use super::Broker;
-use super::identity::REGISTRATION_TIME;
 use super::origins::Waiting;
 use crate::metrics;
 
 /// How long an arrival waits for an entry.
 const MAX_WAIT: Duration = Duration::from_millis(2_500);
+/// Share of its time limit that a request waits at most, as a divisor.
+const LIMIT_DIVISOR: u32 = 2;
 /// Maximum number of arrivals that wait.
 const MAX_ARRIVALS: usize = 1_024;
 
@@ -30,10 +32,15 @@
         if entry.origin.is_unread() {
             return true;
         }
+        self.awaits_registration(entry.origin.instance, entry.began_at())
+    }
+
+    /// Whether a process that has not stated its start, and that began a stream then, may turn out
+    /// to be another one than the one that the entry described.
+    pub(super) fn awaits_registration(&self, instance: Instance, began_at: Instant) -> bool {
         // Only instances that have not stated their start have the identity of an entry.
-        let registered_at = entry.began_at() + REGISTRATION_TIME;
-        let is_registered = self.list_complete_until.is_some_and(|it| registered_at <= it);
-        !is_registered && self.pool.members().any(|it| it.instance == entry.origin.instance)
+        let is_described = || self.pool.members().any(|it| it.instance == instance);
+        !self.is_registered(began_at) && is_described()
     }
 
     /// Lets an arrival wait for the entry of the process that began its stream. Returns it if it
@@ -54,9 +61,13 @@
         }
         let arrivals = std::mem::take(&mut self.unread_arrivals.waiting);
         for (key, waiting) in arrivals {
+            if waiting.reply.is_closed() {
+                metrics::count("origin", "caller_left");
+                continue;
+            }
             let entry = self.origins.get(key, now);
             let is_awaited = entry.is_some_and(|it| self.awaits_entry(it));
-            if is_awaited && now < waiting.since + MAX_WAIT && !waiting.reply.is_closed() {
+            if is_awaited && now < waiting.since + max_wait(&waiting) {
                 self.unread_arrivals.waiting.push((key, waiting));
             } else {
                 self.resume_arrival(waiting, now);
@@ -64,3 +75,9 @@
         }
     }
 }
+
+/// Returns how long an arrival waits, so that time is left in which it can be served.
+fn max_wait(waiting: &Waiting) -> Duration {
+    let limit = waiting.arrival.attributes.timeout;
+    limit.map_or(MAX_WAIT, |it| MAX_WAIT.min(it / LIMIT_DIVISOR))
+}
--- a/crates/relay/src/connection.rs
+++ b/crates/relay/src/connection.rs
@@ -41,6 +41,9 @@
 /// Maximum number of idle connections to one endpoint.
 const MAX_IDLE: usize = 8;
 
+/// Number of connections on which an endpoint is asked for its start, one after the other, until
+/// it has answered on one that can be used.
+const MAX_QUESTIONS: usize = 2;
 /// Time for which an endpoint that has stated no start isn't asked for it again.
 const UNSTATED_TIME: Duration = Duration::from_secs(3);
 
@@ -69,14 +72,15 @@
 /// lead to the same process as the earlier ones.
 #[derive(Debug)]
 struct Continuity {
+    address: SocketAddr,
     since: Instant,
     /// Whether the endpoint has closed or reset a connection, as at the end of its process.
     has_ended: Cell<bool>,
 }
 
 impl Continuity {
-    fn begin() -> Rc<Continuity> {
-        Rc::new(Continuity { since: Instant::now(), has_ended: Cell::new(false) })
+    fn begin(address: SocketAddr) -> Rc<Continuity> {
+        Rc::new(Continuity { address, since: Instant::now(), has_ended: Cell::new(false) })
     }
 }
 
@@ -96,11 +100,14 @@
     expires_at: Instant,
 }
 
+/// Identity and address of an endpoint.
+type Place = (String, SocketAddr);
+
 /// Idle connections to all endpoints.
 #[derive(Clone, Debug, Default)]
 pub struct Pool {
     idle: Rc<RefCell<HashMap<String, Vec<Idle>>>>,
-    continuities: Rc<RefCell<HashMap<String, Weak<Continuity>>>>,
+    continuities: Rc<RefCell<HashMap<Place, Weak<Continuity>>>>,
     /// Endpoints that have stated no start, until they are asked again.
     unstated: Rc<RefCell<HashMap<String, Instant>>>,
 }
@@ -109,7 +116,7 @@
     /// Returns the most recently used idle connection to the endpoint, or opens
     /// a new one.
     pub async fn acquire(&self, id: &str, address: SocketAddr) -> Result<Connection, String> {
-        if let Some(connection) = self.take_idle(id) {
+        if let Some(connection) = self.take_idle(id, address) {
             return Ok(connection);
         }
         self.connect(id, address).await
@@ -120,43 +127,42 @@
         let stream = open(address).await?;
         // Connections whose end the kernel has received by now are noticed to have ended.
         yield_now().await;
-        let known = self.continuities.borrow().get(id).and_then(Weak::upgrade);
-        let continuity = known.filter(|it| !it.has_ended.get()).unwrap_or_else(Continuity::begin);
-        self.continuities.borrow_mut().insert(id.to_owned(), Rc::downgrade(&continuity));
+        let place = (id.to_owned(), address);
+        let known = self.continuities.borrow().get(&place).and_then(Weak::upgrade);
+        let known = known.filter(|it| !it.has_ended.get());
+        let continuity = known.unwrap_or_else(|| Continuity::begin(address));
+        self.continuities.borrow_mut().insert(place, Rc::downgrade(&continuity));
         handshake(stream, continuity).await
     }
 
     /// Returns a connection on which the process at the other end has stated when it started,
-    /// unless the endpoint doesn't state that.
+    /// unless the endpoint doesn't state that, or hasn't on several connections.
     pub async fn identify(
         &self,
         mut connection: Connection,
         id: &str,
         address: SocketAddr,
     ) -> Result<Connection, String> {
-        loop {
+        for _ in 0..MAX_QUESTIONS {
             let now = Instant::now();
             let is_unstated = self.unstated.borrow().get(id).is_some_and(|it| now < *it);
             if connection.started_at_ms.is_some() || is_unstated {
                 return Ok(connection);
             }
             match identity::ask(&mut connection, address).await {
-                Ok(started_at_ms) => {
-                    connection.started_at_ms = Some(started_at_ms);
-                    return Ok(connection);
-                }
-                // The endpoint may have closed a connection that was idle.
-                Err(Failure::Unusable) if connection.is_reused => {}
-                Err(failure) => {
+                Ok(started_at_ms) => connection.started_at_ms = Some(started_at_ms),
+                Err(Failure::NotStated) => {
                     let until = Instant::now() + UNSTATED_TIME;
                     self.unstated.borrow_mut().insert(id.to_owned(), until);
-                    if failure == Failure::NotStated {
-                        return Ok(connection);
-                    }
                 }
+                Err(Failure::Broken) => {}
+            }
+            if connection.sender.is_ready() {
+                return Ok(connection);
             }
             connection = self.connect(id, address).await?;
         }
+        Ok(connection)
     }
 
     /// Returns a connection whose response was read completely to the pool.
@@ -187,12 +193,13 @@
         self.unstated.borrow_mut().retain(|_, it| now < *it);
     }
 
-    fn take_idle(&self, id: &str) -> Option<Connection> {
+    fn take_idle(&self, id: &str, address: SocketAddr) -> Option<Connection> {
         let now = Instant::now();
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(id)?;
         while let Some(Idle { mut connection, expires_at }) = connections.pop() {
-            if now < expires_at && connection.sender.is_ready() {
+            let is_current = connection.continuity.address == address;
+            if is_current && now < expires_at && connection.sender.is_ready() {
                 connection.is_reused = true;
                 return Some(connection);
             }
@@ -203,7 +210,7 @@
 
 /// Opens a connection that has nothing to do with others.
 pub async fn connect(address: SocketAddr) -> Result<Connection, String> {
-    handshake(open(address).await?, Continuity::begin()).await
+    handshake(open(address).await?, Continuity::begin(address)).await
 }
 
 async fn open(address: SocketAddr) -> Result<TcpStream, String> {
--- a/crates/relay/src/identity.rs
+++ b/crates/relay/src/identity.rs
@@ -9,7 +9,6 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use http_body_util::Limited;
-use hyper::body::Incoming;
 use platform::report;
 use tokio::time::Instant;
 use tokio::time::timeout;
@@ -33,34 +32,30 @@
 /// Why a process has not stated its start.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Failure {
-    /// Its response states none. The connection can be used for further requests.
+    /// Its response is none that states a start.
     NotStated,
-    /// The response is late, incomplete or something else, so that the connection can't be used.
-    Unusable,
+    /// There was no response, or only a part of one.
+    Broken,
 }
 
 /// Asks the process at the other end of a connection when it started, in milliseconds since
-/// 1970.
+/// 1970. The connection may have ended afterwards.
 pub async fn ask(connection: &mut Connection, address: SocketAddr) -> Result<u64, Failure> {
     let asked = timeout(TIMEOUT, exchange(connection, address)).await;
-    let body = asked.unwrap_or(Err(Failure::Unusable))?;
+    let body = asked.unwrap_or(Err(Failure::Broken))?;
     report::started_at_ms(&body).ok_or(Failure::NotStated)
 }
 
 async fn exchange(connection: &mut Connection, address: SocketAddr) -> Result<Bytes, Failure> {
     let request = report::request(&address.to_string());
     let response = connection.sender.send_request(request).await;
-    let (parts, body) = response.map_err(|_| Failure::Unusable)?.into_parts();
-    let is_report = report::is_report(parts.status, &parts.headers);
-    if parts.status.is_success() && !is_report {
-        return Err(Failure::Unusable);
+    let (parts, body) = response.map_err(|_| Failure::Broken)?.into_parts();
+    if !report::is_report(parts.status, &parts.headers) {
+        return Err(Failure::NotStated);
     }
-    let body = read(body).await?;
-    connection.sender.ready().await.map_err(|_| Failure::Unusable)?;
-    if is_report { Ok(body) } else { Err(Failure::NotStated) }
-}
-
-async fn read(body: Incoming) -> Result<Bytes, Failure> {
     let collected = Limited::new(body, MAX_BODY_BYTES).collect().await;
-    collected.map(|it| it.to_bytes()).map_err(|_| Failure::Unusable)
+    let body = collected.map_err(|_| Failure::Broken)?.to_bytes();
+    // Fails if the response was the last one on the connection.
+    let _ = connection.sender.ready().await;
+    Ok(body)
 }
