Reset the connections of unfinished streams to callers of HTTP/1.0

Callers of HTTP/1.0 saw status 200, some whole events and an orderly end where a stream had stopped early.

Cause: before HTTP/1.1 there are no chunks, so that only the end of the connection marks the end of a streamed response. A stream that was aborted, or whose daemon was killed, ended by a plain close.

Such a socket is closed with a linger time of zero from the first byte of the response until the socket has taken the last one, so that the kernel resets the connection however the process ends. An aborted connection stays open for 100 ms before, so that its caller receives what was written.

--- a/crates/relay/src/body.rs
+++ b/crates/relay/src/body.rs
@@ -40,6 +40,11 @@
         Payload::Buffered(Full::new(bytes))
     }
 
+    /// Whether the length of the body is unknown when its head is sent.
+    pub(crate) fn is_streamed(&self) -> bool {
+        matches!(self, Payload::Streamed(_))
+    }
+
     /// Returns the number of bytes that are not taken yet, as far as they are known.
     fn remaining(&self) -> u64 {
         match self {
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -165,6 +165,8 @@
     /// Bytes that the socket has taken since the request began, including heads and
     /// framing.
     written: Cell<u64>,
+    /// Whether only the end of the connection marks the end of the current response.
+    is_undelimited: Cell<bool>,
     ended_at: Cell<Option<Instant>>,
     sent_at: Cell<Option<Instant>>,
     cause: Cell<Cause>,
@@ -184,6 +186,7 @@
             taken: Cell::default(),
             untaken: Cell::default(),
             written: Cell::default(),
+            is_undelimited: Cell::default(),
             ended_at: Cell::default(),
             sent_at: Cell::default(),
             cause: Cell::new(Cause::Stopped),
@@ -224,6 +227,7 @@
         self.taken.set(0);
         self.untaken.set(0);
         self.written.set(0);
+        self.is_undelimited.set(false);
         self.set_stage(Stage::Body);
     }
 
@@ -232,6 +236,17 @@
         self.set_stage(Stage::Running);
     }
 
+    /// Records that only the end of the connection marks the end of the current response.
+    pub fn record_undelimited(&self) {
+        self.is_undelimited.set(true);
+    }
+
+    /// Whether the caller would take an orderly end of the connection for the end of a response
+    /// that is unfinished.
+    pub fn must_reset(&self) -> bool {
+        self.is_undelimited.get() && matches!(self.stage.get(), Stage::Running | Stage::Sending)
+    }
+
     /// Records that the HTTP library has taken bytes of the response's body.
     pub fn record_taken(&self, bytes: usize) {
         self.taken.set(self.taken.get() + bytes as u64);
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -7,6 +7,7 @@
 use http::Request;
 use http::Response;
 use http::StatusCode;
+use http::Version;
 use http::header::CONNECTION;
 use http::header::HOST;
 use http::header::HeaderValue;
@@ -49,7 +50,12 @@
     request: Request<Incoming>,
     progress: Rc<Progress>,
 ) -> Response<Tracked> {
+    let version = request.version();
     let mut response = respond(&server, request, &progress).await;
+    if version < Version::HTTP_11 && response.body().is_streamed() {
+        // Earlier versions have no chunks.
+        progress.record_undelimited();
+    }
     if server.is_closing() {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -27,6 +27,7 @@
 use tokio::task::yield_now;
 use tokio::time::Instant;
 use tokio::time::sleep;
+use tokio::time::timeout;
 use tokio::time::timeout_at;
 
 use crate::admission::Message;
@@ -49,6 +50,9 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// How long after a response its connection may wait for the caller to close it.
 const LINGER_TIME: Duration = Duration::from_millis(500);
+/// How long a connection that is about to be reset stays open, so that its caller receives what
+/// was written.
+const RESET_DELAY: Duration = Duration::from_millis(100);
 /// Maximum number of bytes that the kernel holds for a caller beyond those in flight,
 /// so that what it has taken is soon received.
 const MAX_UNSENT_BYTES: u32 = 64 * 1_024;
@@ -242,6 +246,10 @@
 /// Closing it while bytes from the caller are unread would reset the connection, which
 /// discards the end of a response that the caller has not received.
 async fn linger(mut socket: Socket, progress: &Progress) {
+    if progress.must_reset() {
+        let _ = timeout(RESET_DELAY, socket.discard()).await;
+        return;
+    }
     let Some(sent_at) = progress.sent_at() else { return };
     if matches!(progress.stage(), Stage::Running | Stage::Sending) {
         // The caller has disconnected, or the response must not look complete.
--- a/crates/relay/src/socket.rs
+++ b/crates/relay/src/socket.rs
@@ -8,7 +8,9 @@
 use std::task::Context;
 use std::task::Poll;
 use std::task::ready;
+use std::time::Duration;
 
+use socket2::SockRef;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
@@ -24,12 +26,27 @@
 pub struct Socket {
     stream: TcpStream,
     progress: Rc<Progress>,
+    /// Whether the kernel resets the connection when the socket is closed, also if the process
+    /// is killed.
+    is_reset_on_close: bool,
 }
 
 impl Socket {
     /// Wraps the stream of a caller's connection.
     pub fn new(stream: TcpStream, progress: Rc<Progress>) -> Socket {
-        Socket { stream, progress }
+        Socket { stream, progress, is_reset_on_close: false }
+    }
+
+    /// Makes the kernel reset the connection instead of closing it while the response would look
+    /// complete otherwise.
+    fn update_reset(&mut self) {
+        let must_reset = self.progress.must_reset();
+        if must_reset != self.is_reset_on_close {
+            let linger = must_reset.then_some(Duration::ZERO);
+            if SockRef::from(&self.stream).set_linger(linger).is_ok() {
+                self.is_reset_on_close = must_reset;
+            }
+        }
     }
 
     /// Reads and discards bytes until the caller closes the connection.
@@ -67,6 +84,7 @@
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
+        self.update_reset();
         let written = ready!(Pin::new(&mut self.stream).poll_write(cx, bytes))?;
         self.progress.record_written(written);
         Poll::Ready(Ok(written))
@@ -77,6 +95,7 @@
         cx: &mut Context<'_>,
         slices: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        self.update_reset();
         let written = ready!(Pin::new(&mut self.stream).poll_write_vectored(cx, slices))?;
         self.progress.record_written(written);
         Poll::Ready(Ok(written))
@@ -90,10 +109,15 @@
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         ready!(Pin::new(&mut self.stream).poll_flush(cx))?;
         self.progress.record_flush();
+        self.update_reset();
         Poll::Ready(Ok(()))
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.progress.must_reset() {
+            // The connection is reset when it is dropped.
+            return Poll::Ready(Ok(()));
+        }
         Pin::new(&mut self.stream).poll_shutdown(cx)
     }
 }
