Abort a streamed response whose task ends without a word

A caller would see a complete response if the task that relays its body ended by a panic, as a sender that was dropped marked the end of the body. No such panic is known.

Bodies now end in order only after `ChunkSender::finish`; everything else aborts the connection, as an error does.

--- a/crates/relay/src/body.rs
+++ b/crates/relay/src/body.rs
@@ -29,8 +29,9 @@
 pub enum Payload {
     /// The complete body.
     Buffered(Full<Bytes>),
-    /// Chunks of the body. An error aborts the connection, so that the caller
-    /// doesn't mistake a partial response for a complete one.
+    /// Chunks of the body. An error, or a sender that is dropped before the body is finished,
+    /// aborts the connection, so that the caller doesn't mistake a partial response for a
+    /// complete one.
     Streamed(Chunks),
 }
 
@@ -62,6 +63,7 @@
     queued: Rc<Cell<u64>>,
     /// Notified when a chunk was taken.
     taken: Rc<Notify>,
+    is_finished: Rc<Cell<bool>>,
     /// Error that ends the body once the chunks before it are written.
     error: Option<io::Error>,
 }
@@ -72,6 +74,7 @@
     sender: Sender<io::Result<Bytes>>,
     queued: Rc<Cell<u64>>,
     taken: Rc<Notify>,
+    is_finished: Rc<Cell<bool>>,
 }
 
 /// Creates a streamed body of which at most `capacity` chunks wait for the caller, and no
@@ -80,8 +83,15 @@
     let (sender, receiver) = tokio::sync::mpsc::channel(capacity);
     let queued = Rc::<Cell<u64>>::default();
     let taken = Rc::<Notify>::default();
-    let chunks = Chunks { receiver, queued: queued.clone(), taken: taken.clone(), error: None };
-    (ChunkSender { sender, queued, taken }, Payload::Streamed(chunks))
+    let is_finished = Rc::<Cell<bool>>::default();
+    let chunks = Chunks {
+        receiver,
+        queued: queued.clone(),
+        taken: taken.clone(),
+        is_finished: is_finished.clone(),
+        error: None,
+    };
+    (ChunkSender { sender, queued, taken, is_finished }, Payload::Streamed(chunks))
 }
 
 impl Chunks {
@@ -95,16 +105,20 @@
                 self.taken.notify_one();
                 Poll::Ready(Some(Ok(Frame::data(bytes))))
             }
-            Some(Err(error)) => {
-                // The HTTP library discards what it has not written when a body fails. It
-                // writes when a body has nothing to add.
-                self.error = Some(error);
-                cx.waker().wake_by_ref();
-                Poll::Pending
-            }
-            None => Poll::Ready(None),
+            Some(Err(error)) => self.fail(cx, error),
+            None if self.is_finished.get() => Poll::Ready(None),
+            None => self.fail(cx, io::ErrorKind::BrokenPipe.into()),
         }
     }
+
+    /// Ends the body with an error once the HTTP library has written the chunks before it.
+    fn fail<T>(&mut self, cx: &mut Context<'_>, error: io::Error) -> Poll<T> {
+        // The library discards what it has not written when a body fails. It writes when a
+        // body has nothing to add.
+        self.error = Some(error);
+        cx.waker().wake_by_ref();
+        Poll::Pending
+    }
 }
 
 impl ChunkSender {
@@ -124,6 +138,11 @@
         Ok(())
     }
 
+    /// Marks the body as complete.
+    pub fn finish(self) {
+        self.is_finished.set(true);
+    }
+
     /// Returns the number of bytes that wait for the caller.
     pub fn queued_bytes(&self) -> usize {
         self.queued.get() as usize
--- a/crates/relay/src/hop.rs
+++ b/crates/relay/src/hop.rs
@@ -92,7 +92,7 @@
                 Ok(bytes) => Ok(bytes),
                 Err(_) => continue,
             },
-            Ok(None) => return,
+            Ok(None) => return chunks.finish(),
             Ok(Some(Err(_))) | Err(_) => Err(io::ErrorKind::ConnectionAborted.into()),
         };
         let is_broken = chunk.is_err();
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -213,6 +213,7 @@
         let Source { endpoint, head, .. } = source;
         self.pool.release(&endpoint.id, head.connection, head.attributes.keep_alive);
         self.ticket.set_result(Outcome::served(head.attributes.is_framed), status);
+        self.chunks.finish();
     }
 
     async fn abort(mut self, outcome: Outcome, status: u16) {
