web: reset the connections of unfinished streams to callers of HTTP/1.0

Those that look for the last event of a stream were not misled.

Such a socket now has a linger time of zero until the end of the body is written, so that the kernel resets the connection. An aborted one stays open until its caller has received what was sent, for at most the write timeout.

A kill of `serve` was not tried.

--- a/crates/web/src/body.rs
+++ b/crates/web/src/body.rs
@@ -13,12 +13,14 @@
 use hyper::body::SizeHint;
 use tokio::sync::mpsc::Receiver;
 
+use crate::ending::Ending;
 use crate::server::OpenRequest;
 
 /// A response body. The request counts as open until the body and its chunks are dropped.
 pub(crate) struct ResponseBody {
     content: Content,
     truncated: bool,
+    ending: Arc<Ending>,
     open: Arc<OpenRequest>,
 }
 
@@ -45,8 +47,8 @@
 }
 
 impl ResponseBody {
-    pub(crate) fn new(content: Content, open: OpenRequest) -> ResponseBody {
-        ResponseBody { content, truncated: false, open: Arc::new(open) }
+    pub(crate) fn new(content: Content, ending: Arc<Ending>, open: OpenRequest) -> ResponseBody {
+        ResponseBody { content, truncated: false, ending, open: Arc::new(open) }
     }
 
     fn frame(&self, bytes: Bytes) -> Frame<Chunk> {
@@ -73,7 +75,10 @@
             Content::Stream(parts) => match parts.poll_recv(cx) {
                 Poll::Pending => Poll::Pending,
                 Poll::Ready(Some(Part::Chunk(bytes))) => Poll::Ready(Some(Ok(body.frame(bytes)))),
-                Poll::Ready(Some(Part::End)) => Poll::Ready(None),
+                Poll::Ready(Some(Part::End)) => {
+                    body.ending.finish();
+                    Poll::Ready(None)
+                }
                 // The stream was dropped before its end. Flush the buffered bytes first, then
                 // abort the connection so that the caller can't treat the response as complete.
                 Poll::Ready(None) if !body.truncated => {
--- a/crates/web/src/closing.rs
+++ b/crates/web/src/closing.rs
@@ -44,15 +44,10 @@
 /// after `time_limit`.
 pub(crate) async fn close(socket: TcpStream, time_limit: Duration) {
     let deadline = Instant::now() + time_limit;
-    let socket_ref = SockRef::from(&socket);
-    let _ = socket_ref.set_send_buffer_size(MIN_SEND_BUFFER);
-    while !is_received(&socket) && Instant::now() < deadline {
-        if discard(&socket) == Received::Broken {
-            return;
-        }
-        sleep(POLL_INTERVAL).await;
+    if !deliver(&socket, deadline).await {
+        return;
     }
-    let _ = socket_ref.shutdown(std::net::Shutdown::Write);
+    let _ = SockRef::from(&socket).shutdown(std::net::Shutdown::Write);
     let mut silent_since = Instant::now();
     while silent_since.elapsed() < LINGER && Instant::now() < deadline {
         match discard(&socket) {
@@ -66,6 +61,25 @@
     }
 }
 
+/// Waits until the caller has received what was sent, for at most `time_limit`, then resets the
+/// connection.
+pub(crate) async fn reset(socket: TcpStream, time_limit: Duration) {
+    deliver(&socket, Instant::now() + time_limit).await;
+    let _ = SockRef::from(&socket).set_linger(Some(Duration::ZERO));
+}
+
+/// Waits until the caller has received what was sent. Returns false if the connection is broken.
+async fn deliver(socket: &TcpStream, deadline: Instant) -> bool {
+    let _ = SockRef::from(socket).set_send_buffer_size(MIN_SEND_BUFFER);
+    while !is_received(socket) && Instant::now() < deadline {
+        if discard(socket) == Received::Broken {
+            return false;
+        }
+        sleep(POLL_INTERVAL).await;
+    }
+    true
+}
+
 /// Reads and discards some bytes without waiting for them.
 pub(crate) fn discard(socket: &TcpStream) -> Received {
     let mut bytes = [0; DISCARD_BYTES];
--- a/crates/web/src/connection.rs
+++ b/crates/web/src/connection.rs
@@ -6,6 +6,8 @@
 use std::sync::Arc;
 use std::task::Context;
 use std::task::Poll;
+use std::task::ready;
+use std::time::Duration;
 
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -20,6 +22,7 @@
 
 use crate::closing;
 use crate::closing::Received;
+use crate::ending::Ending;
 use crate::problem::Problem;
 use crate::server::BUSY_RETRY_S;
 use crate::server::Phase;
@@ -39,12 +42,15 @@
     let socket_ref = SockRef::from(&socket);
     let _ = socket_ref.set_tcp_nodelay(true);
     let _ = socket_ref.set_tcp_user_timeout(Some(limits.write_timeout));
-    let service = service_fn(move |raw| respond(raw, Arc::clone(&shared)));
+    let ending = Arc::<Ending>::default();
+    let service_ending = Arc::clone(&ending);
+    let service =
+        service_fn(move |raw| respond(raw, Arc::clone(&service_ending), Arc::clone(&shared)));
     let mut connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.read_timeout)
         .max_buf_size(MAX_HEAD_BYTES)
-        .serve_connection(TokioIo::new(Socket(socket)), service);
+        .serve_connection(TokioIo::new(Socket::new(socket, Arc::clone(&ending))), service);
     let ended = tokio::select! {
         ended = &mut connection => ended,
         () = stopped(&mut phase) => {
@@ -53,7 +59,10 @@
         }
     };
     let parts = connection.into_parts();
-    let Socket(socket) = parts.io.into_inner();
+    let Socket { socket, .. } = parts.io.into_inner();
+    if ending.must_reset() {
+        return closing::reset(socket, limits.write_timeout).await;
+    }
     let is_stopped = *phase.borrow() == Phase::Stopped;
     if is_stopped && ended.is_ok() {
         // A request that arrived while the connection was idle has not been read.
@@ -91,7 +100,31 @@
 
 /// A socket that stays open when `hyper` shuts it down, so that [`closing::close`] can wait for
 /// the caller.
-struct Socket(TcpStream);
+struct Socket {
+    socket: TcpStream,
+    ending: Arc<Ending>,
+    /// Whether the kernel resets the connection when the socket is closed, also if the process
+    /// is killed.
+    is_reset_on_close: bool,
+}
+
+impl Socket {
+    fn new(socket: TcpStream, ending: Arc<Ending>) -> Socket {
+        Socket { socket, ending, is_reset_on_close: false }
+    }
+
+    /// Makes the kernel reset the connection instead of closing it while the response would look
+    /// complete otherwise.
+    fn update_reset(&mut self) {
+        let must_reset = self.ending.must_reset();
+        if must_reset != self.is_reset_on_close {
+            let linger = must_reset.then_some(Duration::ZERO);
+            if SockRef::from(&self.socket).set_linger(linger).is_ok() {
+                self.is_reset_on_close = must_reset;
+            }
+        }
+    }
+}
 
 impl AsyncRead for Socket {
     fn poll_read(
@@ -99,7 +132,7 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.0).poll_read(cx, buf)
+        Pin::new(&mut self.socket).poll_read(cx, buf)
     }
 }
 
@@ -109,11 +142,15 @@
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.0).poll_write(cx, bytes)
+        self.update_reset();
+        Pin::new(&mut self.socket).poll_write(cx, bytes)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.0).poll_flush(cx)
+        ready!(Pin::new(&mut self.socket).poll_flush(cx))?;
+        self.ending.record_flush();
+        self.update_reset();
+        Poll::Ready(Ok(()))
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, _cx: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -125,10 +162,11 @@
         cx: &mut Context<'_>,
         parts: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.0).poll_write_vectored(cx, parts)
+        self.update_reset();
+        Pin::new(&mut self.socket).poll_write_vectored(cx, parts)
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.0.is_write_vectored()
+        self.socket.is_write_vectored()
     }
 }
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -10,6 +10,7 @@
 mod body;
 mod closing;
 mod connection;
+mod ending;
 mod error;
 
 pub use error::Error;
--- a/crates/web/src/server.rs
+++ b/crates/web/src/server.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 
 use hyper::Response;
+use hyper::Version;
 use hyper::body::Incoming;
 use hyper::header::CONNECTION;
 use hyper::header::HeaderValue;
@@ -27,6 +28,7 @@
 use crate::body::ResponseBody;
 use crate::closing;
 use crate::connection;
+use crate::ending::Ending;
 use crate::problem::Outcome;
 use crate::problem::Problem;
 use crate::request;
@@ -251,9 +253,11 @@
 /// Serves one request.
 pub(crate) async fn respond(
     raw: hyper::Request<Incoming>,
+    ending: Arc<Ending>,
     shared: Arc<Shared>,
 ) -> Result<Response<ResponseBody>, Infallible> {
     let limits = shared.limits;
+    let version = raw.version();
     let open = OpenRequest::new(&shared);
     let (sender, receiver) = oneshot::channel();
     let responder = Responder::new(sender, limits.write_timeout);
@@ -274,7 +278,11 @@
         Ok(response) => response,
         Err(_) => interrupted(limits.write_timeout).await,
     };
-    let mut response = response.map(|content| ResponseBody::new(content, open));
+    if version < Version::HTTP_11 && matches!(response.body(), Content::Stream(_)) {
+        // Earlier versions have no chunks.
+        ending.begin_undelimited();
+    }
+    let mut response = response.map(|content| ResponseBody::new(content, ending, open));
     if *shared.phase.borrow() != Phase::Serving {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
--- a/crates/web/tests/edge/caller.rs
+++ b/crates/web/tests/edge/caller.rs
@@ -1,5 +1,6 @@
 //! A caller that writes HTTP by hand, so that it can also violate the protocol.
 
+use std::io::ErrorKind;
 use std::io::Read;
 use std::io::Write;
 use std::net::TcpStream;
@@ -64,6 +65,13 @@
         String::from_utf8_lossy(&response).into_owned()
     }
 
+    /// Reads until the server closes the connection. Fails if it doesn't close it in order.
+    pub fn read_to_orderly_end(&mut self) -> Result<String, ErrorKind> {
+        let mut response = String::new();
+        self.0.read_to_string(&mut response).map_err(|it| it.kind())?;
+        Ok(response)
+    }
+
     /// Reads the first bytes of a response.
     pub fn read_some(&mut self) {
         let mut bytes = [0; 16];
--- a/crates/web/tests/edge/main.rs
+++ b/crates/web/tests/edge/main.rs
@@ -3,6 +3,7 @@
 mod caller;
 mod closing;
 
+use std::io::ErrorKind;
 use std::sync::Arc;
 use std::sync::mpsc::Receiver;
 use std::sync::mpsc::channel;
@@ -18,6 +19,10 @@
 
 const BODY_BYTES: usize = 1000;
 const CONNECTIONS: usize = 8;
+/// Number of chunks of a finished stream, more than are buffered for a caller.
+const STREAM_CHUNKS: usize = 200;
+/// Number of finished streams.
+const REPETITIONS: usize = 20;
 const READ_TIMEOUT: Duration = Duration::from_millis(400);
 /// Far beyond every limit of the server, but ends a failing test.
 const TEST_TIMEOUT: Duration = Duration::from_secs(10);
@@ -129,6 +134,41 @@
     assert!(!response.ends_with("0\r\n\r\n"), "a truncated stream looks complete");
 }
 
+/// Guards against an orderly end, which is all that marks the end of a stream before HTTP/1.1.
+#[test]
+fn a_stream_dropped_before_its_end_resets_a_connection_of_http_1_0() {
+    let server = start(|_, responder| {
+        let mut stream = responder.stream(200, &[]).unwrap();
+        stream.blocking_send(b"half").unwrap();
+    });
+    let mut caller = Caller::connect(&server);
+
+    caller.send("GET / HTTP/1.0\r\nHost: h\r\n\r\n");
+    let response = caller.read_to_orderly_end();
+
+    assert_eq!(response, Err(ErrorKind::ConnectionReset));
+}
+
+#[test]
+fn a_stream_to_its_end_closes_a_connection_of_http_1_0_in_order() {
+    let server = start(|_, responder| {
+        let mut stream = responder.stream(200, &[]).unwrap();
+        for _ in 0..STREAM_CHUNKS {
+            stream.blocking_send(b"part").unwrap();
+        }
+        stream.blocking_finish().unwrap();
+    });
+
+    for _ in 0..REPETITIONS {
+        let mut caller = Caller::connect(&server);
+        caller.send("GET / HTTP/1.0\r\nHost: h\r\n\r\n");
+
+        let response = caller.read_to_orderly_end().unwrap();
+
+        assert_eq!(response.matches("part").count(), STREAM_CHUNKS, "{response:?}");
+    }
+}
+
 #[test]
 fn a_disconnect_before_the_response_is_detected() {
     let (detected, receiver) = channel();
