Play restarts under one id in random fleets as the product handles them

The simulated daemons compare the start of the process with that of its entry when they send: a stream that needs a version goes to no process that the entry doesn't describe, one that begins there gets its version when the entry is read, and a caller that takes it up waits up to 2.5 s for that.

Two faults of the simulation were corrected. A daemon that started read lists that were not in the store yet; it reads the present one.

--- a/crates/balance/tests/origins/main.rs
+++ b/crates/balance/tests/origins/main.rs
@@ -18,6 +18,7 @@
 
 use crate::world::Plan;
 use crate::world::Record;
+use crate::world::Release;
 
 /// Number of seeds per plan.
 const SEEDS: u64 = 12;
@@ -189,6 +190,27 @@
     check("every 7 s", every(7));
 }
 
+#[test]
+fn streams_go_on_at_their_version_although_many_endpoints_restart_at_once() {
+    for downtime in [0, 600, 2_000].map(Duration::from_millis) {
+        for max_outage in [Duration::ZERO, 5 * SECOND] {
+            let releases = Some(Release { downtime, max_outage });
+            let calm = Plan { releases, ..Plan::default() };
+            let name = |trouble: &str| format!("{releases:?}, {trouble}");
+            check(&name("no other trouble"), calm);
+            check(&name("all daemons are killed at once"), Plan { kills_all: true, ..calm });
+            let all = Plan {
+                replacements: true,
+                restarts: Some(2 * SECOND),
+                kills_half: true,
+                max_delay: SECOND / 2,
+                ..calm
+            };
+            check(&name("all together"), all);
+        }
+    }
+}
+
 /// Plays a plan with several seeds.
 fn check(name: &str, plan: Plan) {
     for seed in 0..SEEDS {
--- a/crates/balance/tests/origins/world.rs
+++ b/crates/balance/tests/origins/world.rs
@@ -1,10 +1,13 @@
 //! Daemons, endpoints of several versions, and callers that take up streams, in simulated time.
 
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
 
 use balance::endpoint::Endpoint;
+use balance::endpoint::Instance;
 use balance::endpoint::Roster;
 use balance::origin;
 use balance::origin::Key;
@@ -37,10 +40,16 @@
 /// Number of daemons that are asked, likewise.
 const QUERIED: [usize; 2] = [7, 5];
 
+/// Interval at which releases begin.
+const RELEASE_INTERVAL: Duration = Duration::from_secs(10);
+/// Maximum time between restarts of a release.
+const MAX_GAP_MS: u64 = 300;
 /// Time for which an endpoint is down before it restarts under its id.
 const DOWNTIME: Duration = Duration::from_secs(2);
 /// Number of endpoints to which a request is sent at most.
 const ATTEMPTS: usize = 3;
+/// How long a caller that takes up a stream waits for the entry of the process that began it.
+const ENTRY_WAIT: Duration = Duration::from_millis(2_500);
 /// Share of streams that break in each step.
 const BREAK_SHARE: f64 = 0.01;
 
@@ -59,6 +68,8 @@
     /// Interval at which endpoints restart under their ids with another version, of which
     /// daemons hear late.
     pub unnoticed_restarts: Option<Duration>,
+    /// Releases, in which some to most endpoints restart under their ids.
+    pub releases: Option<Release>,
     /// Maximum delay of messages between daemons.
     pub max_delay: Duration,
 }
@@ -72,11 +83,21 @@
             kills_half: false,
             kills_all: false,
             unnoticed_restarts: None,
+            releases: None,
             max_delay: Duration::from_millis(50),
         }
     }
 }
 
+/// Restarts of several endpoints with other versions, one soon after the other.
+#[derive(Clone, Copy, Debug)]
+pub struct Release {
+    /// Time for which each endpoint is down.
+    pub downtime: Duration,
+    /// Maximum time from the begin of a release in which no entry can be read.
+    pub max_outage: Duration,
+}
+
 /// What was seen in a simulation.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Record {
@@ -108,6 +129,30 @@
     seen: usize,
 }
 
+impl Daemon {
+    /// Reads the next roster.
+    fn read(&mut self, roster: &Roster, began: Instant, now: Instant) {
+        self.seen += 1;
+        let effects = self.pool.replace(roster.clone(), now, now);
+        self.history.observe(&self.pool, now);
+        for (id, _) in effects {
+            let Some(member) = self.pool.member_mut(&id) else { continue };
+            if let Some((instance, software)) = member.replaced.take()
+                && software != member.endpoint.software
+            {
+                let started = Duration::from_millis(member.endpoint.started_at_ms);
+                self.origins.doubt(instance, began + started);
+            }
+            self.origins.learn(member.endpoint.confirmed(), &member.endpoint.software);
+        }
+    }
+
+    /// Returns the version of a stream; an empty one until the entry of its endpoint is read.
+    fn version(&self, key: Key, now: Instant) -> Option<String> {
+        self.origins.get(key, now).and_then(|it| it.origin.software.clone())
+    }
+}
+
 struct Stream {
     key: Key,
     software: String,
@@ -116,6 +161,15 @@
     ends_at: Duration,
 }
 
+/// A caller that waits at a daemon for an entry.
+struct Waiting {
+    daemon: String,
+    until: Duration,
+    /// Whether the stream counts as taken up.
+    counts: bool,
+    stream: Stream,
+}
+
 struct Message {
     at: Duration,
     to: String,
@@ -133,9 +187,14 @@
     endpoints: Vec<Endpoint>,
     /// Rosters with the time from which on daemons see them.
     rosters: Vec<(Duration, Roster)>,
+    /// Endpoints that are yet to restart, with the time.
+    restarts: Vec<(Duration, usize)>,
+    /// End of the time in which no entry can be read.
+    outage_until: Duration,
     streams: Vec<Stream>,
     /// Broken streams and when they are taken up.
     broken: Vec<(Duration, Stream)>,
+    waiting: Vec<Waiting>,
     messages: Vec<Message>,
     next_id: u64,
     next_version: u32,
@@ -152,8 +211,11 @@
         daemons: Vec::new(),
         endpoints: Vec::new(),
         rosters: Vec::new(),
+        restarts: Vec::new(),
+        outage_until: Duration::ZERO,
         streams: Vec::new(),
         broken: Vec::new(),
+        waiting: Vec::new(),
         messages: Vec::new(),
         next_id: 0,
         next_version: 3,
@@ -181,7 +243,18 @@
             self.replace_endpoint();
         }
         if self.plan.unnoticed_restarts.is_some_and(is_due) {
-            self.restart_endpoint();
+            let index = self.rng.random_range(0..self.endpoints.len());
+            self.restart_endpoint(index, DOWNTIME);
+        }
+        if let Some(release) = self.plan.releases {
+            if is_due(RELEASE_INTERVAL) && step > 0 {
+                self.begin_release(release);
+            }
+            for (_, index) in
+                self.restarts.extract_if(.., |(at, _)| self.now >= *at).collect::<Vec<_>>()
+            {
+                self.restart_endpoint(index, release.downtime);
+            }
         }
         if let Some(interval) = self.plan.restarts
             && is_due(interval)
@@ -200,6 +273,7 @@
         self.deliver();
         (0..3).for_each(|_| self.begin_stream());
         self.break_streams();
+        self.end_waits();
         self.take_up();
         self.tell();
     }
@@ -254,20 +328,33 @@
         self.break_where(|it| it.endpoint == (former.id.clone(), former.started_at_ms));
     }
 
-    fn restart_endpoint(&mut self) {
-        let index = self.rng.random_range(0..self.endpoints.len());
+    fn begin_release(&mut self, release: Release) {
+        let count = self.rng.random_range(1..self.endpoints.len());
+        let first = self.rng.random_range(0..self.endpoints.len());
+        let outage_ms = self.rng.random_range(0..=release.max_outage.as_millis() as u64);
+        self.outage_until = self.now + Duration::from_millis(outage_ms);
+        let mut at = self.now;
+        for index in first..first + count {
+            self.restarts.push((at, index % self.endpoints.len()));
+            at += Duration::from_millis(self.rng.random_range(0..=MAX_GAP_MS));
+        }
+    }
+
+    /// Restarts an endpoint under its id, with another version.
+    fn restart_endpoint(&mut self, index: usize, downtime: Duration) {
         let former = self.endpoints[index].clone();
         let software = if former.software == "v1" { "v2" } else { "v1" };
-        let up_at = self.now + DOWNTIME;
+        let up_at = self.now + downtime;
         self.endpoints[index] = endpoint(&former.id, software, up_at.as_millis() as u64);
-        self.publish(DOWNTIME);
+        self.publish(downtime);
         self.break_where(|it| it.endpoint == (former.id.clone(), former.started_at_ms));
     }
 
     fn publish(&mut self, delay: Duration) {
         let version = self.rosters.len() as u64 + 1;
         let endpoints = self.endpoints.clone();
-        self.rosters.push((self.now + delay, Roster { version, endpoints }));
+        let at = (self.now + delay).max(self.outage_until);
+        self.rosters.push((at, Roster { version, endpoints }));
     }
 
     fn read_rosters(&mut self) {
@@ -275,21 +362,15 @@
         let max_ms = MAX_ENTRY_DELAY_MS[usize::from(self.daemons.len() > SMALL_FLEET)];
         for daemon in &mut self.daemons {
             let delay = Duration::from_millis(self.rng.random_range(0..max_ms));
-            let is_new = daemon.seen == 0;
+            if daemon.seen == 0 {
+                // A daemon that starts reads the list as it is.
+                daemon.seen = self.rosters.iter().take_while(|(at, _)| self.now >= *at).count() - 1;
+                daemon.read(&self.rosters[daemon.seen].1, self.began, now);
+            }
             while let Some((at, roster)) = self.rosters.get(daemon.seen)
-                && (is_new || self.now >= *at + delay)
+                && self.now >= *at + delay
             {
-                daemon.seen += 1;
-                let effects = daemon.pool.replace(roster.clone(), now, now);
-                daemon.history.observe(&daemon.pool, now);
-                for (id, _) in effects {
-                    let Some(member) = daemon.pool.member_mut(&id) else { continue };
-                    let Some((instance, software)) = member.replaced.take() else { continue };
-                    if software != member.endpoint.software {
-                        let started = Duration::from_millis(member.endpoint.started_at_ms);
-                        daemon.origins.doubt(instance, self.began + started);
-                    }
-                }
+                daemon.read(roster, self.began, now);
             }
         }
     }
@@ -306,21 +387,32 @@
     fn run(&mut self, index: usize, key: Key, required: Option<&str>) -> Option<String> {
         let now = self.instant();
         for _ in 0..ATTEMPTS {
-            let (id, origin) = self.choose(index, required)?;
+            let described = self.choose(index, required)?;
             let daemon = &mut self.daemons[index];
+            let member = daemon.pool.member_mut(&described.id)?;
             let up_by_ms = self.now.as_millis() as u64 + 2;
-            let is_up = |it: &&Endpoint| it.id == id && it.started_at_ms <= up_by_ms;
+            let is_up = |it: &&Endpoint| it.id == described.id && it.started_at_ms <= up_by_ms;
             let Some(actual) = self.endpoints.iter().find(is_up) else {
-                daemon.pool.member_mut(&id)?.broke_at = Some(now);
+                member.broke_at = Some(now);
                 continue;
             };
+            let is_described = actual.started_at_ms == described.started_at_ms;
+            member.has_restarted |= actual.started_at_ms > described.started_at_ms;
+            if !is_described && required.is_some() {
+                continue;
+            }
+            let origin = Origin {
+                service: "pool".into(),
+                software: Some(if is_described { described.software } else { String::new() }),
+                instance: Instance::confirmed(&described.id, actual.started_at_ms),
+            };
             daemon.origins.record(key, origin, WINDOW, now);
             let length = Duration::from_millis(self.rng.random_range(500..MAX_LENGTH_MS));
             self.streams.push(Stream {
                 key,
                 software: actual.software.clone(),
                 daemon: daemon.id.clone(),
-                endpoint: (id, actual.started_at_ms),
+                endpoint: (described.id, actual.started_at_ms),
                 ends_at: self.now + length,
             });
             return Some(actual.software.clone());
@@ -328,11 +420,13 @@
         None
     }
 
-    /// Chooses an endpoint, preferably one that can't have been replaced.
-    fn choose(&mut self, index: usize, required: Option<&str>) -> Option<(String, Origin)> {
+    /// Chooses an endpoint, preferably one that can't have been replaced. Returns its entry.
+    fn choose(&mut self, index: usize, required: Option<&str>) -> Option<Endpoint> {
         let now = self.instant();
         let fits = |it: &&Member| {
-            it.is_usable(now) && required.is_none_or(|software| it.endpoint.software == software)
+            let has_version =
+                |software: &str| it.endpoint.software == software && !it.has_restarted;
+            it.is_usable(now) && required.is_none_or(has_version)
         };
         let candidates = || self.daemons[index].pool.members().filter(fits);
         let has_sound = candidates().any(|it| !it.may_be_replaced(now));
@@ -342,9 +436,7 @@
             return None;
         }
         let chosen = candidates[self.rng.random_range(0..candidates.len())];
-        let software = Some(chosen.endpoint.software.clone());
-        let origin = Origin { service: "pool".into(), software, instance: chosen.instance };
-        Some((chosen.endpoint.id.clone(), origin))
+        Some(chosen.endpoint.clone())
     }
 
     fn break_streams(&mut self) {
@@ -375,20 +467,51 @@
             let serving = self.endpoints.iter().filter(|it| it.software == stream.software).count();
             let is_in_touch = now >= self.daemons[index].started_at + CONTACT_TIME;
             let counts = is_in_touch && serving >= 2;
-            self.record.taken_up += usize::from(counts);
-            let Some(required) = self.known_version(index, stream.key) else { continue };
-            let Some(actual) = self.run(index, stream.key, Some(&required)) else { continue };
-            self.record.mixed += usize::from(actual != stream.software);
-            self.record.went_on += usize::from(counts);
+            let version = self.known_version(index, stream.key);
+            if version.as_deref() == Some("") {
+                let (daemon, until) = (self.daemons[index].id.clone(), now + ENTRY_WAIT);
+                self.waiting.push(Waiting { daemon, until, counts, stream });
+            } else {
+                self.go_on(index, &stream, version, counts);
+            }
+        }
+    }
+
+    /// Ends the waits for entries that were read, and those that have taken too long. If the
+    /// daemon has ended, the caller takes the stream up elsewhere.
+    fn end_waits(&mut self) {
+        for waiting in std::mem::take(&mut self.waiting) {
+            let index = self.daemons.iter().position(|it| it.id == waiting.daemon);
+            let Some(index) = index else {
+                self.broken.push((self.now, waiting.stream));
+                continue;
+            };
+            let version = self.daemons[index].version(waiting.stream.key, self.instant());
+            if version.as_deref() == Some("") && self.now < waiting.until {
+                self.waiting.push(waiting);
+            } else {
+                self.go_on(index, &waiting.stream, version, waiting.counts);
+            }
         }
     }
 
-    /// Returns the version at which a daemon lets a stream go on.
+    /// Lets a stream go on at its version, if that is known and was read.
+    fn go_on(&mut self, index: usize, stream: &Stream, version: Option<String>, counts: bool) {
+        self.record.taken_up += usize::from(counts);
+        let Some(required) = version.filter(|it| !it.is_empty()) else { return };
+        let Some(actual) = self.run(index, stream.key, Some(&required)) else { return };
+        self.record.mixed += usize::from(actual != stream.software);
+        self.record.went_on += usize::from(counts);
+    }
+
+    /// Returns the version at which a daemon lets a stream go on, as `Daemon::version`.
     fn known_version(&mut self, index: usize, key: Key) -> Option<String> {
         let now = self.instant();
         let daemon = &self.daemons[index];
         if daemon.origins.get(key, now).is_none() {
-            if let Some(sole) = daemon.history.sole("pool", WINDOW, now) {
+            if self.now >= self.outage_until
+                && let Some(sole) = daemon.history.sole("pool", WINDOW, now)
+            {
                 return Some(sole.to_owned());
             }
             let asked = self.ranked(index, key, QUERIED);
@@ -403,7 +526,7 @@
                 self.daemons[index].origins.merge_remote(&notice, &from, now);
             }
         }
-        self.daemons[index].origins.get(key, now)?.origin.software.clone()
+        self.daemons[index].version(key, now)
     }
 
     /// Returns the daemons that rank first for a stream, in a small and in a large fleet.
@@ -453,7 +576,7 @@
     Endpoint {
         id: id.to_owned(),
         service: "pool".to_owned(),
-        address: "10.0.0.1:80".parse().unwrap(),
+        address: address(id),
         zone: "a".to_owned(),
         software: software.to_owned(),
         slots: 8,
@@ -464,3 +587,10 @@
         started_at_ms,
     }
 }
+
+/// Returns an address of the endpoint's own; one that describes itself at the address of another
+/// supersedes it.
+fn address(id: &str) -> SocketAddr {
+    let number: u32 = id.trim_start_matches('e').parse().unwrap();
+    SocketAddr::new(Ipv4Addr::from(number).into(), 80)
+}
