Test what becomes of streams at entries that were not read yet

Pure tests of Origins: the version is learned before or after the notice, merges in any order agree, doubt wins, an instance that has stated its start is never put in doubt. Of choose: an endpoint whose later process answers gets no stream that needs a version, and still gets others.

--- a/crates/balance/tests/choose.rs
+++ b/crates/balance/tests/choose.rs
@@ -121,6 +121,28 @@
     check(&["e0", "e1"], now + Duration::from_secs(9), &mut rng, None);
 }
 
+#[test]
+fn an_endpoint_with_an_unread_entry_gets_no_streams_that_need_a_version() {
+    let mut pool = pool(2);
+    pool.member_mut("e0").unwrap().has_restarted = true;
+    let software = pool.member("e0").unwrap().endpoint.software.clone();
+    let attributes = prompt(1, 1);
+    let now = Instant::now();
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut check = |requirement: Requirement, tried: &str, expected: Option<&str>| {
+        let tried = [tried.to_owned()];
+        let query = Query { requirement: &requirement, ..query(&attributes, &tried) };
+
+        let choice = choose(&pool, &query, now, &mut rng);
+
+        assert_eq!(choice.as_ref().map(|it| it.id.as_str()), expected, "{requirement:?}");
+    };
+
+    check(Requirement::Exactly(software.clone()), "", Some("e1"));
+    check(Requirement::Exactly(software), "e1", None);
+    check(Requirement::Any, "e1", Some("e0"));
+}
+
 fn query<'a>(attributes: &'a Attributes, tried: &'a [String]) -> Query<'a> {
     Query {
         service: "pool",
--- a/crates/balance/tests/origins/main.rs
+++ b/crates/balance/tests/origins/main.rs
@@ -7,6 +7,7 @@
 use std::time::Instant;
 
 use balance::endpoint::Instance;
+use balance::origin;
 use balance::origin::Key;
 use balance::origin::Origin;
 use balance::origin::Origins;
@@ -75,6 +76,51 @@
     assert_eq!(check(["v1", "v1", "v2"]), None);
 }
 
+#[test]
+fn what_is_known_of_a_stream_at_an_unread_entry_does_not_depend_on_the_order() {
+    let unread = Step::Told(Some(""), 1);
+    let version = Step::Told(Some("v1"), 1);
+    let went_on = Step::Told(Some("v1"), 2);
+    let doubt = Step::Told(None, 1);
+    let read = Step::Read(1, "v1");
+    let check = |steps: &[Step], expected: Option<&str>| {
+        for order in orders(steps) {
+            assert_eq!(outcome(&order).as_deref(), expected, "{order:?}");
+        }
+    };
+
+    check(&[unread], Some(""));
+    check(&[unread, unread], Some(""));
+    check(&[unread, read], Some("v1"));
+    check(&[unread, read, Step::Read(2, "v2")], Some("v1"));
+    check(&[unread, Step::Read(2, "v2")], Some(""));
+    check(&[unread, unread, version], Some("v1"));
+    check(&[unread, version, went_on, read], Some("v1"));
+    check(&[unread, doubt], None);
+    check(&[unread, doubt, read], None);
+    check(&[unread, version, doubt, read], None);
+}
+
+#[test]
+fn streams_at_an_instance_that_has_stated_its_start_are_never_put_in_doubt() {
+    let now = Instant::now();
+    let pool = world::pool(&[("e1", "v1")]);
+    let endpoint = &pool.member("e1").unwrap().endpoint;
+    let keys = [1, 2, 3].map(|it| Key::of(None, "r", &it.to_string()));
+    let mut origins = Origins::default();
+    let record = |software: &str, instance: Instance, key: Key, origins: &mut Origins| {
+        origins.record(key, origin(software, instance.0), SECOND, now);
+    };
+    record("v1", endpoint.confirmed(), keys[0], &mut origins);
+    record("", endpoint.confirmed(), keys[1], &mut origins);
+    record("v1", endpoint.instance(), keys[2], &mut origins);
+
+    assert_eq!(origins.doubt(endpoint.instance(), now), 1);
+
+    let version = |it: Key| origins.get(it, now).unwrap().origin.software.clone();
+    assert_eq!(keys.map(version), [Some("v1".into()), Some("".into()), None]);
+}
+
 #[test]
 fn streams_are_forgotten_after_their_time_and_bounded_in_number() {
     let now = Instant::now();
@@ -227,3 +273,44 @@
     let instance = Instance(instance);
     Origin { service: "pool".into(), software: Some(software.into()), instance }
 }
+
+/// What a daemon comes to know.
+#[derive(Clone, Copy, Debug)]
+enum Step<'a> {
+    /// A software version of the stream, and the number of its instance.
+    Told(Option<&'a str>, u64),
+    /// The entry of an instance.
+    Read(u64, &'a str),
+}
+
+/// Returns the software version of a stream after the steps.
+fn outcome(steps: &[Step<'_>]) -> Option<String> {
+    let now = Instant::now();
+    let key = Key::of(None, "r", "id");
+    let mut origins = Origins::default();
+    for step in steps {
+        match *step {
+            Step::Told(software, instance) => {
+                let origin =
+                    Origin { software: software.map(str::to_owned), ..origin("", instance) };
+                let notice = origin::Notice { key, origin, age_ms: 0, lifetime_ms: 1_000 };
+                origins.merge_remote(&notice, &Rc::from("d"), now);
+            }
+            Step::Read(instance, software) => origins.learn(Instance(instance), software),
+        }
+    }
+    origins.get(key, now).unwrap().origin.software.clone()
+}
+
+/// Returns the steps in all orders.
+fn orders<'a>(steps: &[Step<'a>]) -> Vec<Vec<Step<'a>>> {
+    if steps.len() < 2 {
+        return vec![steps.to_vec()];
+    }
+    let with_last = |index: usize| {
+        let mut others = steps.to_vec();
+        let last = others.remove(index);
+        orders(&others).into_iter().map(move |it| [it, vec![last]].concat())
+    };
+    (0..steps.len()).flat_map(with_last).collect()
+}
