Store where streams began while two software versions serve

Callers lost their streams when all daemons were killed at once during a release: each try to take one up got 503, although endpoints of the version that began it served. Cause: where a stream began was in the memory of daemons only; the store's row says which versions have served, not which streams they began.

Daemons read the rows at their start, and before they refuse a stream that nobody knows. Doubts about a version are written too and win in any order. A stream at an endpoint that has not stated its start counts after a kill only if that instance still serves. With one version nothing is written or read.

--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod load;
 pub mod model;
 pub mod origin;
+pub mod origin_log;
 pub mod pool;
 pub mod reach;
 pub mod removal;
--- a/crates/balance/src/origin.rs
+++ b/crates/balance/src/origin.rs
@@ -119,6 +119,8 @@
     order: VecDeque<Key>,
     /// Streams to be sent to other daemons.
     unsent: Vec<Key>,
+    /// Streams that began here, or whose version came into doubt, since they were last taken.
+    changed: Vec<Key>,
     /// Software versions of confirmed instances, from their entries.
     versions: HashMap<Instance, String>,
     /// Instances in the order in which their entries were read.
@@ -135,6 +137,7 @@
         if self.insert(key, entry) && self.unsent.len() < MAX_STREAMS {
             self.unsent.push(key);
         }
+        self.add_changed(key);
     }
 
     /// Merges what another daemon knows of a stream.
@@ -184,12 +187,35 @@
             if entry.origin.instance == instance && is_affected {
                 entry.origin.software = None;
                 self.unsent.push(*key);
+                if self.changed.len() < MAX_STREAMS {
+                    self.changed.push(*key);
+                }
                 count += 1;
             }
         }
         count
     }
 
+    /// Returns the streams that began here, or whose version came into doubt, since the last
+    /// call.
+    pub fn take_changed(&mut self) -> Vec<Key> {
+        std::mem::take(&mut self.changed)
+    }
+
+    /// Returns the streams of a service that began here.
+    pub fn own(&self, service: &str, now: Instant) -> Vec<Key> {
+        let is_own = |it: &Entry| {
+            it.source == Source::Own && it.origin.service == service && now < it.expires_at
+        };
+        self.order.iter().filter(|it| self.by_key.get(it).is_some_and(is_own)).copied().collect()
+    }
+
+    /// Whether the entry of a confirmed instance was read. False for an instance that has not
+    /// stated its start.
+    pub fn is_described(&self, instance: Instance) -> bool {
+        self.versions.contains_key(&instance)
+    }
+
     /// Returns up to `limit` streams to be sent to other daemons.
     pub fn take_unsent(&mut self, limit: usize, now: Instant) -> Vec<Notice> {
         let keys: Vec<Key> = self.unsent.drain(..self.unsent.len().min(limit)).collect();
@@ -227,6 +253,12 @@
         self.by_key.len()
     }
 
+    fn add_changed(&mut self, key: Key) {
+        if self.changed.len() < MAX_STREAMS {
+            self.changed.push(key);
+        }
+    }
+
     /// Adds an entry or merges it with what is known. Returns whether it is new.
     fn insert(&mut self, key: Key, mut entry: Entry) -> bool {
         if entry.origin.is_unread()
--- a/crates/balance/src/software.rs
+++ b/crates/balance/src/software.rs
@@ -123,6 +123,19 @@
         (serving.next().is_none() && !others).then_some(sole)
     }
 
+    /// Returns the services of which several versions have served within `window`.
+    pub fn mixed(&self, window: Duration, now: Instant) -> BTreeSet<&str> {
+        let left = self.left.iter().filter(|(_, at)| now < **at + window).map(|(it, _)| it);
+        let mut versions: BTreeMap<&str, &str> = BTreeMap::new();
+        let mut mixed = BTreeSet::new();
+        for (service, software) in self.serving.iter().chain(left) {
+            if *versions.entry(service).or_insert(software) != software {
+                mixed.insert(service.as_str());
+            }
+        }
+        mixed
+    }
+
     /// Merges what another daemon knows, or knew when it stored it. What served then may
     /// have served until now.
     pub fn merge_remote(&mut self, notice: &Notice, now: Instant) {
--- a/crates/front/src/broker/history.rs
+++ b/crates/front/src/broker/history.rs
@@ -78,6 +78,9 @@
                     version = row.version,
                 });
                 self.merge_history(&notice, now);
+                if self.may_be_stored(now) {
+                    self.request_streams(now);
+                }
             }
             Ok(None) => {}
             Err(error) => {
--- a/crates/front/src/broker/mod.rs
+++ b/crates/front/src/broker/mod.rs
@@ -12,6 +12,7 @@
 mod identity;
 mod leader;
 mod limits;
+mod origin_log;
 mod origins;
 mod pending;
 mod placing;
@@ -85,6 +86,7 @@
 use crate::event::Event;
 use crate::lease;
 use crate::metrics;
+use crate::origin_calls;
 use crate::peers::Streams;
 use crate::reach_probe;
 
@@ -106,6 +108,10 @@
     pub lease_jobs: UnboundedSender<lease::Job>,
     /// Channel for the leader tasks' calls to the cloud API.
     pub cloud_jobs: UnboundedSender<cloud::Job>,
+    /// Channel for writes of streams to the store.
+    pub stream_writes: UnboundedSender<origin_calls::Job>,
+    /// Channel for reads of streams from the store.
+    pub stream_reads: UnboundedSender<origin_calls::Job>,
     /// Streams to the other daemons.
     pub streams: Streams,
     /// Limits for new connections of callers.
@@ -183,6 +189,7 @@
     /// Software versions that have served.
     history: History,
     stored_history: history::Stored,
+    stored_streams: origin_log::Stored,
     /// When routes got other back ends.
     rerouted: HashMap<String, Instant>,
     requests: HashMap<u64, Pending>,
@@ -291,6 +298,7 @@
                 false => Coverage::Since(now),
             }),
             stored_history: history::Stored::new(now),
+            stored_streams: origin_log::Stored::new(now),
             rerouted: HashMap::new(),
             requests: HashMap::new(),
             durations: Durations::default(),
@@ -386,6 +394,9 @@
             }
             Event::OrdersStored(result) => self.handle_orders_stored(result),
             Event::VersionsStored(result) => self.handle_versions_stored(result),
+            Event::StreamsStored(result) => self.handle_streams_stored(result),
+            Event::StreamsRead(result) => self.handle_streams_read(result, now),
+            Event::StreamRowsDeleted(result) => self.handle_stream_rows_deleted(result),
             Event::EraRead(result) => self.handle_era_read(result),
             Event::EraStored(result) => self.handle_era_stored(result),
             Event::UsageRecorded { window, counts, result } => {
@@ -422,6 +433,7 @@
         self.context.ready.send_replace(self.is_ready());
         self.record_progress(now);
         self.sweep_origins(now);
+        self.tick_stored_streams(now);
         self.end_waits_for_entries(now);
         self.judge_links(now);
         let is_urgent = self.has_urgent_changes || self.spread.has_news();
--- a/crates/front/src/broker/origins.rs
+++ b/crates/front/src/broker/origins.rs
@@ -25,6 +25,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::Broker;
+use super::origin_log::READ_TIMEOUT;
 use super::pending::Pending;
 use super::refusal::Cause;
 use super::refusal::refuse;
@@ -76,6 +77,8 @@
     /// Number of daemons that have not replied, and the store's row if it was not read.
     unanswered: usize,
     until: Instant,
+    /// Since when the query waits for the store's rows of streams, as no daemon has answered it.
+    pub(super) stored_since: Option<Instant>,
 }
 
 impl Broker {
@@ -98,7 +101,8 @@
         let daemons = self.peers.remembering(key, QUERIED, now);
         // The row of software versions may hold the answer as well.
         let unanswered = daemons.len() + usize::from(!self.stored_history.has_read);
-        if unanswered == 0 || self.queries.len() >= MAX_QUERIES {
+        let is_answerable = unanswered > 0 || self.may_be_stored(now);
+        if !is_answerable || self.queries.len() >= MAX_QUERIES {
             return self.decide_read(arrival, reply, now);
         }
         let waiting = Waiting { arrival, reply, since: now };
@@ -111,7 +115,11 @@
             self.context.streams.send(*daemon, &message, now);
         }
         let until = now + QUERY_TIMEOUT;
-        self.queries.insert(key, Query { waiting: vec![waiting], unanswered, until });
+        let query = Query { waiting: vec![waiting], unanswered, until, stored_since: None };
+        self.queries.insert(key, query);
+        if unanswered == 0 {
+            self.end_query(key, now);
+        }
     }
 
     /// Returns which service and software version a request needs, and how that is known; a
@@ -317,7 +325,7 @@
     ) {
         let Some(query) = self.queries.get_mut(&key) else { return };
         query.unanswered = query.unanswered.saturating_sub(1);
-        if known.is_none() && query.unanswered > 0 {
+        if known.is_none() && (query.unanswered > 0 || query.stored_since.is_some()) {
             return;
         }
         if let Some(notice) = known {
@@ -329,7 +337,7 @@
     /// Ends the queries that only the row of software versions was left to answer.
     pub(super) fn settle_queries(&mut self, now: Instant) {
         let mut settled = Vec::new();
-        for (key, query) in &mut self.queries {
+        for (key, query) in self.queries.iter_mut().filter(|(_, it)| it.stored_since.is_none()) {
             query.unanswered = query.unanswered.saturating_sub(1);
             if query.unanswered == 0 {
                 settled.push(*key);
@@ -366,7 +374,11 @@
         self.rerouted.retain(|name, _| routes.iter().any(|it| it.name == *name));
     }
 
-    fn end_query(&mut self, key: Key, now: Instant) {
+    /// Lets the arrivals of a query go on, unless the store's rows may hold the answer.
+    pub(super) fn end_query(&mut self, key: Key, now: Instant) {
+        if self.await_rows(key, now) {
+            return;
+        }
         let Some(query) = self.queries.remove(&key) else { return };
         for Waiting { mut arrival, reply, since } in query.waiting {
             arrival.waited += now.saturating_duration_since(since);
@@ -374,6 +386,23 @@
         }
     }
 
+    /// Lets a query of which no daemon knows the stream wait for the store's rows, once. Returns
+    /// whether it waits.
+    fn await_rows(&mut self, key: Key, now: Instant) -> bool {
+        if self.origins.get(key, now).is_some() || !self.may_be_stored(now) {
+            return false;
+        }
+        let Some(query) = self.queries.get_mut(&key) else { return false };
+        if query.stored_since.is_some() {
+            return false;
+        }
+        query.stored_since = Some(now);
+        query.until = now + READ_TIMEOUT;
+        metrics::count("origin", "awaits_rows");
+        self.request_streams(now);
+        true
+    }
+
     /// Decides on an arrival that has waited.
     pub(super) fn resume_arrival(&mut self, waiting: Waiting, now: Instant) {
         let Waiting { mut arrival, reply, since } = waiting;
@@ -440,7 +469,7 @@
     }
 
     /// Returns how long ago a stream may have begun that a caller takes up now.
-    fn stream_window(&self) -> Duration {
+    pub(super) fn stream_window(&self) -> Duration {
         let streams = self.table.config.routes.iter().filter(|it| it.kind == Kind::Stream);
         let longest_ms = streams.map(|it| it.timeout_ms).max().unwrap_or(0);
         Duration::from_millis(longest_ms) + TAKE_UP_TIME
--- a/crates/front/src/event.rs
+++ b/crates/front/src/event.rs
@@ -80,6 +80,12 @@
     VersionsRead(Row),
     /// A write of the row of software versions completed.
     VersionsStored(Result<Commit, Error>),
+    /// A write of streams completed.
+    StreamsStored(Result<Commit, Error>),
+    /// A read of the rows of streams completed.
+    StreamsRead(Result<Vec<Row>, Error>),
+    /// A deletion of rows of streams of daemons that may have ended completed.
+    StreamRowsDeleted(Result<Commit, Error>),
     /// A read of the order book completed.
     OrdersRead {
         /// Fencing token of the term that asked for it.
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -48,6 +48,7 @@
 use crate::feeds;
 use crate::feeds::Returns;
 use crate::lease;
+use crate::origin_calls;
 use crate::peers::Streams;
 use crate::probe;
 use crate::reach_probe;
@@ -108,6 +109,8 @@
     let (events, received) = unbounded_channel();
     let (lease_jobs, lease_calls) = unbounded_channel();
     let (cloud_jobs, cloud_calls) = unbounded_channel();
+    let (stream_writes, stream_write_calls) = unbounded_channel();
+    let (stream_reads, stream_read_calls) = unbounded_channel();
     let (phase, phases) = watch::channel(Phase::default());
     let (ready, is_ready) = watch::channel(false);
     let (reader, is_reader) = watch::channel(false);
@@ -121,6 +124,8 @@
         instance_id: instance_id.clone(),
         lease_jobs,
         cloud_jobs,
+        stream_writes,
+        stream_reads,
         streams: Streams::new(),
         limits: limits.clone(),
         phase,
@@ -148,6 +153,8 @@
     spawn_local(feeds::former(client(), settings.is_first_start, events.clone()));
     spawn_local(reach_probe::run(probe_jobs, events.clone()));
     spawn_local(lease::run(client(), lease_calls, events.clone()));
+    spawn_local(origin_calls::run(client(), stream_write_calls, events.clone()));
+    spawn_local(origin_calls::run(client(), stream_read_calls, events.clone()));
     if let Some(address) = settings.cloud {
         let daemon = settings.daemon.clone();
         spawn_local(cloud::run(address, daemon, cloud_calls, events.clone()));
