--- a/crates/front/src/broker/identity.rs
+++ b/crates/front/src/broker/identity.rs
@@ -17,7 +17,7 @@
 
 /// Time after the start of a process within which its entry is in the store and in the lists of
 /// all daemons.
-pub(super) const REGISTRATION_TIME: Duration = Duration::from_secs(2);
+const REGISTRATION_TIME: Duration = Duration::from_secs(2);
 /// How long a request waits in all until the processes of endpoints that state no start are known.
 const MAX_WAIT: Duration = Duration::from_secs(3);
 /// Maximum time by which the clock of an endpoint is ahead of this daemon's.
