--- a/crates/relay/src/identity.rs
+++ b/crates/relay/src/identity.rs
@@ -34,12 +34,12 @@
 pub enum Failure {
     /// Its response is none that states a start.
     NotStated,
-    /// There was no response, or only a part of one.
+    /// There was no response, only a part of one, or the connection ended with it.
     Broken,
 }
 
 /// Asks the process at the other end of a connection when it started, in milliseconds since
-/// 1970. The connection may have ended afterwards.
+/// 1970.
 pub async fn ask(connection: &mut Connection, address: SocketAddr) -> Result<u64, Failure> {
     let asked = timeout(TIMEOUT, exchange(connection, address)).await;
     let body = asked.unwrap_or(Err(Failure::Broken))?;
@@ -56,6 +56,6 @@
     let collected = Limited::new(body, MAX_BODY_BYTES).collect().await;
     let body = collected.map_err(|_| Failure::Broken)?.to_bytes();
     // Fails if the response was the last one on the connection.
-    let _ = connection.sender.ready().await;
+    connection.sender.ready().await.map_err(|_| Failure::Broken)?;
     Ok(body)
 }
