web: use a server for each repetition of a test

The test of complete streams at callers of HTTP/1.0 failed once beside a load average of 31 (503, too many connections are open): connections of earlier repetitions may still count as open.

--- a/crates/web/tests/edge/main.rs
+++ b/crates/web/tests/edge/main.rs
@@ -151,15 +151,15 @@
 
 #[test]
 fn a_stream_to_its_end_closes_a_connection_of_http_1_0_in_order() {
-    let server = start(|_, responder| {
-        let mut stream = responder.stream(200, &[]).unwrap();
-        for _ in 0..STREAM_CHUNKS {
-            stream.blocking_send(b"part").unwrap();
-        }
-        stream.blocking_finish().unwrap();
-    });
-
     for _ in 0..REPETITIONS {
+        // A server of its own, as earlier connections may still count as open.
+        let server = start(|_, responder| {
+            let mut stream = responder.stream(200, &[]).unwrap();
+            for _ in 0..STREAM_CHUNKS {
+                stream.blocking_send(b"part").unwrap();
+            }
+            stream.blocking_finish().unwrap();
+        });
         let mut caller = Caller::connect(&server);
         caller.send("GET / HTTP/1.0\r\nHost: h\r\n\r\n");
 
