Split the endpoint pool, the broker and the simulation of streams by their jobs

Change: code is moved, none is changed but for visibility and two lines of Pool::record_restart. balance::member has what one daemon knows of an endpoint; broker::queries the questions about streams to other daemons; broker::lifecycle readiness and shutdown; the simulation's plans and streams have files of their own. Ruled out: lost lines, by comparing the lines before and after.

--- a/crates/balance/src/choose.rs
+++ b/crates/balance/src/choose.rs
@@ -18,7 +18,7 @@
 
 use crate::account::CANDIDATES;
 use crate::load::Load;
-use crate::pool::Member;
+use crate::member::Member;
 use crate::pool::Pool;
 use crate::software::Requirement;
 
--- a/crates/balance/src/interruption.rs
+++ b/crates/balance/src/interruption.rs
@@ -4,7 +4,7 @@
 use std::time::Instant;
 
 use crate::endpoint::Instance;
-use crate::pool::Member;
+use crate::member::Member;
 
 /// Minimum time without any response from an endpoint for an attempt to count that a
 /// timeout or the caller has ended.
--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod health;
 pub mod interruption;
 pub mod load;
+pub mod member;
 pub mod model;
 pub mod origin;
 pub mod origin_log;
--- a/crates/front/src/broker/brittle.rs
+++ b/crates/front/src/broker/brittle.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use balance::pool::Member;
+use balance::member::Member;
 use balance::pool::Pool;
 use membership::digest::Peer;
 use quota::room;
--- a/crates/front/src/broker/endpoint_limits.rs
+++ b/crates/front/src/broker/endpoint_limits.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use balance::pool::Member;
+use balance::member::Member;
 use balance::software::Requirement;
 use membership::digest::Peer;
 use quota::endpoint::Notice;
--- a/crates/front/src/broker/identity.rs
+++ b/crates/front/src/broker/identity.rs
@@ -5,7 +5,7 @@
 use std::time::Instant;
 
 use balance::endpoint::Instance;
-use balance::pool::Member;
+use balance::member::Member;
 use balance::software::Requirement;
 use relay::admission::Confirmation;
 use relay::identity::Identity;
--- a/crates/front/src/broker/mod.rs
+++ b/crates/front/src/broker/mod.rs
@@ -11,11 +11,13 @@
 mod history;
 mod identity;
 mod leader;
+mod lifecycle;
 mod limits;
 mod origin_log;
 mod origins;
 mod pending;
 mod placing;
+mod queries;
 mod reach;
 mod reading;
 mod refusal;
@@ -71,7 +73,6 @@
 use route::delta::Changes;
 use route::table::Table;
 use stakker::CX;
-use stakker::StopCause;
 use stakker::after;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::watch;
@@ -81,7 +82,6 @@
 use crate::clock;
 use crate::cloud;
 use crate::drain::Drain;
-use crate::drain::Step;
 use crate::durations::Durations;
 use crate::event::Event;
 use crate::lease;
@@ -173,7 +173,7 @@
     origins: Origins,
     origins_swept_at: Instant,
     /// Questions to other daemons about streams that callers take up.
-    queries: HashMap<Key, origins::Query>,
+    queries: HashMap<Key, queries::Query>,
     /// Callers that take up streams at processes whose entries were not read yet.
     unread_arrivals: unread::Arrivals,
     /// Requests that wait for accounting daemons.
@@ -467,46 +467,4 @@
             self.reported_drops.1 = now;
         }
     }
-
-    fn is_ready(&self) -> bool {
-        self.stage == Stage::Running && self.table.config.version > 0 && self.pool.store_version > 0
-    }
-
-    fn stop(&mut self, now: Instant) {
-        if self.stage != Stage::Running {
-            return;
-        }
-        self.stage = Stage::Stopping(Drain::new(now));
-        self.context.ready.send_replace(false);
-        self.context.phase.send_replace(Phase::Closing);
-        spdlog::info!("stopping", kv: {
-            open = self.requests.len(),
-            callers = self.context.exchanges.counts().to_string(),
-        });
-        self.gossip(now);
-    }
-
-    fn exit_if_drained(&mut self, cx: CX![], now: Instant) {
-        let Stage::Stopping(drain) = &mut self.stage else { return };
-        let callers = self.context.exchanges.counts();
-        let open = self.requests.len().max(callers.in_progress());
-        let phase = match drain.step(open, self.context.settings.bounds.grace, now) {
-            Step::Continue(phase) => phase,
-            Step::Exit(cause) => {
-                spdlog::info!("stopped", kv: {
-                    open = self.requests.len(),
-                    callers = callers.to_string(),
-                    cause = cause.name(),
-                });
-                return cx.shutdown(StopCause::Stopped);
-            }
-        };
-        self.context.phase.send_if_modified(|it| std::mem::replace(it, phase) != phase);
-        if drain.is_report_due(now) {
-            spdlog::info!("waiting for callers", kv: {
-                open = self.requests.len(),
-                callers = callers.to_string(),
-            });
-        }
-    }
 }
--- a/crates/front/src/broker/origins.rs
+++ b/crates/front/src/broker/origins.rs
@@ -14,18 +14,14 @@
 use balance::software;
 use balance::software::Requirement;
 use membership::digest::Message;
-use relay::admission::Arrival;
-use relay::admission::Decision;
 use relay::admission::Refusal;
 use route::config::Kind;
 use route::config::Route;
 use route::request::Attributes;
 use route::table::Match;
-use tokio::sync::oneshot;
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::Broker;
-use super::origin_log::READ_TIMEOUT;
 use super::pending::Pending;
 use super::refusal::Cause;
 use super::refusal::refuse;
@@ -37,15 +33,8 @@
 pub(super) const NO_SOFTWARE_DELAY: Duration = Duration::from_secs(1);
 /// Time after a stream broke off in which its caller may take it up again.
 const TAKE_UP_TIME: Duration = Duration::from_secs(10);
-/// How long an arrival waits for other daemons that may know its stream.
-const QUERY_TIMEOUT: Duration = Duration::from_millis(300);
-/// Maximum number of streams of which other daemons are asked at the same time.
-const MAX_QUERIES: usize = 1_024;
 /// Number of daemons that remember a stream in a large fleet.
 const REMEMBERING: usize = 3;
-/// Number of daemons that are asked in a large fleet; more than remember a stream, as some of
-/// these may have ended.
-const QUERIED: usize = 5;
 /// Number of daemons that hand their knowledge over to a new one.
 const SPONSORS: usize = 2;
 /// Maximum number of streams that each of them hands over.
@@ -53,14 +42,6 @@
 /// Maximum number of streams in a message.
 const MAX_STREAMS_PER_MESSAGE: usize = 512;
 
-/// An arrival that waits until it is known where its stream began.
-#[derive(Debug)]
-pub(super) struct Waiting {
-    pub(super) arrival: Arrival,
-    pub(super) reply: oneshot::Sender<Decision>,
-    pub(super) since: Instant,
-}
-
 /// A request with the service and software version that it needs.
 #[derive(Debug)]
 pub(super) struct Bound<'a> {
@@ -70,58 +51,7 @@
     pub(super) known_from: &'static str,
 }
 
-/// A question to other daemons.
-#[derive(Debug)]
-pub(super) struct Query {
-    waiting: Vec<Waiting>,
-    /// Number of daemons that have not replied, and the store's row if it was not read.
-    unanswered: usize,
-    until: Instant,
-    /// Since when the query waits for the store's rows of streams, as no daemon has answered it.
-    pub(super) stored_since: Option<Instant>,
-}
-
 impl Broker {
-    /// Handles a new request. If it takes up a stream that this daemon doesn't know, asks
-    /// other daemons first.
-    pub(super) fn handle_arrival(
-        &mut self,
-        arrival: Arrival,
-        reply: oneshot::Sender<Decision>,
-        now: Instant,
-    ) {
-        if let Some(admission) = self.forward(&arrival, now) {
-            // A caller that has disconnected needs no response.
-            let _ = reply.send(Ok(admission));
-            return;
-        }
-        let Some(key) = self.unknown_stream(&arrival, now) else {
-            return self.decide_read(arrival, reply, now);
-        };
-        let daemons = self.peers.remembering(key, QUERIED, now);
-        // The row of software versions may hold the answer as well.
-        let unanswered = daemons.len() + usize::from(!self.stored_history.has_read);
-        let is_answerable = unanswered > 0 || self.may_be_stored(now);
-        if !is_answerable || self.queries.len() >= MAX_QUERIES {
-            return self.decide_read(arrival, reply, now);
-        }
-        let waiting = Waiting { arrival, reply, since: now };
-        if let Some(query) = self.queries.get_mut(&key) {
-            return query.waiting.push(waiting);
-        }
-        metrics::count("origin", "asked");
-        let message = Message::OriginQuery { to: self.context.settings.peers, key };
-        for daemon in &daemons {
-            self.context.streams.send(*daemon, &message, now);
-        }
-        let until = now + QUERY_TIMEOUT;
-        let query = Query { waiting: vec![waiting], unanswered, until, stored_since: None };
-        self.queries.insert(key, query);
-        if unanswered == 0 {
-            self.end_query(key, now);
-        }
-    }
-
     /// Returns which service and software version a request needs, and how that is known; a
     /// refusal if it takes up a stream and that is not known.
     pub(super) fn bind<'a>(
@@ -313,42 +243,6 @@
         self.history.merge_remote(notice, now);
     }
 
-    pub(super) fn reply_to_query(&mut self, to: SocketAddr, key: Key, now: Instant) {
-        let daemon = self.context.instance_id.clone();
-        let known = self.origins.notice(key, now);
-        self.context.streams.send(to, &Message::OriginReply { daemon, key, known }, now);
-    }
-
-    pub(super) fn handle_query_reply(
-        &mut self,
-        daemon: &str,
-        key: Key,
-        known: Option<&origin::Notice>,
-        now: Instant,
-    ) {
-        let Some(query) = self.queries.get_mut(&key) else { return };
-        query.unanswered = query.unanswered.saturating_sub(1);
-        if known.is_none() && (query.unanswered > 0 || query.stored_since.is_some()) {
-            return;
-        }
-        if let Some(notice) = known {
-            self.merge_streams(daemon, std::slice::from_ref(notice), now);
-        }
-        self.end_query(key, now);
-    }
-
-    /// Ends the queries that only the row of software versions was left to answer.
-    pub(super) fn settle_queries(&mut self, now: Instant) {
-        let mut settled = Vec::new();
-        for (key, query) in self.queries.iter_mut().filter(|(_, it)| it.stored_since.is_none()) {
-            query.unanswered = query.unanswered.saturating_sub(1);
-            if query.unanswered == 0 {
-                settled.push(*key);
-            }
-        }
-        settled.into_iter().for_each(|it| self.end_query(it, now));
-    }
-
     /// Ends the queries that have taken too long, and forgets old streams.
     pub(super) fn sweep_origins(&mut self, now: Instant) {
         let overdue = self.queries.iter().filter(|(_, it)| now >= it.until);
@@ -377,87 +271,9 @@
         self.rerouted.retain(|name, _| routes.iter().any(|it| it.name == *name));
     }
 
-    /// Lets the arrivals of a query go on, unless the store's rows may hold the answer.
-    pub(super) fn end_query(&mut self, key: Key, now: Instant) {
-        if self.await_rows(key, now) {
-            return;
-        }
-        let Some(query) = self.queries.remove(&key) else { return };
-        for Waiting { mut arrival, reply, since } in query.waiting {
-            arrival.waited += now.saturating_duration_since(since);
-            self.decide_read(arrival, reply, now);
-        }
-    }
-
-    /// Lets a query of which no daemon knows the stream wait for the store's rows, once. Returns
-    /// whether it waits.
-    fn await_rows(&mut self, key: Key, now: Instant) -> bool {
-        if self.origins.get(key, now).is_some() || !self.may_be_stored(now) {
-            return false;
-        }
-        let Some(query) = self.queries.get_mut(&key) else { return false };
-        if query.stored_since.is_some() {
-            return false;
-        }
-        query.stored_since = Some(now);
-        query.until = now + READ_TIMEOUT;
-        metrics::count("origin", "awaits_rows");
-        self.request_streams(now);
-        true
-    }
-
-    /// Decides on an arrival that has waited.
-    pub(super) fn resume_arrival(&mut self, waiting: Waiting, now: Instant) {
-        let Waiting { mut arrival, reply, since } = waiting;
-        arrival.waited += now.saturating_duration_since(since);
-        self.decide(arrival, reply, now);
-    }
-
-    /// Decides on an arrival, after the entry was read that describes the process that began its
-    /// stream.
-    fn decide_read(&mut self, arrival: Arrival, reply: oneshot::Sender<Decision>, now: Instant) {
-        let Some(key) = self.unread_stream(&arrival, now) else {
-            return self.decide_informed(arrival, reply, now);
-        };
-        if let Some(waiting) = self.await_entry(key, Waiting { arrival, reply, since: now }) {
-            self.resume_arrival(waiting, now);
-        }
-    }
-
-    /// Returns the stream that a request takes up if the entry of the process that began it was
-    /// not read yet.
-    fn unread_stream(&self, arrival: &Arrival, now: Instant) -> Option<Key> {
-        let key = self.taken_up_stream(arrival)?;
-        self.origins.get(key, now).is_some_and(|it| self.awaits_entry(it)).then_some(key)
-    }
-
-    /// Returns the stream that a request takes up, if it names it.
-    fn taken_up_stream(&self, arrival: &Arrival) -> Option<Key> {
-        let attributes = &arrival.attributes;
-        attributes.resumes.as_ref()?;
-        let key = attributes.key.as_deref();
-        let found =
-            self.table.find(&arrival.host, &arrival.path, key, attributes.stream_id()).ok()?;
-        takes_up(&found, attributes).then(|| stream_key(&found, attributes))?
-    }
-
-    /// Returns the stream that a request takes up if other daemons have to be asked of it.
-    fn unknown_stream(&self, arrival: &Arrival, now: Instant) -> Option<Key> {
-        let attributes = &arrival.attributes;
-        attributes.resumes.as_ref()?;
-        let key = attributes.key.as_deref();
-        let found =
-            self.table.find(&arrival.host, &arrival.path, key, attributes.stream_id()).ok()?;
-        if !takes_up(&found, attributes) {
-            return None;
-        }
-        let stream = stream_key(&found, attributes)?;
-        self.origins.get(stream, now).is_none().then_some(stream)
-    }
-
     /// Returns the only software version that can have begun a stream of the route. `None` as
     /// well if this daemon may not know of endpoints that others use.
-    fn sole_version(&self, found: &Match<'_>, now: Instant) -> Option<&str> {
+    pub(super) fn sole_version(&self, found: &Match<'_>, now: Instant) -> Option<&str> {
         let version = self.pool.roster_version;
         if !self.freshness.is_fresh(version, self.read_age(now), clock::since_boot()) {
             return None;
@@ -497,7 +313,7 @@
 }
 
 /// Whether a request takes up a stream that has begun.
-fn takes_up(found: &Match<'_>, attributes: &Attributes) -> bool {
+pub(super) fn takes_up(found: &Match<'_>, attributes: &Attributes) -> bool {
     let names_stream = attributes.resumes.is_some() || attributes.last_event.is_some();
     found.route.kind == Kind::Stream && names_stream
 }
--- a/crates/front/src/broker/unread.rs
+++ b/crates/front/src/broker/unread.rs
@@ -9,7 +9,7 @@
 use balance::origin::Key;
 
 use super::Broker;
-use super::origins::Waiting;
+use super::queries::Waiting;
 use crate::metrics;
 
 /// How long an arrival waits for an entry.
