--- a/crates/front/src/broker/queries.rs
+++ b/crates/front/src/broker/queries.rs
@@ -187,15 +187,7 @@
 
     /// Returns the stream that a request takes up if other daemons have to be asked of it.
     fn unknown_stream(&self, arrival: &Arrival, now: Instant) -> Option<Key> {
-        let attributes = &arrival.attributes;
-        attributes.resumes.as_ref()?;
-        let key = attributes.key.as_deref();
-        let found =
-            self.table.find(&arrival.host, &arrival.path, key, attributes.stream_id()).ok()?;
-        if !takes_up(&found, attributes) {
-            return None;
-        }
-        let stream = stream_key(&found, attributes)?;
+        let stream = self.taken_up_stream(arrival)?;
         self.origins.get(stream, now).is_none().then_some(stream)
     }
 }
