Count the grace period from the pause in which SIGTERM came

Cause, from the kept logs: the daemon was frozen from 3.9 to 5.9 s and got SIGTERM at 5.07 s. It handled the signal at 5.995 s and counted the grace period from there, so that it admitted at 9.96 s a request that ended at 13.135 s, after the kill at 13.07 s.

Change: a daemon that ran for the last time before a pause takes its begin as the time at which a signal may have come, if it handles the signal within a second after the pause. The line `stopping` states it.

--- a/crates/front/src/broker/lifecycle.rs
+++ b/crates/front/src/broker/lifecycle.rs
@@ -1,5 +1,6 @@
 //! Readiness and shutdown of the daemon.
 
+use std::time::Duration;
 use std::time::Instant;
 
 use relay::server::Phase;
@@ -11,6 +12,43 @@
 use crate::drain::Drain;
 use crate::drain::Step;
 
+/// Time between two ticks from which on the daemon counts as having been paused. The periodic work
+/// is due every 50 ms.
+const MIN_PAUSE: Duration = Duration::from_millis(300);
+/// Time after a pause in which a signal is handled that came during it.
+const SIGNAL_DELAY: Duration = Duration::from_secs(1);
+
+/// When the daemon last ran, and its latest pause.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Activity {
+    ticked_at: Instant,
+    /// Begin and end.
+    pause: Option<(Instant, Instant)>,
+}
+
+impl Activity {
+    /// Creates the record of a daemon that starts.
+    pub(super) fn new(now: Instant) -> Activity {
+        Activity { ticked_at: now, pause: None }
+    }
+
+    /// Records that the daemon runs.
+    pub(super) fn tick(&mut self, now: Instant) {
+        if now >= self.ticked_at + MIN_PAUSE {
+            self.pause = Some((self.ticked_at, now));
+        }
+        self.ticked_at = now;
+    }
+
+    /// Returns the earliest time at which a signal that is handled now can have come.
+    fn signalled_since(&self, now: Instant) -> Instant {
+        match self.pause {
+            Some((begin, end)) if now < end + SIGNAL_DELAY => begin,
+            _ => self.ticked_at,
+        }
+    }
+}
+
 impl Broker {
     pub(super) fn is_ready(&self) -> bool {
         self.stage == Stage::Running && self.table.config.version > 0 && self.pool.store_version > 0
@@ -20,12 +58,14 @@
         if self.stage != Stage::Running {
             return;
         }
-        self.stage = Stage::Stopping(Drain::new(now));
+        let since = self.activity.signalled_since(now);
+        self.stage = Stage::Stopping(Drain::new(since));
         self.context.ready.send_replace(false);
         self.context.phase.send_replace(Phase::Closing);
         spdlog::info!("stopping", kv: {
             open = self.requests.len(),
             callers = self.context.exchanges.counts().to_string(),
+            since_ms = now.saturating_duration_since(since).as_millis() as u64,
         });
         self.gossip(now);
     }
--- a/crates/front/src/broker/mod.rs
+++ b/crates/front/src/broker/mod.rs
@@ -144,6 +144,7 @@
     context: Context,
     rng: SmallRng,
     stage: Stage,
+    activity: lifecycle::Activity,
     started_at: Instant,
     /// Whether the whole fleet started for the first time together with this daemon.
     is_first_start: bool,
@@ -266,6 +267,7 @@
         Some(Broker {
             rng: SmallRng::seed_from_u64(context.seed),
             stage: Stage::Running,
+            activity: lifecycle::Activity::new(now),
             started_at: now,
             is_first_start: context.settings.is_first_start,
             has_read_daemons: false,
@@ -427,6 +429,7 @@
     fn tick(&mut self, cx: CX![]) {
         after!(TICK, [cx], tick());
         let now = cx.now();
+        self.activity.tick(now);
         self.freshness.tick(self.pool.roster_version, clock::since_boot());
         self.track_list(now);
         self.context.ready.send_replace(self.is_ready());
