Log how the process that runs a stream was identified

`began` only said whether the process was confirmed, and a failed question left no line. `began` now has `identified_by` and `connected_ms`, and `endpoint did not state its start` names the cause. No decision changes.

--- a/crates/front/src/broker/identity.rs
+++ b/crates/front/src/broker/identity.rs
@@ -49,6 +49,10 @@
             return confirmation;
         }
         let Some(Identity { started_at_ms, since }) = identity else { return Confirmation::Sound };
+        if let Some(pending) = self.requests.get_mut(&ticket) {
+            pending.identified_by = if started_at_ms.is_some() { "stated" } else { "none" };
+            pending.connected_at = Some(since.into_std());
+        }
         match started_at_ms.filter(|_| self.is_start_described(ticket)) {
             Some(started_at_ms) => self.confirm_stated(ticket, started_at_ms, now),
             None => self.confirm_unstated(ticket, since.into_std(), now),
@@ -170,6 +174,7 @@
         if is_described {
             let member = self.pool.member(&pending.endpoint);
             pending.confirmed = member.map(|it| it.endpoint.confirmed());
+            pending.identified_by = "list";
             return Confirmation::Sound;
         }
         if pending.requirement == Requirement::Any {
--- a/crates/front/src/broker/pending.rs
+++ b/crates/front/src/broker/pending.rs
@@ -45,6 +45,10 @@
     pub(super) software: String,
     /// The current endpoint's process, if it has itself stated when it started.
     pub(super) confirmed: Option<Instance>,
+    /// How it is known which process runs the request, for logs.
+    pub(super) identified_by: &'static str,
+    /// Since when connections to that process have been open without interruption.
+    pub(super) connected_at: Option<Instant>,
     /// End of the time in which the processes of its endpoints may become known.
     pub(super) confirm_until: Option<Instant>,
     /// Where it began, if the process there has not stated when it started.
@@ -103,6 +107,8 @@
             instance: Instance(0),
             software: String::new(),
             confirmed: None,
+            identified_by: "",
+            connected_at: None,
             confirm_until: None,
             unconfirmed_origin: None,
             load: Load::default(),
--- a/crates/front/src/broker/requests.rs
+++ b/crates/front/src/broker/requests.rs
@@ -261,6 +261,9 @@
             endpoint = pending.endpoint.as_str(),
             software = pending.software.as_str(),
             is_confirmed = pending.confirmed.is_some(),
+            identified_by = pending.identified_by,
+            connected_ms = pending.connected_at
+                .map_or(-1, |it| now.saturating_duration_since(it).as_millis() as i64),
             waited_ms = waited.as_millis() as u64,
             predicted_ms = pending.predicted.as_millis() as u64,
         });
--- a/crates/relay/src/connection.rs
+++ b/crates/relay/src/connection.rs
@@ -151,11 +151,17 @@
             }
             match identity::ask(&mut connection, address).await {
                 Ok(started_at_ms) => connection.started_at_ms = Some(started_at_ms),
-                Err(Failure::NotStated) => {
-                    let until = Instant::now() + UNSTATED_TIME;
-                    self.unstated.borrow_mut().insert(id.to_owned(), until);
+                Err(failure) => {
+                    spdlog::info!("endpoint did not state its start", kv: {
+                        endpoint = id,
+                        cause:? = failure,
+                        waited_ms = now.elapsed().as_millis() as u64,
+                    });
+                    if failure == Failure::NotStated {
+                        let until = Instant::now() + UNSTATED_TIME;
+                        self.unstated.borrow_mut().insert(id.to_owned(), until);
+                    }
                 }
-                Err(Failure::Broken) => {}
             }
             if connection.sender.is_ready() {
                 return Ok(connection);
