--- a/crates/front/src/broker/identity.rs
+++ b/crates/front/src/broker/identity.rs
@@ -48,14 +48,16 @@
         if confirmation != Confirmation::Sound {
             return confirmation;
         }
-        let Some(Identity { started_at_ms, since }) = identity else { return Confirmation::Sound };
+        let Some(Identity { started_at_ms, heard_since }) = identity else {
+            return Confirmation::Sound;
+        };
+        let heard_since = heard_since.map(Instant::from);
         if let Some(pending) = self.requests.get_mut(&ticket) {
-            pending.identified_by = if started_at_ms.is_some() { "stated" } else { "none" };
-            pending.connected_at = Some(since.into_std());
+            pending.heard_since = heard_since;
         }
         match started_at_ms.filter(|_| self.is_start_described(ticket)) {
             Some(started_at_ms) => self.confirm_stated(ticket, started_at_ms, now),
-            None => self.confirm_unstated(ticket, since.into_std(), now),
+            None => self.confirm_heard(ticket, heard_since, now),
         }
     }
 
@@ -140,6 +142,7 @@
         let is_bound = pending.requirement != Requirement::Any;
         if described_ms == started_at_ms {
             pending.confirmed = Some(member.endpoint.confirmed());
+            pending.identified_by = "stated";
             return Confirmation::Sound;
         }
         metrics::count("identity", "not_described");
@@ -154,6 +157,7 @@
         let (id, address) = (pending.endpoint.clone(), pending.address);
         if !is_bound {
             pending.confirmed = Some(Instance::confirmed(&id, started_at_ms));
+            pending.identified_by = "stated";
             pending.instance = Instance::described(&id, started_at_ms, address);
             pending.software.clear();
         }
@@ -166,10 +170,16 @@
         if is_bound { Confirmation::OtherProcess } else { Confirmation::Sound }
     }
 
-    /// Concludes from a list that was complete some time after the first connection to a process
-    /// whether it is the one that its endpoint's entry describes.
-    fn confirm_unstated(&mut self, ticket: u64, since: Instant, now: Instant) -> Confirmation {
-        let is_described = self.is_registered(since);
+    /// Concludes from a list that was complete some time after a process began to answer whether
+    /// it is the one that its endpoint's entry describes. Nothing is concluded if it hasn't
+    /// answered.
+    fn confirm_heard(
+        &mut self,
+        ticket: u64,
+        heard_since: Option<Instant>,
+        now: Instant,
+    ) -> Confirmation {
+        let is_described = heard_since.is_some_and(|it| self.is_registered(it));
         let Some(pending) = self.requests.get_mut(&ticket) else { return Confirmation::Unsound };
         if is_described {
             let member = self.pool.member(&pending.endpoint);
@@ -180,7 +190,8 @@
         if pending.requirement == Requirement::Any {
             return Confirmation::Sound;
         }
-        if now < *pending.confirm_until.get_or_insert(now + MAX_WAIT) {
+        let until = *pending.confirm_until.get_or_insert(now + MAX_WAIT);
+        if heard_since.is_some() && now < until {
             return Confirmation::Later;
         }
         metrics::count("identity", "not_known");
@@ -188,7 +199,8 @@
         kv: {
             request = pending.attributes.id.as_str(),
             endpoint = pending.endpoint.as_str(),
-            connected_ms = now.saturating_duration_since(since).as_millis() as u64,
+            heard_ms = heard_since
+                .map_or(-1, |it| now.saturating_duration_since(it).as_millis() as i64),
             list_age_ms = self.listing.complete_until
                 .map_or(-1, |it| now.saturating_duration_since(it).as_millis() as i64),
             requires = pending.requirement.name(),
--- a/crates/front/src/broker/pending.rs
+++ b/crates/front/src/broker/pending.rs
@@ -47,8 +47,8 @@
     pub(super) confirmed: Option<Instance>,
     /// How it is known which process runs the request, for logs.
     pub(super) identified_by: &'static str,
-    /// Since when connections to that process have been open without interruption.
-    pub(super) connected_at: Option<Instant>,
+    /// Since when that process has been answering this daemon.
+    pub(super) heard_since: Option<Instant>,
     /// End of the time in which the processes of its endpoints may become known.
     pub(super) confirm_until: Option<Instant>,
     /// Where it began, if the process there has not stated when it started.
@@ -108,7 +108,7 @@
             software: String::new(),
             confirmed: None,
             identified_by: "",
-            connected_at: None,
+            heard_since: None,
             confirm_until: None,
             unconfirmed_origin: None,
             load: Load::default(),
--- a/crates/front/src/broker/requests.rs
+++ b/crates/front/src/broker/requests.rs
@@ -123,7 +123,7 @@
         let Bound { found, requirement, known_from } = self.bind(found, &attributes, now)?;
         let units = self.charge_quota(&found, &attributes, now)?;
         let choice = self.choose(found.service, &attributes, &requirement, &[], now);
-        let target = choice.as_ref().and_then(|it| self.target(&it.id));
+        let target = choice.as_ref().and_then(|it| self.target(&it.id, &requirement));
         let (Some(choice), Some(target)) = (choice, target) else {
             self.refund(found.workspace.map(|it| it.name.as_str()), units);
             let (cause, delay) = self.explain_no_endpoint(found.service, &requirement, &[], now);
@@ -203,7 +203,7 @@
             return Err(refuse(&id, Cause::Stopping, 503, relay::server::STOPPING.retry_after));
         }
         let choice = self.choose(&service, &attributes, &requirement, &tried, now);
-        let target = choice.as_ref().and_then(|it| self.target(&it.id));
+        let target = choice.as_ref().and_then(|it| self.target(&it.id, &requirement));
         let (Some(choice), Some(target)) = (choice, target) else {
             let (cause, delay) = self.explain_no_endpoint(&service, &requirement, &tried, now);
             return Err(refuse(&id, cause, status, delay_if_not_run(delay)));
@@ -262,7 +262,7 @@
             software = pending.software.as_str(),
             is_confirmed = pending.confirmed.is_some(),
             identified_by = pending.identified_by,
-            connected_ms = pending.connected_at
+            heard_ms = pending.heard_since
                 .map_or(-1, |it| now.saturating_duration_since(it).as_millis() as i64),
             waited_ms = waited.as_millis() as u64,
             predicted_ms = pending.predicted.as_millis() as u64,
@@ -321,6 +321,8 @@
         pending.instance = member.instance;
         pending.software.clone_from(&member.endpoint.software);
         pending.confirmed = None;
+        pending.identified_by = "";
+        pending.heard_since = None;
         pending.load = choice.load;
         pending.prefill_tokens = choice.total_prefill_tokens;
         pending.predicted = choice.predicted;
@@ -405,10 +407,14 @@
         self.pool.member(id).map_or("", |it| &it.endpoint.software)
     }
 
-    fn target(&self, id: &str) -> Option<Target> {
+    fn target(&self, id: &str, requirement: &Requirement) -> Option<Target> {
         let member = self.pool.member(id)?;
-        let is_limited = self.endpoint_limits.rate(id).is_some();
-        Some(Target { id: id.to_owned(), address: member.endpoint.address, is_limited })
+        Some(Target {
+            id: id.to_owned(),
+            address: member.endpoint.address,
+            is_bound: *requirement != Requirement::Any,
+            is_limited: self.endpoint_limits.rate(id).is_some(),
+        })
     }
 }
 
--- a/crates/relay/src/admission.rs
+++ b/crates/relay/src/admission.rs
@@ -75,6 +75,8 @@
     pub id: String,
     /// Endpoint address.
     pub address: SocketAddr,
+    /// Whether the request may run only at one software version.
+    pub is_bound: bool,
     /// Whether the endpoint is known to have a request limit, so that a response that names
     /// none ends it.
     pub is_limited: bool,
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -24,7 +24,6 @@
 use crate::admission::Ticket;
 use crate::connection::Connection;
 use crate::connection::Pool;
-use crate::identity::Identity;
 
 /// Interval at which the broker is asked again whether a request may be sent.
 const CONFIRMATION_INTERVAL: Duration = Duration::from_millis(50);
@@ -80,9 +79,8 @@
     };
     let Ok(mut connection) = acquired else { return Err(Outcome::Unreachable) };
     let is_fresh = !connection.is_reused;
-    let identity = plan.needs_identity().then(|| connection.identity());
-    if is_fresh || identity.is_some() {
-        match confirm(&connection, call, ticket, identity).await {
+    if is_fresh || plan.needs_identity() {
+        match confirm(pool, &connection, call, plan, ticket).await {
             Ok(()) => {}
             Err(Outcome::OtherProcess) => {
                 pool.release(&target.id, connection, None);
@@ -109,6 +107,7 @@
     if !is_matching {
         return Err(Outcome::Broken);
     }
+    pool.record_answer(&connection);
     let is_misdirected = parts.status == StatusCode::MISDIRECTED_REQUEST;
     let names_limit = attributes.request_limit != Statement::Unlimited;
     let ends_limit = target.is_limited && attributes.is_sealed;
@@ -136,12 +135,14 @@
 /// Waits until it is known whether the request may be sent on a connection. Fails with the outcome
 /// of the attempt if it may not.
 async fn confirm(
+    pool: &Pool,
     connection: &Connection,
     call: &Call,
+    plan: &Plan,
     ticket: &Ticket,
-    identity: Option<Identity>,
 ) -> Result<(), Outcome> {
     loop {
+        let identity = plan.needs_identity().then(|| pool.identity(connection));
         match ticket.confirm(identity, !connection.is_reused).await {
             Confirmation::Sound => return Ok(()),
             Confirmation::Unsound => return Err(Outcome::Unreachable),
@@ -175,7 +176,7 @@
     if !plan.needs_identity() {
         return Ok(connection);
     }
-    pool.identify(connection, &target.id, target.address).await
+    pool.identify(connection, target.is_bound).await
 }
 
 fn request(
--- a/crates/relay/src/connection.rs
+++ b/crates/relay/src/connection.rs
@@ -1,11 +1,9 @@
 //! Pool of connections to endpoints.
 
-use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::rc::Weak;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -21,9 +19,14 @@
 use tokio::time::Instant;
 use tokio::time::timeout;
 
+use crate::continuity::Continuities;
+use crate::continuity::Link;
+use crate::continuity::Place;
 use crate::identity;
 use crate::identity::Failure;
 use crate::identity::Identity;
+use crate::watch;
+use crate::watch::Watched;
 
 /// Connect timeout. Endpoints accept within a few milliseconds, and a lost SYN is
 /// retransmitted only after a second.
@@ -41,6 +44,8 @@
 /// Maximum number of idle connections to one endpoint.
 const MAX_IDLE: usize = 8;
 
+/// How long a process may take to say when it started.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(500);
 /// Number of connections on which an endpoint is asked for its start, one after the other, until
 /// it has answered on one that can be used.
 const MAX_QUESTIONS: usize = 2;
@@ -55,35 +60,13 @@
     /// Whether the connection has carried a request before.
     pub is_reused: bool,
     _driver: Driver,
-    continuity: Rc<Continuity>,
+    place: Place,
+    link: Link,
     /// When the process at the other end started, if it has stated that on this connection, in
     /// milliseconds since 1970.
     started_at_ms: Option<u64>,
 }
 
-impl Connection {
-    /// Returns what is known of the process at the other end.
-    pub fn identity(&self) -> Identity {
-        Identity { started_at_ms: self.started_at_ms, since: self.continuity.since }
-    }
-}
-
-/// A time in which some connection to an endpoint was open. Connections that are opened in it
-/// lead to the same process as the earlier ones.
-#[derive(Debug)]
-struct Continuity {
-    address: SocketAddr,
-    since: Instant,
-    /// Whether the endpoint has closed or reset a connection, as at the end of its process.
-    has_ended: Cell<bool>,
-}
-
-impl Continuity {
-    fn begin(address: SocketAddr) -> Rc<Continuity> {
-        Rc::new(Continuity { address, since: Instant::now(), has_ended: Cell::new(false) })
-    }
-}
-
 /// Handle of the task that drives a connection. Aborts the task when dropped.
 #[derive(Debug)]
 struct Driver(AbortHandle);
@@ -100,16 +83,14 @@
     expires_at: Instant,
 }
 
-/// Identity and address of an endpoint.
-type Place = (String, SocketAddr);
-
 /// Idle connections to all endpoints.
 #[derive(Clone, Debug, Default)]
 pub struct Pool {
     idle: Rc<RefCell<HashMap<String, Vec<Idle>>>>,
-    continuities: Rc<RefCell<HashMap<Place, Weak<Continuity>>>>,
-    /// Endpoints that have stated no start, until they are asked again.
+    continuities: Continuities,
+    /// Endpoints that have answered without stating a start, until they are asked again.
     unstated: Rc<RefCell<HashMap<String, Instant>>>,
+    watched: Watched,
 }
 
 impl Pool {
@@ -124,53 +105,102 @@
 
     /// Opens a new connection to the endpoint.
     pub async fn connect(&self, id: &str, address: SocketAddr) -> Result<Connection, String> {
-        let stream = open(address).await?;
+        let connection = handshake(open(address).await?, (id.to_owned(), address)).await?;
         // Connections whose end the kernel has received by now are noticed to have ended.
         yield_now().await;
-        let place = (id.to_owned(), address);
-        let known = self.continuities.borrow().get(&place).and_then(Weak::upgrade);
-        let known = known.filter(|it| !it.has_ended.get());
-        let continuity = known.unwrap_or_else(|| Continuity::begin(address));
-        self.continuities.borrow_mut().insert(place, Rc::downgrade(&continuity));
-        handshake(stream, continuity).await
+        Ok(connection)
+    }
+
+    /// Records that the process at the other end has answered on a connection.
+    pub fn record_answer(&self, connection: &Connection) {
+        self.continuities.record_answer(&connection.place, &connection.link);
+    }
+
+    /// Returns what is known of the process at the other end of a connection.
+    pub fn identity(&self, connection: &Connection) -> Identity {
+        let stated = connection.started_at_ms.filter(|_| connection.link.is_continuous());
+        let present = self.continuities.present(&connection.place);
+        Identity {
+            started_at_ms: stated.or(present.and_then(|(_, started_at_ms)| started_at_ms)),
+            heard_since: present.map(|(since, _)| since),
+        }
+    }
+
+    /// Returns the endpoints that are watched.
+    pub(crate) fn watched(&self) -> &Watched {
+        &self.watched
     }
 
-    /// Returns a connection on which the process at the other end has stated when it started,
-    /// unless the endpoint doesn't state that, or hasn't on several connections.
+    /// Returns a connection on which the process at the other end was asked when it started, or
+    /// one on which nobody was if it hasn't answered on several connections. `is_bound`: whether
+    /// the request depends on it, so that an earlier answer doesn't do.
     pub async fn identify(
         &self,
         mut connection: Connection,
-        id: &str,
-        address: SocketAddr,
+        is_bound: bool,
     ) -> Result<Connection, String> {
+        self.watched.extend(&connection.place);
         for _ in 0..MAX_QUESTIONS {
-            let now = Instant::now();
-            let is_unstated = self.unstated.borrow().get(id).is_some_and(|it| now < *it);
-            if connection.started_at_ms.is_some() || is_unstated {
+            if !self.must_ask(&connection, is_bound) {
                 return Ok(connection);
             }
-            match identity::ask(&mut connection, address).await {
-                Ok(started_at_ms) => connection.started_at_ms = Some(started_at_ms),
-                Err(failure) => {
-                    spdlog::info!("endpoint did not state its start", kv: {
-                        endpoint = id,
-                        cause:? = failure,
-                        waited_ms = now.elapsed().as_millis() as u64,
-                    });
-                    if failure == Failure::NotStated {
-                        let until = Instant::now() + UNSTATED_TIME;
-                        self.unstated.borrow_mut().insert(id.to_owned(), until);
-                    }
-                }
-            }
+            self.ask(&mut connection).await;
             if connection.sender.is_ready() {
                 return Ok(connection);
             }
-            connection = self.connect(id, address).await?;
+            let (id, address) = connection.place.clone();
+            connection = self.connect(&id, address).await?;
         }
         Ok(connection)
     }
 
+    /// Whether a process has to be asked for its start on a connection.
+    fn must_ask(&self, connection: &Connection, is_bound: bool) -> bool {
+        let Connection { place, link, started_at_ms, .. } = connection;
+        let present = self.continuities.present(place);
+        let is_unstated =
+            self.unstated.borrow().get(&place.0).is_some_and(|it| Instant::now() < *it);
+        let is_watched = self.watched.contains(place);
+        match present {
+            Some((_, Some(_))) if is_watched => false,
+            Some(_) if is_unstated => false,
+            _ if is_bound => true,
+            _ => !is_unstated && (started_at_ms.is_none() || !link.is_continuous()),
+        }
+    }
+
+    async fn ask(&self, connection: &mut Connection) {
+        let asked_at = Instant::now();
+        let Err(failure) = self.ask_within(connection, ANSWER_TIMEOUT).await else { return };
+        spdlog::info!("endpoint did not state its start", kv: {
+            endpoint = connection.place.0.as_str(),
+            cause = failure.name(),
+            waited_ms = asked_at.elapsed().as_millis() as u64,
+        });
+        watch::watch(self, &connection.place);
+    }
+
+    /// Asks the process at the other end of a connection when it started, and records its answer.
+    pub(crate) async fn ask_within(
+        &self,
+        connection: &mut Connection,
+        limit: Duration,
+    ) -> Result<u64, Failure> {
+        let (id, address) = connection.place.clone();
+        let answer = identity::ask(connection, address, limit).await;
+        let Connection { place, link, .. } = &*connection;
+        match answer {
+            Ok(started_at_ms) => self.continuities.record_start(place, link, started_at_ms),
+            Err(Failure::NotStated) => {
+                self.continuities.record_answer(place, link);
+                self.unstated.borrow_mut().insert(id, Instant::now() + UNSTATED_TIME);
+            }
+            Err(Failure::Unanswered) => {}
+        }
+        connection.started_at_ms = answer.ok();
+        answer
+    }
+
     /// Returns a connection whose response was read completely to the pool.
     /// `keep_alive` is the timeout stated by the endpoint.
     pub fn release(&self, id: &str, connection: Connection, keep_alive: Option<Duration>) {
@@ -195,7 +225,7 @@
             connections.retain(|it| now < it.expires_at && !it.connection.sender.is_closed());
         }
         idle.retain(|_, connections| !connections.is_empty());
-        self.continuities.borrow_mut().retain(|_, it| it.strong_count() > 0);
+        self.continuities.remove_ended();
         self.unstated.borrow_mut().retain(|_, it| now < *it);
     }
 
@@ -204,7 +234,7 @@
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(id)?;
         while let Some(Idle { mut connection, expires_at }) = connections.pop() {
-            let is_current = connection.continuity.address == address;
+            let is_current = connection.place.1 == address;
             if is_current && now < expires_at && connection.sender.is_ready() {
                 connection.is_reused = true;
                 return Some(connection);
@@ -216,7 +246,7 @@
 
 /// Opens a connection that has nothing to do with others.
 pub async fn connect(address: SocketAddr) -> Result<Connection, String> {
-    handshake(open(address).await?, Continuity::begin(address)).await
+    handshake(open(address).await?, (String::new(), address)).await
 }
 
 async fn open(address: SocketAddr) -> Result<TcpStream, String> {
@@ -229,16 +259,17 @@
     Ok(stream)
 }
 
-async fn handshake(stream: TcpStream, continuity: Rc<Continuity>) -> Result<Connection, String> {
+async fn handshake(stream: TcpStream, place: Place) -> Result<Connection, String> {
     let handshake =
         http1::Builder::new().max_buf_size(MAX_BUFFER_BYTES).handshake(TokioIo::new(stream));
     let (sender, driver) = handshake.await.map_err(|it| it.to_string())?;
-    let driven = Rc::clone(&continuity);
+    let link = Link::default();
+    let driven = link.clone();
     let task = spawn_local(async move {
         // An error also reaches the request that waits for the response.
         let _ = driver.await;
-        driven.has_ended.set(true);
+        driven.end();
     });
     let driver = Driver(task.abort_handle());
-    Ok(Connection { sender, is_reused: false, _driver: driver, continuity, started_at_ms: None })
+    Ok(Connection { sender, is_reused: false, _driver: driver, place, link, started_at_ms: None })
 }
--- a/crates/relay/src/identity.rs
+++ b/crates/relay/src/identity.rs
@@ -1,7 +1,8 @@
 //! Which process is at the other end of a connection to an endpoint.
 //!
-//! An endpoint may start again under its id and address with another software version. What is
-//! learned on a connection holds for the later requests on it, as a restart ends it.
+//! An endpoint may start again under its id and address with another software version. A process
+//! is known only by what it has answered: a connection on which nothing was heard may have been
+//! opened while no process was there, and lead to the next one.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -9,53 +10,76 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use http_body_util::Limited;
+use hyper::body::Body;
 use platform::report;
 use tokio::time::Instant;
 use tokio::time::timeout;
 
 use crate::connection::Connection;
 
-/// How long a process may take to say when it started.
-const TIMEOUT: Duration = Duration::from_millis(500);
 /// Maximum size of its response; it lists the requests that run.
 const MAX_BODY_BYTES: usize = 256 * 1_024;
 
 /// What is known of the process at the other end of a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Identity {
-    /// When it started, in milliseconds since 1970, if it has stated that on the connection.
+    /// When it started, in milliseconds since 1970, if it has stated that.
     pub started_at_ms: Option<u64>,
-    /// Since when connections to it have been open without interruption.
-    pub since: Instant,
+    /// Since when it has been answering, on connections of which some has been open ever since.
+    /// `None` if it hasn't answered on any.
+    pub heard_since: Option<Instant>,
 }
 
 /// Why a process has not stated its start.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Failure {
-    /// Its response is none that states a start.
+    /// Its response is complete, but states no start.
     NotStated,
-    /// There was no response, only a part of one, or the connection ended with it.
-    Broken,
+    /// There was no response of a process: none at all, only a part of one, or an error of
+    /// something before it. Says nothing about the endpoint.
+    Unanswered,
+}
+
+impl Failure {
+    /// Returns the name used in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Failure::NotStated => "not_stated",
+            Failure::Unanswered => "unanswered",
+        }
+    }
 }
 
 /// Asks the process at the other end of a connection when it started, in milliseconds since
-/// 1970.
-pub async fn ask(connection: &mut Connection, address: SocketAddr) -> Result<u64, Failure> {
-    let asked = timeout(TIMEOUT, exchange(connection, address)).await;
-    let body = asked.unwrap_or(Err(Failure::Broken))?;
+/// 1970. It has to answer within `limit`.
+pub async fn ask(
+    connection: &mut Connection,
+    address: SocketAddr,
+    limit: Duration,
+) -> Result<u64, Failure> {
+    let asked = timeout(limit, exchange(connection, address)).await;
+    let body = asked.unwrap_or(Err(Failure::Unanswered))?;
     report::started_at_ms(&body).ok_or(Failure::NotStated)
 }
 
 async fn exchange(connection: &mut Connection, address: SocketAddr) -> Result<Bytes, Failure> {
     let request = report::request(&address.to_string());
     let response = connection.sender.send_request(request).await;
-    let (parts, body) = response.map_err(|_| Failure::Broken)?.into_parts();
+    let (parts, body) = response.map_err(|_| Failure::Unanswered)?.into_parts();
+    if parts.status.is_server_error() {
+        return Err(Failure::Unanswered);
+    }
     if !report::is_report(parts.status, &parts.headers) {
+        if body.size_hint().exact().is_some_and(|it| it <= MAX_BODY_BYTES as u64) {
+            let _ = body.collect().await;
+            // An error ends the connection, which the caller notices.
+            let _ = connection.sender.ready().await;
+        }
         return Err(Failure::NotStated);
     }
     let collected = Limited::new(body, MAX_BODY_BYTES).collect().await;
-    let body = collected.map_err(|_| Failure::Broken)?.to_bytes();
+    let body = collected.map_err(|_| Failure::Unanswered)?.to_bytes();
     // Fails if the response was the last one on the connection.
-    connection.sender.ready().await.map_err(|_| Failure::Broken)?;
+    connection.sender.ready().await.map_err(|_| Failure::Unanswered)?;
     Ok(body)
 }
