--- a/crates/balance/src/origin.rs
+++ b/crates/balance/src/origin.rs
@@ -101,6 +101,9 @@
     pub origin: Origin,
     /// From whom that is known.
     pub source: Source,
+    /// Whether the instance is known to be the one at which the stream began. If not, a later
+    /// one may have begun it whose entry was not read yet.
+    pub is_settled: bool,
     began_at: Instant,
     expires_at: Instant,
 }
@@ -129,13 +132,32 @@
     /// Streams that began, also according to only one daemon, at instances whose entries were
     /// not read yet.
     unread: HashMap<Instance, HashSet<Key>>,
+    /// Streams that are not settled.
+    unsettled: HashSet<Key>,
+    /// When other instances have replaced those of entries, by these, if their software version is
+    /// another one.
+    replaced: HashMap<Instance, Option<Instant>>,
+    /// These instances in the order in which that became known.
+    replaced_order: VecDeque<Instance>,
 }
 
 impl Origins {
     /// Records that a stream began, or went on after its caller took it up, at an endpoint.
-    pub fn record(&mut self, key: Key, origin: Origin, lifetime: Duration, now: Instant) {
-        let entry =
-            Entry { origin, source: Source::Own, began_at: now, expires_at: now + lifetime };
+    pub fn record(
+        &mut self,
+        key: Key,
+        origin: Origin,
+        is_settled: bool,
+        lifetime: Duration,
+        now: Instant,
+    ) {
+        let entry = Entry {
+            origin,
+            source: Source::Own,
+            is_settled,
+            began_at: now,
+            expires_at: now + lifetime,
+        };
         if self.insert(key, entry) && self.unsent.len() < MAX_STREAMS {
             self.unsent.push(key);
         }
@@ -143,11 +165,18 @@
     }
 
     /// Merges what another daemon knows of a stream.
-    pub fn merge_remote(&mut self, notice: &Notice, daemon: &Rc<str>, now: Instant) {
+    pub fn merge_remote(
+        &mut self,
+        notice: &Notice,
+        daemon: &Rc<str>,
+        is_settled: bool,
+        now: Instant,
+    ) {
         let age = Duration::from_millis(notice.age_ms);
         let entry = Entry {
             origin: notice.origin.clone(),
             source: Source::Peer(Rc::clone(daemon)),
+            is_settled,
             began_at: now.checked_sub(age).unwrap_or(now),
             expires_at: now + Duration::from_millis(notice.lifetime_ms),
         };
@@ -168,9 +197,61 @@
             let Some(entry) = self.by_key.get_mut(&key) else { continue };
             let service = entry.origin.service.clone();
             entry.origin.merge(&Origin { service, software: Some(software.to_owned()), instance });
+            if entry.source == Source::Own {
+                self.add_changed(key);
+            }
         }
     }
 
+    /// Returns the streams that are not settled, with the instances at which they are believed to
+    /// have begun.
+    pub fn unsettled(&self) -> impl Iterator<Item = (Key, &Entry)> {
+        self.unsettled.iter().filter_map(|key| Some((*key, self.by_key.get(key)?)))
+    }
+
+    /// Records that a stream began at the instance at which it is believed to have begun.
+    pub fn settle(&mut self, key: Key) {
+        self.unsettled.remove(&key);
+        let Some(entry) = self.by_key.get_mut(&key) else { return };
+        entry.is_settled = true;
+        if entry.source == Source::Own {
+            self.add_changed(key);
+        }
+    }
+
+    /// Records that the instance at which a stream began can't become known here any more. One
+    /// that began at another daemon is forgotten, as that one may know better.
+    pub fn abandon(&mut self, key: Key) {
+        match self.by_key.get(&key).map(|it| &it.source) {
+            Some(Source::Own) => self.doubt_stream(key),
+            Some(Source::Peer(_)) | None => {
+                self.by_key.remove(&key);
+                self.unsettled.remove(&key);
+            }
+        }
+    }
+
+    /// Casts doubt on the version of a stream, as the instance at which it began can't become
+    /// known any more.
+    pub fn doubt_stream(&mut self, key: Key) {
+        self.settle(key);
+        if let Some(entry) = self.by_key.get_mut(&key) {
+            entry.origin.software = None;
+            self.unsent.push(key);
+            self.add_changed(key);
+        }
+    }
+
+    /// Records that an instance was replaced by one of the same software version.
+    pub fn record_replacement(&mut self, instance: Instance) {
+        self.add_replaced(instance, None);
+    }
+
+    /// Whether it is known that another instance has replaced the one of an entry.
+    pub fn is_replaced(&self, instance: Instance) -> bool {
+        self.replaced.contains_key(&instance)
+    }
+
     /// Returns what is known of a stream.
     pub fn get(&self, key: Key, now: Instant) -> Option<&Entry> {
         self.by_key.get(&key).filter(|it| now < it.expires_at)
@@ -180,19 +261,14 @@
     /// out to have been replaced at `replaced_at` or somewhat earlier, by another version.
     /// Returns their number.
     pub fn doubt(&mut self, instance: Instance, replaced_at: Instant) -> usize {
-        let mut count = 0;
-        for (key, entry) in &mut self.by_key {
-            let is_affected = entry.began_at + MAX_CLOCK_SKEW >= replaced_at;
-            if entry.origin.instance == instance && is_affected {
-                entry.origin.software = None;
-                self.unsent.push(*key);
-                if self.changed.len() < MAX_STREAMS {
-                    self.changed.push(*key);
-                }
-                count += 1;
-            }
-        }
-        count
+        self.add_replaced(instance, Some(replaced_at));
+        let is_affected = |it: &Entry| {
+            it.origin.instance == instance && it.began_at + MAX_CLOCK_SKEW >= replaced_at
+        };
+        let affected = self.by_key.iter().filter(|(_, it)| is_affected(it));
+        let affected: Vec<Key> = affected.map(|(key, _)| *key).collect();
+        affected.iter().for_each(|it| self.doubt_stream(*it));
+        affected.len()
     }
 
     /// Returns the streams that began here, or whose version came into doubt, since the last
@@ -201,14 +277,6 @@
         std::mem::take(&mut self.changed)
     }
 
-    /// Returns the streams of a service that began here.
-    pub fn own(&self, service: &str, now: Instant) -> Vec<Key> {
-        let is_own = |it: &Entry| {
-            it.source == Source::Own && it.origin.service == service && now < it.expires_at
-        };
-        self.order.iter().filter(|it| self.by_key.get(it).is_some_and(is_own)).copied().collect()
-    }
-
     /// Whether the entry of a confirmed instance was read. False for an instance that has not
     /// stated its start.
     pub fn is_described(&self, instance: Instance) -> bool {
@@ -249,6 +317,7 @@
             keys.retain(|it| by_key.contains_key(it));
             !keys.is_empty()
         });
+        self.unsettled.retain(|it| by_key.contains_key(it));
     }
 
     /// Whether a stream of the service began at a process whose entry was not read yet.
@@ -278,8 +347,17 @@
         if entry.origin.is_unread() {
             self.unread.entry(entry.origin.instance).or_default().insert(key);
         }
+        let replaced_at = self.replaced.get(&entry.origin.instance).copied().flatten();
+        if replaced_at.is_some_and(|it| entry.began_at + MAX_CLOCK_SKEW >= it) {
+            entry.origin.software = None;
+            entry.is_settled = true;
+        }
         if let Some(known) = self.by_key.get_mut(&key) {
             known.origin.merge(&entry.origin);
+            if entry.is_settled && !known.is_settled {
+                known.is_settled = true;
+                self.unsettled.remove(&key);
+            }
             let is_later = entry.expires_at > known.expires_at;
             known.expires_at = known.expires_at.max(entry.expires_at);
             return is_later;
@@ -289,8 +367,22 @@
         {
             self.by_key.remove(&oldest);
         }
+        if !entry.is_settled {
+            self.unsettled.insert(key);
+        }
         self.order.push_back(key);
         self.by_key.insert(key, entry);
         true
     }
+
+    fn add_replaced(&mut self, instance: Instance, at: Option<Instant>) {
+        if self.replaced.insert(instance, at).is_none() {
+            self.replaced_order.push_back(instance);
+        }
+        if self.replaced_order.len() > MAX_INSTANCES
+            && let Some(oldest) = self.replaced_order.pop_front()
+        {
+            self.replaced.remove(&oldest);
+        }
+    }
 }
--- a/crates/balance/src/origin_log.rs
+++ b/crates/balance/src/origin_log.rs
@@ -20,6 +20,8 @@
 pub const MAX_DELETES: usize = 50;
 /// Minimum interval between writes in a small fleet.
 const WRITE_INTERVAL: Duration = Duration::from_millis(250);
+/// Minimum interval between writes while no other version serves.
+const CALM_INTERVAL: Duration = Duration::from_secs(1);
 /// Share of a daemon in the minimum interval between its writes: all daemons together make at
 /// most 50 a second, a third of what the store performs on rows of one part.
 const INTERVAL_PER_DAEMON: Duration = Duration::from_millis(20);
@@ -55,6 +57,7 @@
     in_flight: Option<InFlight>,
     written_at: Option<Instant>,
     has_failed: bool,
+    is_calm: bool,
 }
 
 /// A write without a response yet.
@@ -72,6 +75,11 @@
         self.pending.drain(..surplus);
     }
 
+    /// Sets whether only one version of each service serves, as far as known.
+    pub fn set_calm(&mut self, is_calm: bool) {
+        self.is_calm = is_calm;
+    }
+
     /// Returns the write that is due, if any. The next one is due only after [`Log::finish`].
     pub fn next_write(&mut self, origins: &Origins, daemons: usize, now: Instant) -> Option<Write> {
         let since_write = self.written_at.map(|it| now.saturating_duration_since(it));
@@ -116,7 +124,8 @@
     }
 
     fn interval(&self, daemons: usize) -> Duration {
-        let interval = WRITE_INTERVAL.max(INTERVAL_PER_DAEMON * daemons as u32);
+        let interval = if self.is_calm { CALM_INTERVAL } else { WRITE_INTERVAL };
+        let interval = interval.max(INTERVAL_PER_DAEMON * daemons as u32);
         if self.has_failed { interval * RETRY_INTERVALS } else { interval }
     }
 
@@ -129,10 +138,9 @@
         number
     }
 
-    /// Takes the streams that fit into a row. Those whose version is not known yet go on waiting.
+    /// Takes the streams that fit into a row.
     fn take_pending(&mut self, origins: &Origins, now: Instant) -> Vec<Notice> {
         let mut seen = HashSet::new();
-        let mut unread = VecDeque::new();
         let mut streams = Vec::new();
         let mut bytes = 0;
         while bytes < MAX_ROW_BYTES
@@ -141,16 +149,10 @@
             let Some(notice) = origins.notice(key, now).filter(|_| seen.insert(key)) else {
                 continue;
             };
-            if notice.origin.is_unread() {
-                unread.push_back(key);
-                continue;
-            }
             let software = notice.origin.software.as_ref().map_or(0, String::len);
             bytes += STREAM_BYTES + notice.origin.service.len() + software;
             streams.push(notice);
         }
-        unread.append(&mut self.pending);
-        self.pending = unread;
         streams
     }
 }
--- a/crates/balance/src/pool.rs
+++ b/crates/balance/src/pool.rs
@@ -377,10 +377,13 @@
         if self.removals.get_mut(&endpoint.id).is_some_and(|it| it.outdates(&endpoint)) {
             return Effect::Unchanged;
         }
-        self.removals.remove(&endpoint.id);
+        let removal = self.removals.remove(&endpoint.id);
         let Some(member) = self.members.get_mut(&endpoint.id) else {
             let effect = if endpoint.leaving { Effect::Left } else { Effect::Joined };
-            self.members.insert(endpoint.id.clone(), Member::new(endpoint));
+            let former = removal.and_then(|it| it.former);
+            let mut member = Member::new(endpoint);
+            member.replaced = former.filter(|(instance, _)| *instance != member.instance);
+            self.members.insert(member.endpoint.id.clone(), member);
             return effect;
         };
         if endpoint.started_at_ms < member.endpoint.started_at_ms {
--- a/crates/balance/src/removal.rs
+++ b/crates/balance/src/removal.rs
@@ -7,6 +7,7 @@
 use store::position;
 
 use crate::endpoint::Endpoint;
+use crate::endpoint::Instance;
 
 /// What daemons tell each other about a removed endpoint.
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
@@ -27,6 +28,9 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Removal {
     notice: Notice,
+    /// The removed instance and its software version; `None` if another daemon has noticed the
+    /// removal.
+    pub(crate) former: Option<(Instance, String)>,
     pub(crate) at: Instant,
 }
 
@@ -44,12 +48,13 @@
             was_leaving,
             restored: None,
         };
-        Removal { notice, at }
+        let former = Some((endpoint.instance(), endpoint.software.clone()));
+        Removal { notice, former, at }
     }
 
     /// Creates a removal that another daemon has noticed.
     pub(crate) fn remote(notice: Notice, at: Instant) -> Removal {
-        Removal { notice, at }
+        Removal { notice, former: None, at }
     }
 
     /// Adds what another daemon knows of the removal of the same or a later instance.
--- a/crates/balance/tests/origin_log.rs
+++ b/crates/balance/tests/origin_log.rs
@@ -55,19 +55,47 @@
     check(420, Duration::from_millis(8_400));
 }
 
+/// Guards against daemons that take such a stream for one of the only version that they know.
 #[test]
-fn a_stream_is_written_once_its_version_is_known() {
+fn a_stream_is_written_before_its_version_is_known_and_again_once_it_is() {
     let mut fixture = Fixture::new();
     fixture.begin(0..1, "");
 
-    let unread = fixture.write(1);
+    let unread = fixture.write(1).unwrap();
+    fixture.log.finish(true);
     fixture.origins.learn(instance(0), "v2");
+    fixture.log.add(fixture.origins.take_changed());
+    fixture.now += SECOND;
     let read = fixture.write(1).unwrap();
 
-    assert_eq!(unread, None);
+    assert!(unread.streams[0].origin.is_unread());
     assert_eq!(read.streams[0].origin.software.as_deref(), Some("v2"));
 }
 
+/// Guards against a kill of all daemons after which the streams that began before the second
+/// version served are known to nobody.
+#[test]
+fn streams_are_written_also_while_one_version_serves_but_more_seldom() {
+    let check = |daemons, expected: Duration| {
+        let mut fixture = Fixture::new();
+        fixture.log.set_calm(true);
+        fixture.begin(0..1, "v1");
+        fixture.write(daemons).unwrap();
+        fixture.log.finish(true);
+        fixture.begin(1..2, "v1");
+
+        fixture.now += expected - Duration::from_millis(1);
+        let early = fixture.write(daemons);
+        fixture.now += Duration::from_millis(1);
+
+        assert!(early.is_none() && fixture.write(daemons).is_some(), "{daemons}");
+    };
+
+    check(2, SECOND);
+    check(12, SECOND);
+    check(85, Duration::from_millis(1_700));
+}
+
 #[test]
 fn a_doubt_that_arises_after_the_write_is_written() {
     let mut fixture = Fixture::new();
@@ -84,7 +112,7 @@
     for order in [[&first, &second], [&second, &first]] {
         let mut reader = Origins::default();
         for write in order {
-            reader.merge_remote(&write.streams[0], &Rc::from("daemon"), fixture.now);
+            reader.merge_remote(&write.streams[0], &Rc::from("daemon"), true, fixture.now);
         }
         assert_eq!(reader.get(Key(0), fixture.now).unwrap().origin.software, None);
     }
@@ -168,20 +196,6 @@
     assert_eq!(streams, (0..1_000).collect::<Vec<u128>>());
 }
 
-#[test]
-fn streams_of_a_service_are_found_where_they_began() {
-    let mut fixture = Fixture::new();
-    fixture.begin(0..2, "v1");
-    let notice = fixture.origins.notice(Key(0), fixture.now).unwrap();
-    let mut other = Origins::default();
-
-    other.merge_remote(&notice, &Rc::from("daemon"), fixture.now);
-
-    assert_eq!(fixture.origins.own("pool", fixture.now), [Key(0), Key(1)]);
-    assert_eq!(fixture.origins.own("other", fixture.now), []);
-    assert_eq!(other.own("pool", fixture.now), []);
-}
-
 struct Fixture {
     origins: Origins,
     log: Log,
@@ -201,7 +215,7 @@
                 software: Some(software.to_owned()),
                 instance: instance(key),
             };
-            self.origins.record(Key(key.into()), origin, LIFETIME, self.now);
+            self.origins.record(Key(key.into()), origin, true, LIFETIME, self.now);
         }
         self.log.add(self.origins.take_changed());
     }
--- a/crates/balance/tests/origins/main.rs
+++ b/crates/balance/tests/origins/main.rs
@@ -61,11 +61,11 @@
     let daemon: Rc<str> = Rc::from("d");
     let check = |order: [&str; 3]| {
         let mut origins = Origins::default();
-        origins.record(key, origin(order[0], 1), SECOND, now);
+        origins.record(key, origin(order[0], 1), true, SECOND, now);
         for software in &order[1..] {
             let mut remote = Origins::default();
-            remote.record(key, origin(software, 1), SECOND, now);
-            origins.merge_remote(&remote.notice(key, now).unwrap(), &daemon, now);
+            remote.record(key, origin(software, 1), true, SECOND, now);
+            origins.merge_remote(&remote.notice(key, now).unwrap(), &daemon, true, now);
         }
         origins.get(key, now).unwrap().origin.software.clone()
     };
@@ -125,7 +125,8 @@
     let keys = [1, 2, 3].map(|it| Key::of(None, "r", &it.to_string()));
     let mut origins = Origins::default();
     let record = |software: &str, instance: Instance, key: Key, origins: &mut Origins| {
-        origins.record(key, origin(software, instance.0), SECOND, now);
+        let is_settled = instance != endpoint.instance();
+        origins.record(key, origin(software, instance.0), is_settled, SECOND, now);
     };
     record("v1", endpoint.confirmed(), keys[0], &mut origins);
     record("", endpoint.confirmed(), keys[1], &mut origins);
@@ -143,7 +144,7 @@
     let mut origins = Origins::default();
     let key = |it: u64| Key::of(None, "r", &it.to_string());
 
-    (0..40_000).for_each(|it| origins.record(key(it), origin("v1", 1), SECOND, now));
+    (0..40_000).for_each(|it| origins.record(key(it), origin("v1", 1), true, SECOND, now));
 
     assert_eq!(origins.count(), 16_384);
     assert!(origins.get(key(39_999), now).is_some());
@@ -158,9 +159,9 @@
     let now = Instant::now();
     let mut origins = Origins::default();
     let keys = [1, 2, 3].map(|it| Key::of(None, "r", &it.to_string()));
-    origins.record(keys[0], origin("v1", 7), 60 * SECOND, now);
-    origins.record(keys[1], origin("v1", 7), 60 * SECOND, now + 20 * SECOND);
-    origins.record(keys[2], origin("v1", 8), 60 * SECOND, now + 20 * SECOND);
+    origins.record(keys[0], origin("v1", 7), false, 60 * SECOND, now);
+    origins.record(keys[1], origin("v1", 7), false, 60 * SECOND, now + 20 * SECOND);
+    origins.record(keys[2], origin("v1", 8), false, 60 * SECOND, now + 20 * SECOND);
     origins.take_unsent(10, now + 20 * SECOND);
 
     assert_eq!(origins.doubt(Instance(7), now + 10 * SECOND), 1);
@@ -310,7 +311,7 @@
                 let origin =
                     Origin { software: software.map(str::to_owned), ..origin("", instance) };
                 let notice = origin::Notice { key, origin, age_ms: 0, lifetime_ms: 1_000 };
-                origins.merge_remote(&notice, &Rc::from("d"), now);
+                origins.merge_remote(&notice, &Rc::from("d"), true, now);
             }
             Step::Read(instance, software) => origins.learn(Instance(instance), software),
         }
--- a/crates/balance/tests/origins/world/mod.rs
+++ b/crates/balance/tests/origins/world/mod.rs
@@ -234,7 +234,7 @@
             daemon.history.merge_remote(&sponsor.history.notice(now), now);
             let from: Rc<str> = Rc::from(sponsor.id.as_str());
             for notice in sponsor.origins.latest(if is_small { 4_096 } else { 0 }, now) {
-                daemon.origins.merge_remote(&notice, &from, now);
+                daemon.origins.merge_remote(&notice, &from, true, now);
             }
         }
         daemon
--- a/crates/balance/tests/origins/world/streams.rs
+++ b/crates/balance/tests/origins/world/streams.rs
@@ -68,7 +68,7 @@
                 software: Some(if is_described { described.software } else { String::new() }),
                 instance: Instance::confirmed(&described.id, actual.started_at_ms),
             };
-            daemon.origins.record(key, origin, WINDOW, now);
+            daemon.origins.record(key, origin, true, WINDOW, now);
             let length = Duration::from_millis(self.rng.random_range(500..MAX_LENGTH_MS));
             self.streams.push(Stream {
                 key,
@@ -189,7 +189,7 @@
                 })
                 .collect();
             for (from, notice) in replies.into_iter().take(1) {
-                self.daemons[index].origins.merge_remote(&notice, &from, now);
+                self.daemons[index].origins.merge_remote(&notice, &from, true, now);
             }
         }
         self.daemons[index].version(key, now)
@@ -232,7 +232,7 @@
         for message in self.messages.extract_if(.., |it| now >= it.at) {
             let Some(to) = self.daemons.iter_mut().find(|it| it.id == message.to) else { continue };
             for notice in &message.streams {
-                to.origins.merge_remote(notice, &message.from, instant);
+                to.origins.merge_remote(notice, &message.from, true, instant);
             }
         }
     }
--- a/crates/front/src/broker/history.rs
+++ b/crates/front/src/broker/history.rs
@@ -78,7 +78,7 @@
                     version = row.version,
                 });
                 self.merge_history(&notice, now);
-                if self.may_be_stored(now) {
+                if !self.history.mixed(self.stream_window(), now).is_empty() {
                     self.request_streams(now);
                 }
             }
--- a/crates/front/src/broker/identity.rs
+++ b/crates/front/src/broker/identity.rs
@@ -8,10 +8,12 @@
 use balance::member::Member;
 use balance::software::Requirement;
 use relay::admission::Confirmation;
+use relay::admission::Outcome;
 use relay::identity::Identity;
 
 use super::Broker;
 use super::pending::Pending;
+use super::pending::Unconfirmed;
 use crate::clock;
 use crate::metrics;
 
@@ -98,6 +100,38 @@
         }
     }
 
+    /// Returns which version a stream needs that began at a process that is not known to be the one
+    /// of its endpoint's entry, after an attempt has ended with `outcome`.
+    pub(super) fn settled_requirement(
+        &mut self,
+        ticket: u64,
+        origin: Unconfirmed,
+        outcome: Outcome,
+        now: Instant,
+    ) -> Requirement {
+        let Some(pending) = self.requests.get_mut(&ticket) else { return Requirement::Unknown };
+        let Unconfirmed { instance, began_at, heard_since } = origin;
+        // A process that ends so soon may never write an entry.
+        let is_short_lived = outcome == Outcome::Broken && now < heard_since + REGISTRATION_TIME;
+        if is_short_lived {
+            pending.requirement = Requirement::Unknown;
+            if let Some(key) = pending.stream {
+                self.origins.doubt_stream(key);
+            }
+            return Requirement::Unknown;
+        }
+        let (requirement, stream) = (pending.requirement.clone(), pending.stream);
+        let known = stream.and_then(|it| self.origins.get(it, now));
+        let is_settled = match known {
+            Some(entry) => entry.is_settled && entry.origin.software.is_some(),
+            None => {
+                let is_described = || self.pool.members().any(|it| it.instance == instance);
+                self.is_registered(began_at) && is_described()
+            }
+        };
+        if is_settled { requirement } else { Requirement::Unknown }
+    }
+
     /// Whether a request may still be sent to the endpoint to which it was assigned.
     fn confirm_endpoint(&self, ticket: u64, now: Instant) -> Confirmation {
         let Some(pending) = self.requests.get(&ticket) else { return Confirmation::Unsound };
--- a/crates/front/src/broker/mod.rs
+++ b/crates/front/src/broker/mod.rs
@@ -435,6 +435,7 @@
         self.context.ready.send_replace(self.is_ready());
         self.record_progress(now);
         self.sweep_origins(now);
+        self.settle_origins();
         self.tick_stored_streams(now);
         self.end_waits_for_entries(now);
         self.judge_links(now);
--- a/crates/front/src/broker/origin_log.rs
+++ b/crates/front/src/broker/origin_log.rs
@@ -1,7 +1,6 @@
 //! The store rows that keep where streams began while several software versions serve.
 
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
@@ -42,8 +41,6 @@
 pub(super) struct Stored {
     log: Log,
     writing: Size,
-    /// Services of which several versions have served recently.
-    mixed: BTreeSet<String>,
     checked_at: Instant,
     /// When the read that has no response yet began.
     reading_since: Option<Instant>,
@@ -54,9 +51,6 @@
     /// Rows of other daemons, and when all of their streams have expired.
     foreign: BTreeMap<String, Instant>,
     is_deleting: bool,
-    /// Streams whose endpoint instance may have been replaced before its entry said so, with the
-    /// daemons at which they began and the times of the reads.
-    unsettled: Vec<(Rc<str>, origin::Notice, Instant)>,
     /// When the lease holder looks for rows that daemons have left.
     collects_at: Option<Instant>,
 }
@@ -75,22 +69,19 @@
         Stored {
             log: Log::default(),
             writing: Size::default(),
-            mixed: BTreeSet::new(),
             checked_at: now,
             reading_since: None,
             read_at: None,
             must_read: false,
             foreign: BTreeMap::new(),
             is_deleting: false,
-            unsettled: Vec::new(),
             collects_at: None,
         }
     }
 }
 
 impl Broker {
-    /// Writes the streams that began here at services of which several versions serve, and reads
-    /// and deletes the rows as far as that is due.
+    /// Writes the streams that began here, and reads and deletes the rows as far as that is due.
     pub(super) fn tick_stored_streams(&mut self, now: Instant) {
         self.read_streams_if_due(now);
         if now < self.stored_streams.checked_at + CHECK_INTERVAL {
@@ -99,15 +90,9 @@
         self.stored_streams.checked_at = now;
         self.log_streams(now);
         self.write_streams(now);
-        self.settle_stored_streams(now);
         self.collect_rows(now);
     }
 
-    /// Whether a stream that other daemons don't know may be in the rows.
-    pub(super) fn may_be_stored(&self, now: Instant) -> bool {
-        !self.history.mixed(self.stream_window(), now).is_empty()
-    }
-
     /// Requests a read of the rows. It begins at once unless one began shortly before.
     pub(super) fn request_streams(&mut self, now: Instant) {
         self.stored_streams.must_read = true;
@@ -142,7 +127,7 @@
             Ok(rows) => {
                 metrics::count("stream_rows", "read");
                 self.merge_rows(&rows, now);
-                self.settle_stored_streams(now);
+                self.settle_origins();
                 self.end_stored_queries(since, now);
             }
             Err(error) => {
@@ -166,21 +151,14 @@
         }
     }
 
-    /// Adds the streams to be written: those that have changed, and all of services of which
-    /// several versions serve since now.
+    /// Adds the streams to be written. Those of a moment are lost with all daemons, so that the
+    /// moment is short while another version serves or may be about to.
     fn log_streams(&mut self, now: Instant) {
-        let mixed = self.history.mixed(self.stream_window(), now);
-        let mixed: BTreeSet<String> = mixed.into_iter().map(str::to_owned).collect();
-        let stored = &mut self.stored_streams;
-        let origins = &mut self.origins;
-        for service in mixed.difference(&stored.mixed) {
-            stored.log.add(origins.own(service, now));
-        }
-        let changed = origins.take_changed().into_iter().filter(|it| {
-            origins.get(*it, now).is_some_and(|it| mixed.contains(&it.origin.service))
-        });
-        stored.log.add(changed);
-        stored.mixed = mixed;
+        let is_mixed = !self.history.mixed(self.stream_window(), now).is_empty();
+        let is_calm = !is_mixed && !self.pool.members().any(|it| it.may_be_replaced(now));
+        let log = &mut self.stored_streams.log;
+        log.set_calm(is_calm);
+        log.add(self.origins.take_changed());
     }
 
     fn write_streams(&mut self, now: Instant) {
@@ -207,17 +185,9 @@
         let _ = self.context.stream_writes.send(Job::Write(transaction));
     }
 
-    /// Whether it is known that the endpoint instance has the version of the stream's origin.
+    /// Whether it is known that the stream began at its origin's instance.
     fn is_settled(&self, notice: &origin::Notice, now: Instant) -> bool {
-        notice.origin.software.is_none()
-            || self.origins.is_described(notice.origin.instance)
-            || self.is_list_complete_after_registration(notice.age_ms, now)
-    }
-
-    /// Whether the list of endpoints was complete some time after a stream of this age began.
-    fn is_list_complete_after_registration(&self, age_ms: u64, now: Instant) -> bool {
-        let began_at = now.checked_sub(Duration::from_millis(age_ms));
-        began_at.is_none_or(|it| self.is_registered(it))
+        self.origins.get(notice.key, now).is_none_or(|it| it.is_settled)
     }
 
     fn read_streams_if_due(&mut self, now: Instant) {
@@ -236,8 +206,7 @@
 
     fn merge_rows(&mut self, rows: &[Row], now: Instant) {
         let now_ms = self.clock.now_ms(clock::since_boot());
-        let mut count = 0;
-        self.stored_streams.unsettled.clear();
+        let (mut count, mut unsettled) = (0, 0);
         for row in rows {
             let writer = origin_rows::writer(&row.key);
             if writer == self.context.instance_id {
@@ -259,17 +228,14 @@
             let lifetime_ms = streams.iter().map(|it| it.notice.lifetime_ms).max();
             self.note_foreign_row(&row.key, now + Duration::from_millis(lifetime_ms.unwrap_or(0)));
             for Stream { notice, is_settled } in streams {
-                if is_settled {
-                    self.origins.merge_remote(&notice, &daemon, now);
-                } else {
-                    self.stored_streams.unsettled.push((Rc::clone(&daemon), notice, now));
-                }
+                unsettled += usize::from(!is_settled);
+                self.origins.merge_remote(&notice, &daemon, is_settled, now);
             }
         }
         spdlog::info!("streams read", kv: {
             rows = rows.len(),
             streams = count,
-            unsettled = self.stored_streams.unsettled.len(),
+            unsettled = unsettled,
             waiting = self.queries.len(),
         });
     }
@@ -282,26 +248,6 @@
         }
     }
 
-    /// Merges streams once the list of endpoints shows that the instances at which they began
-    /// were not replaced. Others are forgotten.
-    fn settle_stored_streams(&mut self, now: Instant) {
-        let unsettled = std::mem::take(&mut self.stored_streams.unsettled);
-        for (daemon, notice, read_at) in unsettled {
-            let waited = now.saturating_duration_since(read_at);
-            let age_ms = notice.age_ms.saturating_add(waited.as_millis() as u64);
-            if !self.is_list_complete_after_registration(age_ms, now) {
-                self.stored_streams.unsettled.push((daemon, notice, read_at));
-                continue;
-            }
-            if self.pool.members().any(|it| it.instance == notice.origin.instance) {
-                let notice = origin::Notice { age_ms, ..notice };
-                self.origins.merge_remote(&notice, &daemon, now);
-            } else {
-                metrics::count("stream_rows", "unsettled");
-            }
-        }
-    }
-
     /// Ends the queries that wait for a read that began at `since`, and those of streams that are
     /// known now.
     fn end_stored_queries(&mut self, since: Instant, now: Instant) {
@@ -321,7 +267,7 @@
     fn collect_rows(&mut self, now: Instant) {
         let is_leader = self.is_leader;
         let stored = &mut self.stored_streams;
-        if stored.collects_at.is_none() && !stored.mixed.is_empty() {
+        if stored.collects_at.is_none() {
             stored.collects_at = Some(now + COLLECT_INTERVAL);
         }
         if stored.collects_at.is_some_and(|it| now >= it) {
--- a/crates/front/src/broker/origins.rs
+++ b/crates/front/src/broker/origins.rs
@@ -1,11 +1,13 @@
 //! Software versions of streams that callers take up again, of which other daemons may know.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
 
+use balance::endpoint::Instance;
 use balance::origin;
 use balance::origin::Entry;
 use balance::origin::Key;
@@ -23,6 +25,7 @@
 
 use super::Broker;
 use super::pending::Pending;
+use super::pending::Unconfirmed;
 use super::refusal::Cause;
 use super::refusal::refuse;
 use crate::clock;
@@ -58,6 +61,7 @@
         &self,
         found: Match<'a>,
         attributes: &Attributes,
+        arrived_at: Instant,
         now: Instant,
     ) -> Result<Bound<'a>, Refusal> {
         if !takes_up(&found, attributes) {
@@ -77,6 +81,8 @@
             (Some(_), None) => None,
             (None, _) => {
                 let sole = self.sole_version(&found, now);
+                // Otherwise it may have begun at a process whose entry nobody has read.
+                let sole = sole.filter(|_| self.is_registered(arrived_at));
                 sole.map(|it| (found, it.to_owned(), "sole_version"))
             }
         };
@@ -139,7 +145,11 @@
             };
         }
         if pending.confirmed.is_none() {
-            pending.unconfirmed_origin = Some((pending.instance, now));
+            pending.unconfirmed_origin = Some(Unconfirmed {
+                instance: pending.instance,
+                began_at: now,
+                heard_since: pending.heard_since.unwrap_or(now),
+            });
         }
         let Some(key) = pending.stream else { return };
         let origin = Origin {
@@ -147,8 +157,8 @@
             software: Some(pending.software.clone()),
             instance: pending.confirmed.unwrap_or(pending.instance),
         };
-        let lifetime = pending.limit + TAKE_UP_TIME;
-        self.origins.record(key, origin, lifetime, now);
+        let (is_settled, lifetime) = (pending.confirmed.is_some(), pending.limit + TAKE_UP_TIME);
+        self.origins.record(key, origin, is_settled, lifetime, now);
     }
 
     /// Casts doubt on the version of streams at the former instance of an endpoint, if it
@@ -157,7 +167,7 @@
         let Some(member) = self.pool.member_mut(id) else { return };
         let Some((instance, software)) = member.replaced.take() else { return };
         if software == member.endpoint.software {
-            return;
+            return self.origins.record_replacement(instance);
         }
         let started_at_ms = i64::try_from(member.endpoint.started_at_ms).unwrap_or(i64::MAX);
         let age_ms = self.clock.now_ms(clock::since_boot()).saturating_sub(started_at_ms).max(0);
@@ -234,8 +244,41 @@
             return;
         }
         let daemon: Rc<str> = Rc::from(daemon);
+        let described = self.described_instances();
         for notice in streams {
-            self.origins.merge_remote(notice, &daemon, now);
+            // Only instances that have not stated their start have the identity of an entry.
+            let is_settled = !described.contains(&notice.origin.instance);
+            self.origins.merge_remote(notice, &daemon, is_settled, now);
+        }
+    }
+
+    /// Returns the instances that the entries of endpoints describe.
+    pub(super) fn described_instances(&self) -> HashSet<Instance> {
+        self.pool.members().map(|it| it.instance).collect()
+    }
+
+    /// Settles where streams began once the entry of any process has been read that was running
+    /// by then.
+    pub(super) fn settle_origins(&mut self) {
+        let due = self.origins.unsettled().filter(|(_, it)| self.is_registered(it.began_at()));
+        let due: Vec<(Key, Instance)> = due.map(|(key, it)| (key, it.origin.instance)).collect();
+        if due.is_empty() {
+            return;
+        }
+        let described = self.described_instances();
+        let mut doubted = 0;
+        for (key, instance) in due {
+            if described.contains(&instance) || self.origins.is_replaced(instance) {
+                self.origins.settle(key);
+            } else {
+                self.origins.abandon(key);
+                doubted += 1;
+            }
+        }
+        if doubted > 0 {
+            metrics::count_many("origin", "removed_instance", doubted);
+            spdlog::info!("streams in doubt, as the entries of their endpoints were removed",
+                kv: { streams = doubted });
         }
     }
 
--- a/crates/front/src/broker/pending.rs
+++ b/crates/front/src/broker/pending.rs
@@ -51,8 +51,9 @@
     pub(super) heard_since: Option<Instant>,
     /// End of the time in which the processes of its endpoints may become known.
     pub(super) confirm_until: Option<Instant>,
-    /// Where it began, if the process there has not stated when it started.
-    pub(super) unconfirmed_origin: Option<(Instance, Instant)>,
+    /// When it began, and since when the process there had been answering, if that is not known
+    /// to be the one that the entry described.
+    pub(super) unconfirmed_origin: Option<Unconfirmed>,
     pub(super) load: Load,
     /// Prompt tokens that the endpoint computes before the request's first token: those
     /// already queued and those of this request.
@@ -73,6 +74,14 @@
     pub(super) may_have_run: bool,
 }
 
+/// A process that is not known to be the one that its endpoint's entry described.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Unconfirmed {
+    pub(super) instance: Instance,
+    pub(super) began_at: Instant,
+    pub(super) heard_since: Instant,
+}
+
 impl Pending {
     /// Whether the entry of the process that runs the request was not read yet.
     pub(super) fn is_unread(&self) -> bool {
--- a/crates/front/src/broker/queries.rs
+++ b/crates/front/src/broker/queries.rs
@@ -9,6 +9,7 @@
 use membership::digest::Message;
 use relay::admission::Arrival;
 use relay::admission::Decision;
+use route::table::Match;
 use tokio::sync::oneshot;
 
 use super::Broker;
@@ -64,8 +65,7 @@
         let daemons = self.peers.remembering(key, QUERIED, now);
         // The row of software versions may hold the answer as well.
         let unanswered = daemons.len() + usize::from(!self.stored_history.has_read);
-        let is_answerable = unanswered > 0 || self.may_be_stored(now);
-        if !is_answerable || self.queries.len() >= MAX_QUERIES {
+        if self.queries.len() >= MAX_QUERIES {
             return self.decide_read(arrival, reply, now);
         }
         let waiting = Waiting { arrival, reply, since: now };
@@ -136,7 +136,7 @@
     /// Lets a query of which no daemon knows the stream wait for the store's rows, once. Returns
     /// whether it waits.
     fn await_rows(&mut self, key: Key, now: Instant) -> bool {
-        if self.origins.get(key, now).is_some() || !self.may_be_stored(now) {
+        if self.origins.get(key, now).is_some() {
             return false;
         }
         let Some(query) = self.queries.get_mut(&key) else { return false };
@@ -157,37 +157,29 @@
         self.decide(arrival, reply, now);
     }
 
-    /// Decides on an arrival, after the entry was read that describes the process that began its
-    /// stream.
+    /// Decides on an arrival, after the entries were read that say at which version its stream
+    /// began.
     fn decide_read(&mut self, arrival: Arrival, reply: oneshot::Sender<Decision>, now: Instant) {
-        let Some(key) = self.unread_stream(&arrival, now) else {
+        if !self.awaits_entries(&arrival, now, now) {
             return self.decide_informed(arrival, reply, now);
-        };
-        if let Some(waiting) = self.await_entry(key, Waiting { arrival, reply, since: now }) {
+        }
+        if let Some(waiting) = self.await_entries(Waiting { arrival, reply, since: now }) {
             self.resume_arrival(waiting, now);
         }
     }
 
-    /// Returns the stream that a request takes up if the entry of the process that began it was
-    /// not read yet.
-    fn unread_stream(&self, arrival: &Arrival, now: Instant) -> Option<Key> {
-        let key = self.taken_up_stream(arrival)?;
-        self.origins.get(key, now).is_some_and(|it| self.awaits_entry(it)).then_some(key)
-    }
-
-    /// Returns the stream that a request takes up, if it names it.
-    fn taken_up_stream(&self, arrival: &Arrival) -> Option<Key> {
+    /// Returns the route of a request that takes up a stream.
+    pub(super) fn take_up(&self, arrival: &Arrival) -> Option<Match<'_>> {
         let attributes = &arrival.attributes;
-        attributes.resumes.as_ref()?;
         let key = attributes.key.as_deref();
-        let found =
-            self.table.find(&arrival.host, &arrival.path, key, attributes.stream_id()).ok()?;
-        takes_up(&found, attributes).then(|| stream_key(&found, attributes))?
+        let found = self.table.find(&arrival.host, &arrival.path, key, attributes.stream_id());
+        found.ok().filter(|it| takes_up(it, attributes))
     }
 
     /// Returns the stream that a request takes up if other daemons have to be asked of it.
     fn unknown_stream(&self, arrival: &Arrival, now: Instant) -> Option<Key> {
-        let stream = self.taken_up_stream(arrival)?;
+        arrival.attributes.resumes.as_ref()?;
+        let stream = stream_key(&self.take_up(arrival)?, &arrival.attributes)?;
         self.origins.get(stream, now).is_none().then_some(stream)
     }
 }
--- a/crates/front/src/broker/requests.rs
+++ b/crates/front/src/broker/requests.rs
@@ -101,6 +101,7 @@
 
     fn admit(&mut self, arrival: Arrival, now: Instant) -> Result<(Plan, Target), Refusal> {
         let Arrival { host, path, attributes, fingerprint, waited } = arrival;
+        let arrived_at = now.checked_sub(waited).unwrap_or(self.started_at);
         let id = attributes.id.clone();
         if self.table.config.version == 0 {
             return Err(refuse(&id, Cause::NoConfiguration, 503, Some(NO_ENDPOINT_DELAY)));
@@ -120,7 +121,8 @@
         if !self.ends_before_exit(&found.route.name, limit, now) {
             return Err(refuse(&id, Cause::Stopping, 503, relay::server::STOPPING.retry_after));
         }
-        let Bound { found, requirement, known_from } = self.bind(found, &attributes, now)?;
+        let Bound { found, requirement, known_from } =
+            self.bind(found, &attributes, arrived_at, now)?;
         let units = self.charge_quota(&found, &attributes, now)?;
         let choice = self.choose(found.service, &attributes, &requirement, &[], now);
         let target = choice.as_ref().and_then(|it| self.target(&it.id, &requirement));
@@ -186,10 +188,9 @@
         );
         let (service, attributes, tried) =
             (pending.service.clone(), pending.attributes.clone(), pending.tried.clone());
-        let (known, origin) = (pending.requirement.clone(), pending.unconfirmed_origin);
-        let requirement = match origin {
-            Some((instance, at)) if self.awaits_registration(instance, at) => Requirement::Unknown,
-            _ => known,
+        let requirement = match pending.unconfirmed_origin {
+            Some(origin) => self.settled_requirement(ticket, origin, outcome, now),
+            None => pending.requirement.clone(),
         };
         let suspicion =
             self.requests.get(&ticket).and_then(|it| self.cause_to_end(it, outcome, now));
--- a/crates/front/src/broker/unread.rs
+++ b/crates/front/src/broker/unread.rs
@@ -4,16 +4,16 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use balance::endpoint::Instance;
 use balance::origin::Entry;
-use balance::origin::Key;
+use relay::admission::Arrival;
 
 use super::Broker;
+use super::origins::stream_key;
 use super::queries::Waiting;
 use crate::metrics;
 
 /// How long an arrival waits for an entry.
-const MAX_WAIT: Duration = Duration::from_millis(2_500);
+const MAX_WAIT: Duration = Duration::from_secs(3);
 /// Share of its time limit that a request waits at most, as a divisor.
 const LIMIT_DIVISOR: u32 = 2;
 /// Maximum number of arrivals that wait.
@@ -22,35 +22,34 @@
 /// Arrivals that wait for entries.
 #[derive(Debug, Default)]
 pub(super) struct Arrivals {
-    waiting: Vec<(Key, Waiting)>,
+    waiting: Vec<Waiting>,
 }
 
 impl Broker {
     /// Whether the version of a stream may still turn out, or to be another one, when an entry is
     /// read.
     pub(super) fn awaits_entry(&self, entry: &Entry) -> bool {
-        if entry.origin.is_unread() {
-            return true;
-        }
-        self.awaits_registration(entry.origin.instance, entry.began_at())
+        entry.origin.is_unread() || !entry.is_settled
     }
 
-    /// Whether a process that has not stated its start, and that began a stream then, may turn out
-    /// to be another one than the one that the entry described.
-    pub(super) fn awaits_registration(&self, instance: Instance, began_at: Instant) -> bool {
-        // Only instances that have not stated their start have the identity of an entry.
-        let is_described = || self.pool.members().any(|it| it.instance == instance);
-        !self.is_registered(began_at) && is_described()
+    /// Whether it may turn out at which version the stream began that an arrival takes up, once
+    /// the entries of all processes have been read that were running at `since`.
+    pub(super) fn awaits_entries(&self, arrival: &Arrival, since: Instant, now: Instant) -> bool {
+        let Some(found) = self.take_up(arrival) else { return false };
+        let key = stream_key(&found, &arrival.attributes);
+        match key.and_then(|it| self.origins.get(it, now)) {
+            Some(entry) => self.awaits_entry(entry),
+            None => !self.is_registered(since) && self.sole_version(&found, now).is_some(),
+        }
     }
 
-    /// Lets an arrival wait for the entry of the process that began its stream. Returns it if it
-    /// can't.
-    pub(super) fn await_entry(&mut self, key: Key, waiting: Waiting) -> Option<Waiting> {
+    /// Lets an arrival wait for entries. Returns it if it can't.
+    pub(super) fn await_entries(&mut self, waiting: Waiting) -> Option<Waiting> {
         if self.unread_arrivals.waiting.len() >= MAX_ARRIVALS {
             return Some(waiting);
         }
         metrics::count("origin", "awaits_entry");
-        self.unread_arrivals.waiting.push((key, waiting));
+        self.unread_arrivals.waiting.push(waiting);
         None
     }
 
@@ -60,15 +59,14 @@
             return;
         }
         let arrivals = std::mem::take(&mut self.unread_arrivals.waiting);
-        for (key, waiting) in arrivals {
+        for waiting in arrivals {
             if waiting.reply.is_closed() {
                 metrics::count("origin", "caller_left");
                 continue;
             }
-            let entry = self.origins.get(key, now);
-            let is_awaited = entry.is_some_and(|it| self.awaits_entry(it));
+            let is_awaited = self.awaits_entries(&waiting.arrival, waiting.since, now);
             if is_awaited && now < waiting.since + max_wait(&waiting) {
-                self.unread_arrivals.waiting.push((key, waiting));
+                self.unread_arrivals.waiting.push(waiting);
             } else {
                 self.resume_arrival(waiting, now);
             }
--- a/crates/front/src/origin_rows.rs
+++ b/crates/front/src/origin_rows.rs
@@ -54,8 +54,11 @@
 #[derive(Debug, PartialEq, Serialize, Deserialize)]
 struct Place {
     service: String,
-    /// Absent if it is in doubt.
+    /// Absent if it is in doubt or not known yet.
     software: Option<String>,
+    /// Whether the version is not known yet, as the instance's entry was not read.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    is_unread: bool,
     /// In hex.
     instance: String,
     is_settled: bool,
@@ -92,7 +95,8 @@
     for Stream { notice, is_settled } in streams {
         let place = Place {
             service: notice.origin.service.clone(),
-            software: notice.origin.software.clone(),
+            software: notice.origin.software.clone().filter(|it| !it.is_empty()),
+            is_unread: notice.origin.is_unread(),
             instance: format!("{:x}", notice.origin.instance.0),
             is_settled: *is_settled,
         };
@@ -139,7 +143,7 @@
     }
     let origin = Origin {
         service: place.service.clone(),
-        software: place.software.clone(),
+        software: place.software.clone().or(place.is_unread.then(String::new)),
         instance: Instance(u64::from_str_radix(&place.instance, HEX).ok()?),
     };
     let notice = Notice {
