relay, front: count an answer only on its own connection

Also from the review: only a sealed response, or a report with a status that comes from the process itself, counts as heard; a question that was given up doesn't end what is known of the process; a list counts as complete only if no daemon is known to have a newer one, and 2 s after a daemon's start at the earliest; a stream that is confirmed by the list can still be doubted by a later entry; what can't be settled is not spread as a doubt, and not forgotten if nobody else knows better.

Where more becomes known of the process while its stream runs, the daemon is told (`Message::Identified`), so that streams at processes that answer late or state no start are settled before they break.

--- a/crates/balance/src/origin.rs
+++ b/crates/balance/src/origin.rs
@@ -134,8 +134,8 @@
     unread: HashMap<Instance, HashSet<Key>>,
     /// Streams that are not settled.
     unsettled: HashSet<Key>,
-    /// When other instances have replaced those of entries, by these, if their software version is
-    /// another one.
+    /// Instances of entries that others have replaced. If these have another software version,
+    /// with the time of that.
     replaced: HashMap<Instance, Option<Instant>>,
     /// These instances in the order in which that became known.
     replaced_order: VecDeque<Instance>,
@@ -158,8 +158,8 @@
             began_at: now,
             expires_at: now + lifetime,
         };
-        if self.insert(key, entry) && self.unsent.len() < MAX_STREAMS {
-            self.unsent.push(key);
+        if self.insert(key, entry) {
+            self.add_unsent(key);
         }
         self.add_changed(key);
     }
@@ -203,6 +203,15 @@
         }
     }
 
+    /// Records at which instance a stream began here that was not known then.
+    pub fn identify(&mut self, key: Key, origin: Origin, now: Instant) {
+        let Some(entry) = self.get(key, now) else { return };
+        let entry = Entry { origin, is_settled: true, ..entry.clone() };
+        self.insert(key, entry);
+        self.add_unsent(key);
+        self.add_changed(key);
+    }
+
     /// Returns the streams that are not settled, with the instances at which they are believed to
     /// have begun.
     pub fn unsettled(&self) -> impl Iterator<Item = (Key, &Entry)> {
@@ -220,14 +229,17 @@
     }
 
     /// Records that the instance at which a stream began can't become known here any more. One
-    /// that began at another daemon is forgotten, as that one may know better.
-    pub fn abandon(&mut self, key: Key) {
-        match self.by_key.get(&key).map(|it| &it.source) {
-            Some(Source::Own) => self.doubt_stream(key),
-            Some(Source::Peer(_)) | None => {
-                self.by_key.remove(&key);
-                self.unsettled.remove(&key);
-            }
+    /// that another daemon has told of is forgotten if that daemon is live, as it may know better.
+    pub fn abandon(&mut self, key: Key, is_live: impl Fn(&str) -> bool) {
+        let Some(entry) = self.by_key.get_mut(&key) else { return };
+        self.unsettled.remove(&key);
+        let may_be_known = matches!(&entry.source, Source::Peer(daemon) if is_live(daemon));
+        if may_be_known {
+            self.by_key.remove(&key);
+            self.order.retain(|it| *it != key);
+        } else {
+            entry.is_settled = true;
+            entry.origin.software = None;
         }
     }
 
@@ -237,7 +249,7 @@
         self.settle(key);
         if let Some(entry) = self.by_key.get_mut(&key) {
             entry.origin.software = None;
-            self.unsent.push(key);
+            self.add_unsent(key);
             self.add_changed(key);
         }
     }
@@ -331,6 +343,12 @@
         self.by_key.len()
     }
 
+    fn add_unsent(&mut self, key: Key) {
+        if self.unsent.len() < MAX_STREAMS {
+            self.unsent.push(key);
+        }
+    }
+
     fn add_changed(&mut self, key: Key) {
         if self.changed.len() < MAX_STREAMS {
             self.changed.push(key);
@@ -350,13 +368,16 @@
         let replaced_at = self.replaced.get(&entry.origin.instance).copied().flatten();
         if replaced_at.is_some_and(|it| entry.began_at + MAX_CLOCK_SKEW >= it) {
             entry.origin.software = None;
-            entry.is_settled = true;
         }
         if let Some(known) = self.by_key.get_mut(&key) {
-            known.origin.merge(&entry.origin);
-            if entry.is_settled && !known.is_settled {
-                known.is_settled = true;
-                self.unsettled.remove(&key);
+            match (known.is_settled, entry.is_settled) {
+                (true, true) | (false, false) => known.origin.merge(&entry.origin),
+                (true, false) => {}
+                (false, true) => {
+                    known.origin = entry.origin;
+                    known.is_settled = true;
+                    self.unsettled.remove(&key);
+                }
             }
             let is_later = entry.expires_at > known.expires_at;
             known.expires_at = known.expires_at.max(entry.expires_at);
--- a/crates/front/src/broker/history.rs
+++ b/crates/front/src/broker/history.rs
@@ -38,6 +38,12 @@
 }
 
 impl Broker {
+    /// Whether several versions of a service have served recently, or another one may be about to.
+    pub(super) fn may_release(&self, now: Instant) -> bool {
+        let is_mixed = !self.history.mixed(self.stream_window(), now).is_empty();
+        is_mixed || self.pool.members().any(|it| it.may_be_replaced(now))
+    }
+
     /// Stores the versions if they have changed.
     pub(super) fn store_history(&mut self, now: Instant) {
         let stored = &mut self.stored_history;
--- a/crates/front/src/broker/identity.rs
+++ b/crates/front/src/broker/identity.rs
@@ -6,6 +6,7 @@
 
 use balance::endpoint::Instance;
 use balance::member::Member;
+use balance::origin::Origin;
 use balance::software::Requirement;
 use relay::admission::Confirmation;
 use relay::admission::Outcome;
@@ -29,12 +30,20 @@
 #[derive(Debug, Default)]
 pub(super) struct Listing {
     complete_until: Option<Instant>,
-    /// When the list could be relied on again after an outage.
+    /// When the list could be relied on again after an outage, or this daemon started, as that may
+    /// have been after an outage.
     resumed_at: Option<Instant>,
     /// Era of the store.
     era: Option<u64>,
 }
 
+impl Listing {
+    /// Creates the state of a daemon that starts.
+    pub(super) fn new(is_first_start: bool, now: Instant) -> Listing {
+        Listing { resumed_at: (!is_first_start).then_some(now), ..Listing::default() }
+    }
+}
+
 impl Broker {
     /// Whether a request may be sent on a connection to this process of its endpoint.
     pub(super) fn confirm(
@@ -71,11 +80,13 @@
         let is_fresh = self.freshness.is_fresh(version, age, clock::since_boot());
         let listing = &mut self.listing;
         if !is_fresh || listing.era != era {
-            listing.resumed_at = listing.complete_until.map(|_| now);
+            listing.resumed_at = listing.complete_until.map(|_| now).or(listing.resumed_at);
             listing.era = era;
         }
         let has_settled = listing.resumed_at.is_none_or(|it| now >= it + REGISTRATION_TIME);
-        if let Some(age) = age.filter(|_| is_fresh && has_settled) {
+        // The age may be that of another daemon's read.
+        let is_complete = is_fresh && has_settled && !self.freshness.knows_newer(version);
+        if let Some(age) = age.filter(|_| is_complete) {
             listing.complete_until = listing.complete_until.max(now.checked_sub(age));
         }
     }
@@ -115,6 +126,12 @@
         let is_short_lived = outcome == Outcome::Broken && now < heard_since + REGISTRATION_TIME;
         if is_short_lived {
             pending.requirement = Requirement::Unknown;
+            metrics::count("origin", "short_lived");
+            spdlog::info!("stream in doubt, as its process may have ended without an entry", kv: {
+                request = pending.attributes.id.as_str(),
+                endpoint = pending.endpoint.as_str(),
+                heard_ms = now.saturating_duration_since(heard_since).as_millis() as u64,
+            });
             if let Some(key) = pending.stream {
                 self.origins.doubt_stream(key);
             }
@@ -132,6 +149,59 @@
         if is_settled { requirement } else { Requirement::Unknown }
     }
 
+    /// Records what has become known of the process that began a stream.
+    pub(super) fn identify_origin(&mut self, ticket: u64, identity: Identity, now: Instant) {
+        let Identity { started_at_ms, heard_since } = identity;
+        match (started_at_ms, heard_since) {
+            (Some(started_at_ms), _) => self.identify_by_start(ticket, started_at_ms, now),
+            (None, Some(since)) => self.identify_by_list(ticket, since.into_std()),
+            (None, None) => {}
+        }
+    }
+
+    fn identify_by_list(&mut self, ticket: u64, heard_since: Instant) {
+        let is_registered = self.is_registered(heard_since);
+        let Some(pending) = self.requests.get_mut(&ticket) else { return };
+        let Some(origin) = &mut pending.unconfirmed_origin else { return };
+        origin.heard_since = heard_since;
+        let member = self.pool.member(&pending.endpoint);
+        let is_described = member.is_some_and(|it| it.instance == origin.instance);
+        if is_registered && is_described {
+            pending.unconfirmed_origin = None;
+            if let Some(key) = pending.stream {
+                self.origins.settle(key);
+            }
+        }
+    }
+
+    fn identify_by_start(&mut self, ticket: u64, started_at_ms: u64, now: Instant) {
+        let Some(pending) = self.requests.get_mut(&ticket) else { return };
+        if !pending.has_started || pending.unconfirmed_origin.take().is_none() {
+            return;
+        }
+        let instance = Instance::confirmed(&pending.endpoint, started_at_ms);
+        let described = self.pool.member(&pending.endpoint).map(|it| &it.endpoint);
+        let described = described.filter(|it| it.started_at_ms == started_at_ms);
+        let software = described.map_or(String::new(), |it| it.software.clone());
+        pending.confirmed = Some(instance);
+        pending.requirement = match software.is_empty() {
+            true => Requirement::Unknown,
+            false => Requirement::Exactly(software.clone()),
+        };
+        pending.software.clone_from(&software);
+        spdlog::info!("process of the stream identified", kv: {
+            request = pending.attributes.id.as_str(),
+            endpoint = pending.endpoint.as_str(),
+            software = software.as_str(),
+            started_at_ms = started_at_ms,
+        });
+        if let Some(key) = pending.stream {
+            let service = pending.service.clone();
+            let origin = Origin { service, software: Some(software), instance };
+            self.origins.identify(key, origin, now);
+        }
+    }
+
     /// Whether a request may still be sent to the endpoint to which it was assigned.
     fn confirm_endpoint(&self, ticket: u64, now: Instant) -> Confirmation {
         let Some(pending) = self.requests.get(&ticket) else { return Confirmation::Unsound };
@@ -216,8 +286,6 @@
         let is_described = heard_since.is_some_and(|it| self.is_registered(it));
         let Some(pending) = self.requests.get_mut(&ticket) else { return Confirmation::Unsound };
         if is_described {
-            let member = self.pool.member(&pending.endpoint);
-            pending.confirmed = member.map(|it| it.endpoint.confirmed());
             pending.identified_by = "list";
             return Confirmation::Sound;
         }
--- a/crates/front/src/broker/mod.rs
+++ b/crates/front/src/broker/mod.rs
@@ -337,7 +337,7 @@
             stated_read_at: None,
             reads_since: None,
             freshness: Freshness::new(since_boot),
-            listing: identity::Listing::default(),
+            listing: identity::Listing::new(context.settings.is_first_start, now),
             settling: Settling::default(),
             reported_drops: (0, now),
             era: era::View::default(),
@@ -435,7 +435,7 @@
         self.context.ready.send_replace(self.is_ready());
         self.record_progress(now);
         self.sweep_origins(now);
-        self.settle_origins();
+        self.settle_origins(now);
         self.tick_stored_streams(now);
         self.end_waits_for_entries(now);
         self.judge_links(now);
--- a/crates/front/src/broker/origin_log.rs
+++ b/crates/front/src/broker/origin_log.rs
@@ -93,6 +93,12 @@
         self.collect_rows(now);
     }
 
+    /// Whether a stream that other daemons don't know is looked for in the rows. In a large fleet
+    /// they are too many to be read for each of the few streams that are lost with a daemon.
+    pub(super) fn may_be_stored(&self, now: Instant) -> bool {
+        !self.is_large_fleet() || !self.history.mixed(self.stream_window(), now).is_empty()
+    }
+
     /// Requests a read of the rows. It begins at once unless one began shortly before.
     pub(super) fn request_streams(&mut self, now: Instant) {
         self.stored_streams.must_read = true;
@@ -127,7 +133,7 @@
             Ok(rows) => {
                 metrics::count("stream_rows", "read");
                 self.merge_rows(&rows, now);
-                self.settle_origins();
+                self.settle_origins(now);
                 self.end_stored_queries(since, now);
             }
             Err(error) => {
@@ -154,8 +160,7 @@
     /// Adds the streams to be written. Those of a moment are lost with all daemons, so that the
     /// moment is short while another version serves or may be about to.
     fn log_streams(&mut self, now: Instant) {
-        let is_mixed = !self.history.mixed(self.stream_window(), now).is_empty();
-        let is_calm = !is_mixed && !self.pool.members().any(|it| it.may_be_replaced(now));
+        let is_calm = !self.may_release(now);
         let log = &mut self.stored_streams.log;
         log.set_calm(is_calm);
         log.add(self.origins.take_changed());
--- a/crates/front/src/broker/origins.rs
+++ b/crates/front/src/broker/origins.rs
@@ -36,6 +36,8 @@
 pub(super) const NO_SOFTWARE_DELAY: Duration = Duration::from_secs(1);
 /// Time after a stream broke off in which its caller may take it up again.
 const TAKE_UP_TIME: Duration = Duration::from_secs(10);
+/// Time after a stream began within which the daemon at which it did settles where that was.
+const SETTLING_TIME: Duration = Duration::from_secs(3);
 /// Number of daemons that remember a stream in a large fleet.
 const REMEMBERING: usize = 3;
 /// Number of daemons that hand their knowledge over to a new one.
@@ -144,7 +146,7 @@
                 false => Requirement::Exactly(pending.software.clone()),
             };
         }
-        if pending.confirmed.is_none() {
+        if !pending.is_identified() {
             pending.unconfirmed_origin = Some(Unconfirmed {
                 instance: pending.instance,
                 began_at: now,
@@ -157,7 +159,7 @@
             software: Some(pending.software.clone()),
             instance: pending.confirmed.unwrap_or(pending.instance),
         };
-        let (is_settled, lifetime) = (pending.confirmed.is_some(), pending.limit + TAKE_UP_TIME);
+        let (is_settled, lifetime) = (pending.is_identified(), pending.limit + TAKE_UP_TIME);
         self.origins.record(key, origin, is_settled, lifetime, now);
     }
 
@@ -246,12 +248,23 @@
         let daemon: Rc<str> = Rc::from(daemon);
         let described = self.described_instances();
         for notice in streams {
-            // Only instances that have not stated their start have the identity of an entry.
-            let is_settled = !described.contains(&notice.origin.instance);
+            let is_settled = self.is_settled_elsewhere(notice, &described);
             self.origins.merge_remote(notice, &daemon, is_settled, now);
         }
     }
 
+    /// Whether another daemon that tells of a stream knows at which instance it began.
+    fn is_settled_elsewhere(&self, notice: &origin::Notice, described: &HashSet<Instance>) -> bool {
+        let Origin { instance, software, .. } = &notice.origin;
+        if notice.origin.is_unread() || software.is_none() || self.origins.is_described(*instance) {
+            return true;
+        }
+        // Only instances that have not stated their start have the identity of an entry, which
+        // may be missing here.
+        let age = Duration::from_millis(notice.age_ms);
+        !described.contains(instance) && age >= SETTLING_TIME
+    }
+
     /// Returns the instances that the entries of endpoints describe.
     pub(super) fn described_instances(&self) -> HashSet<Instance> {
         self.pool.members().map(|it| it.instance).collect()
@@ -259,26 +272,30 @@
 
     /// Settles where streams began once the entry of any process has been read that was running
     /// by then.
-    pub(super) fn settle_origins(&mut self) {
+    pub(super) fn settle_origins(&mut self, now: Instant) {
         let due = self.origins.unsettled().filter(|(_, it)| self.is_registered(it.began_at()));
         let due: Vec<(Key, Instance)> = due.map(|(key, it)| (key, it.origin.instance)).collect();
         if due.is_empty() {
             return;
         }
         let described = self.described_instances();
-        let mut doubted = 0;
+        let mut abandoned = 0;
+        let live: HashSet<&str> = self.peers.live(now).map(|(id, _)| id.as_str()).collect();
         for (key, instance) in due {
-            if described.contains(&instance) || self.origins.is_replaced(instance) {
+            let is_known = described.contains(&instance)
+                || self.origins.is_replaced(instance)
+                || self.origins.is_described(instance);
+            if is_known {
                 self.origins.settle(key);
             } else {
-                self.origins.abandon(key);
-                doubted += 1;
+                self.origins.abandon(key, |daemon| live.contains(daemon));
+                abandoned += 1;
             }
         }
-        if doubted > 0 {
-            metrics::count_many("origin", "removed_instance", doubted);
-            spdlog::info!("streams in doubt, as the entries of their endpoints were removed",
-                kv: { streams = doubted });
+        if abandoned > 0 {
+            metrics::count_many("origin", "removed_instance", abandoned);
+            spdlog::info!("streams whose endpoints' entries were removed before they were settled",
+                kv: { streams = abandoned });
         }
     }
 
--- a/crates/front/src/broker/pending.rs
+++ b/crates/front/src/broker/pending.rs
@@ -83,6 +83,12 @@
 }
 
 impl Pending {
+    /// Whether the current endpoint's process is known: it has stated its start, or a list of
+    /// endpoints was complete for long enough.
+    pub(super) fn is_identified(&self) -> bool {
+        !self.identified_by.is_empty()
+    }
+
     /// Whether the entry of the process that runs the request was not read yet.
     pub(super) fn is_unread(&self) -> bool {
         self.software.is_empty()
--- a/crates/front/src/broker/queries.rs
+++ b/crates/front/src/broker/queries.rs
@@ -136,7 +136,7 @@
     /// Lets a query of which no daemon knows the stream wait for the store's rows, once. Returns
     /// whether it waits.
     fn await_rows(&mut self, key: Key, now: Instant) -> bool {
-        if self.origins.get(key, now).is_some() {
+        if self.origins.get(key, now).is_some() || !self.may_be_stored(now) {
             return false;
         }
         let Some(query) = self.queries.get_mut(&key) else { return false };
--- a/crates/front/src/broker/requests.rs
+++ b/crates/front/src/broker/requests.rs
@@ -64,6 +64,9 @@
                 // If the caller has disconnected, its ticket reports the request as finished.
                 let _ = reply.send(self.confirm(ticket, identity, is_fresh, now));
             }
+            Message::Identified { ticket, identity } => {
+                self.identify_origin(ticket, identity, now);
+            }
             Message::LimitStated { ticket, statement } => {
                 self.handle_limit_statement(ticket, statement, now);
             }
@@ -261,7 +264,7 @@
             request = pending.attributes.id.as_str(),
             endpoint = pending.endpoint.as_str(),
             software = pending.software.as_str(),
-            is_confirmed = pending.confirmed.is_some(),
+            is_confirmed = pending.is_identified(),
             identified_by = pending.identified_by,
             heard_ms = pending.heard_since
                 .map_or(-1, |it| now.saturating_duration_since(it).as_millis() as i64),
@@ -414,6 +417,7 @@
             id: id.to_owned(),
             address: member.endpoint.address,
             is_bound: *requirement != Requirement::Any,
+            is_watchable: !self.is_large_fleet(),
             is_limited: self.endpoint_limits.rate(id).is_some(),
         })
     }
--- a/crates/membership/src/freshness.rs
+++ b/crates/membership/src/freshness.rs
@@ -56,6 +56,11 @@
         is_read && !is_behind && !self.is_paused(now) && now >= self.caught_up_at
     }
 
+    /// Whether another daemon is known to have a newer list than this version.
+    pub fn knows_newer(&self, version: u64) -> bool {
+        self.newer.is_some_and(|(newer, _)| newer > version)
+    }
+
     fn is_paused(&self, now: Duration) -> bool {
         now >= self.ticked_at + MAX_TICK_GAP
     }
--- a/crates/relay/src/admission.rs
+++ b/crates/relay/src/admission.rs
@@ -77,6 +77,8 @@
     pub address: SocketAddr,
     /// Whether the request may run only at one software version.
     pub is_bound: bool,
+    /// Whether the endpoint may be asked again and again for the start of its process.
+    pub is_watchable: bool,
     /// Whether the endpoint is known to have a request limit, so that a response that names
     /// none ends it.
     pub is_limited: bool,
@@ -199,6 +201,13 @@
         /// Receives the answer.
         reply: oneshot::Sender<Confirmation>,
     },
+    /// More has become known of the process that runs the request since that was sent.
+    Identified {
+        /// Number of the request.
+        ticket: u64,
+        /// What is known.
+        identity: Identity,
+    },
     /// The endpoint's response says something about its request limit.
     LimitStated {
         /// Number of the request.
@@ -267,6 +276,12 @@
         let _ = self.messages.send(Message::Started { ticket: self.number });
     }
 
+    /// Reports what has become known of the process that runs the request.
+    pub fn report_identity(&self, identity: Identity) {
+        // Sending fails only while the daemon shuts down.
+        let _ = self.messages.send(Message::Identified { ticket: self.number, identity });
+    }
+
     /// Reports what a response says about its endpoint's request limit.
     pub fn report_limit(&self, statement: Statement) {
         // Sending fails only while the daemon shuts down.
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -107,7 +107,9 @@
     if !is_matching {
         return Err(Outcome::Broken);
     }
-    pool.record_answer(&connection);
+    if attributes.is_sealed {
+        pool.record_answer(&connection);
+    }
     let is_misdirected = parts.status == StatusCode::MISDIRECTED_REQUEST;
     let names_limit = attributes.request_limit != Statement::Unlimited;
     let ends_limit = target.is_limited && attributes.is_sealed;
@@ -176,7 +178,7 @@
     if !plan.needs_identity() {
         return Ok(connection);
     }
-    pool.identify(connection, target.is_bound).await
+    pool.identify(connection, target).await
 }
 
 fn request(
--- a/crates/relay/src/connection.rs
+++ b/crates/relay/src/connection.rs
@@ -19,6 +19,7 @@
 use tokio::time::Instant;
 use tokio::time::timeout;
 
+use crate::admission::Target;
 use crate::continuity::Continuities;
 use crate::continuity::Link;
 use crate::continuity::Place;
@@ -44,8 +45,11 @@
 /// Maximum number of idle connections to one endpoint.
 const MAX_IDLE: usize = 8;
 
-/// How long a process may take to say when it started.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(500);
+/// How long a stream that begins waits until the process has said when it started.
+const ANSWER_TIME: Duration = Duration::from_millis(500);
+/// How long a stream waits that can't begin or go on otherwise. A process may be silent for a
+/// second.
+const BOUND_ANSWER_TIME: Duration = Duration::from_millis(1_200);
 /// Number of connections on which an endpoint is asked for its start, one after the other, until
 /// it has answered on one that can be used.
 const MAX_QUESTIONS: usize = 2;
@@ -67,6 +71,18 @@
     started_at_ms: Option<u64>,
 }
 
+impl Connection {
+    /// Whether the process at the other end has stated its start on this connection.
+    pub fn has_stated(&self) -> bool {
+        self.started_at_ms.is_some()
+    }
+
+    /// Records that a part of a response was received.
+    pub fn touch(&self) {
+        self.link.touch();
+    }
+}
+
 /// Handle of the task that drives a connection. Aborts the task when dropped.
 #[derive(Debug)]
 struct Driver(AbortHandle);
@@ -113,16 +129,15 @@
 
     /// Records that the process at the other end has answered on a connection.
     pub fn record_answer(&self, connection: &Connection) {
-        self.continuities.record_answer(&connection.place, &connection.link);
+        self.continuities.record_answer(&connection.place, &connection.link, None);
     }
 
     /// Returns what is known of the process at the other end of a connection.
     pub fn identity(&self, connection: &Connection) -> Identity {
-        let stated = connection.started_at_ms.filter(|_| connection.link.is_continuous());
-        let present = self.continuities.present(&connection.place);
+        let known = self.continuities.find(&connection.place, &connection.link);
         Identity {
-            started_at_ms: stated.or(present.and_then(|(_, started_at_ms)| started_at_ms)),
-            heard_since: present.map(|(since, _)| since),
+            started_at_ms: known.and_then(|(_, started_at_ms)| started_at_ms),
+            heard_since: known.map(|(since, _)| since),
         }
     }
 
@@ -132,52 +147,56 @@
     }
 
     /// Returns a connection on which the process at the other end was asked when it started, or
-    /// one on which nobody was if it hasn't answered on several connections. `is_bound`: whether
-    /// the request depends on it, so that an earlier answer doesn't do.
+    /// one on which nobody was if it hasn't answered on several connections. A request that may
+    /// run only at one version doesn't go by an earlier answer.
     pub async fn identify(
         &self,
         mut connection: Connection,
-        is_bound: bool,
+        target: &Target,
     ) -> Result<Connection, String> {
+        let is_bound = target.is_bound;
         self.watched.extend(&connection.place);
+        let deadline = Instant::now() + if is_bound { BOUND_ANSWER_TIME } else { ANSWER_TIME };
         for _ in 0..MAX_QUESTIONS {
-            if !self.must_ask(&connection, is_bound) {
+            let limit = deadline.saturating_duration_since(Instant::now());
+            if limit.is_zero() || !self.must_ask(&connection, is_bound) {
                 return Ok(connection);
             }
-            self.ask(&mut connection).await;
+            self.ask(&mut connection, target.is_watchable, limit).await;
             if connection.sender.is_ready() {
                 return Ok(connection);
             }
             let (id, address) = connection.place.clone();
+            // The end of a question that was given up says nothing about the process.
+            drop(connection);
             connection = self.connect(&id, address).await?;
         }
+        // Nothing was heard on this one.
         Ok(connection)
     }
 
     /// Whether a process has to be asked for its start on a connection.
     fn must_ask(&self, connection: &Connection, is_bound: bool) -> bool {
         let Connection { place, link, started_at_ms, .. } = connection;
-        let present = self.continuities.present(place);
-        let is_unstated =
-            self.unstated.borrow().get(&place.0).is_some_and(|it| Instant::now() < *it);
-        let is_watched = self.watched.contains(place);
-        match present {
-            Some((_, Some(_))) if is_watched => false,
-            Some(_) if is_unstated => false,
-            _ if is_bound => true,
-            _ => !is_unstated && (started_at_ms.is_none() || !link.is_continuous()),
+        let now = Instant::now();
+        let is_unstated = self.unstated.borrow().get(&place.0).is_some_and(|it| now < *it);
+        match is_bound {
+            true => !(is_unstated && link.has_answered()),
+            false => !is_unstated && (started_at_ms.is_none() || !link.has_answered()),
         }
     }
 
-    async fn ask(&self, connection: &mut Connection) {
+    async fn ask(&self, connection: &mut Connection, may_watch: bool, limit: Duration) {
         let asked_at = Instant::now();
-        let Err(failure) = self.ask_within(connection, ANSWER_TIMEOUT).await else { return };
+        let Err(failure) = self.ask_within(connection, limit).await else { return };
         spdlog::info!("endpoint did not state its start", kv: {
             endpoint = connection.place.0.as_str(),
             cause = failure.name(),
             waited_ms = asked_at.elapsed().as_millis() as u64,
         });
-        watch::watch(self, &connection.place);
+        if may_watch {
+            watch::watch(self, &connection.place);
+        }
     }
 
     /// Asks the process at the other end of a connection when it started, and records its answer.
@@ -190,9 +209,11 @@
         let answer = identity::ask(connection, address, limit).await;
         let Connection { place, link, .. } = &*connection;
         match answer {
-            Ok(started_at_ms) => self.continuities.record_start(place, link, started_at_ms),
+            Ok(started_at_ms) => {
+                self.continuities.record_answer(place, link, Some(started_at_ms));
+            }
             Err(Failure::NotStated) => {
-                self.continuities.record_answer(place, link);
+                self.continuities.record_answer(place, link, None);
                 self.unstated.borrow_mut().insert(id, Instant::now() + UNSTATED_TIME);
             }
             Err(Failure::Unanswered) => {}
--- a/crates/relay/src/continuity.rs
+++ b/crates/relay/src/continuity.rs
@@ -1,4 +1,4 @@
-//! Times in which the process at an endpoint's address has been answering.
+//! Times in which a process of an endpoint has been answering on a connection.
 
 use std::cell::Cell;
 use std::cell::RefCell;
@@ -12,87 +12,111 @@
 /// Identity and address of an endpoint.
 pub type Place = (String, SocketAddr);
 
-/// A time in which one process has been answering. Held by the connections on which it has
-/// answered, as these end with it.
+/// A time in which one process has been answering on a connection.
 #[derive(Debug)]
-pub struct Continuity {
-    since: Instant,
+struct Continuity {
+    /// When the process first answered, on this connection or on one on which it answered at the
+    /// same time.
+    since: Cell<Instant>,
+    /// When it last answered on this connection.
+    until: Cell<Instant>,
     /// When the process started, in milliseconds since 1970, if it has stated that.
     started_at_ms: Cell<Option<u64>>,
-    /// Whether the endpoint has ended one of the connections, as at the end of its process.
-    has_ended: Cell<bool>,
 }
 
-/// The part of a connection in a continuity, shared with the task that drives the connection.
+impl Continuity {
+    /// Merges what is known from another connection to the same endpoint, if a process has
+    /// answered on each after it had answered on the other one. A connection that only appears to
+    /// be open, as nothing is heard on it any more, doesn't count.
+    fn merge(&self, other: &Continuity) {
+        let overlaps =
+            self.since.get() <= other.until.get() && other.since.get() <= self.until.get();
+        if !overlaps {
+            return;
+        }
+        let (own, others) = (self.started_at_ms.get(), other.started_at_ms.get());
+        if own.is_some() && others.is_some() && own != others {
+            return;
+        }
+        self.since.set(self.since.get().min(other.since.get()));
+        self.started_at_ms.set(own.or(others));
+    }
+}
+
+/// The part of a connection in this, shared with the task that drives the connection.
 #[derive(Clone, Debug, Default)]
 pub struct Link(Rc<RefCell<Option<Rc<Continuity>>>>);
 
 impl Link {
-    /// Records that the endpoint has ended the connection.
+    /// Records that the connection has ended.
     pub fn end(&self) {
-        if let Some(continuity) = &*self.0.borrow() {
-            continuity.has_ended.set(true);
-        }
+        self.0.borrow_mut().take();
+    }
+
+    /// Whether a process has answered on the connection, which is open, as far as known.
+    pub fn has_answered(&self) -> bool {
+        self.0.borrow().is_some()
     }
 
-    /// Whether the process has answered on the connection and goes on, as far as known.
-    pub fn is_continuous(&self) -> bool {
-        self.0.borrow().as_ref().is_some_and(|it| !it.has_ended.get())
+    /// Records that a part of a response was received.
+    pub fn touch(&self) {
+        if let Some(continuity) = &*self.0.borrow() {
+            continuity.until.set(Instant::now());
+        }
     }
 }
 
-/// The present continuities of all endpoints.
+/// The continuities of all endpoints.
 #[derive(Clone, Debug, Default)]
-pub struct Continuities(Rc<RefCell<HashMap<Place, Weak<Continuity>>>>);
+pub struct Continuities(Rc<RefCell<HashMap<Place, Vec<Weak<Continuity>>>>>);
 
 impl Continuities {
-    /// Records that a process has answered on a connection. If it was answering on others that
-    /// are open still, it is the same process.
-    pub fn record_answer(&self, place: &Place, link: &Link) {
-        if link.is_continuous() {
-            return;
+    /// Records that a process has answered on a connection, and when it started, in milliseconds
+    /// since 1970, if it has stated that.
+    pub fn record_answer(&self, place: &Place, link: &Link, started_at_ms: Option<u64>) {
+        let now = Instant::now();
+        let mut current = link.0.borrow_mut();
+        // Something between may keep the connection open while another process takes over.
+        let is_other = |it: &Rc<Continuity>| {
+            let known = it.started_at_ms.get();
+            known.is_some() && started_at_ms.is_some() && known != started_at_ms
+        };
+        if current.as_ref().is_some_and(is_other) {
+            current.take();
         }
-        let continuity = self.find(place).unwrap_or_else(|| {
+        let continuity = current.get_or_insert_with(|| {
             let continuity = Rc::new(Continuity {
-                since: Instant::now(),
-                started_at_ms: Cell::new(None),
-                has_ended: Cell::new(false),
+                since: Cell::new(now),
+                until: Cell::new(now),
+                started_at_ms: Cell::new(started_at_ms),
             });
-            self.0.borrow_mut().insert(place.clone(), Rc::downgrade(&continuity));
+            let mut by_place = self.0.borrow_mut();
+            by_place.entry(place.clone()).or_default().push(Rc::downgrade(&continuity));
             continuity
         });
-        *link.0.borrow_mut() = Some(continuity);
-    }
-
-    /// Records that a process has stated on a connection when it started.
-    pub fn record_start(&self, place: &Place, link: &Link, started_at_ms: u64) {
-        self.record_answer(place, link);
-        let is_other = |it: &Rc<Continuity>| {
-            it.started_at_ms.get().is_some_and(|known| known != started_at_ms)
-        };
-        if link.0.borrow().as_ref().is_some_and(is_other) {
-            // Another process has taken its place without ending the connections.
-            link.end();
-            self.record_answer(place, link);
-        }
-        if let Some(continuity) = &*link.0.borrow() {
-            continuity.started_at_ms.set(Some(started_at_ms));
+        continuity.until.set(now);
+        if started_at_ms.is_some() {
+            continuity.started_at_ms.set(started_at_ms);
         }
     }
 
-    /// Returns since when the process at a place has been answering, and when it started if it
-    /// has stated that; `None` if no connection is open on which it has answered.
-    pub fn present(&self, place: &Place) -> Option<(Instant, Option<u64>)> {
-        self.find(place).map(|it| (it.since, it.started_at_ms.get()))
+    /// Returns since when the process at the other end of a connection has been answering, and
+    /// when it started if it has stated that; `None` if it has not answered on the connection.
+    pub fn find(&self, place: &Place, link: &Link) -> Option<(Instant, Option<u64>)> {
+        let continuity = link.0.borrow().clone()?;
+        for other in self.0.borrow().get(place).into_iter().flatten() {
+            if let Some(other) = other.upgrade() {
+                continuity.merge(&other);
+            }
+        }
+        Some((continuity.since.get(), continuity.started_at_ms.get()))
     }
 
-    /// Forgets the continuities that have ended.
+    /// Forgets the continuities of connections that have ended.
     pub fn remove_ended(&self) {
-        self.0.borrow_mut().retain(|_, it| it.strong_count() > 0);
-    }
-
-    fn find(&self, place: &Place) -> Option<Rc<Continuity>> {
-        let continuity = self.0.borrow().get(place).and_then(Weak::upgrade);
-        continuity.filter(|it| !it.has_ended.get())
+        self.0.borrow_mut().retain(|_, continuities| {
+            continuities.retain(|it| it.strong_count() > 0);
+            !continuities.is_empty()
+        });
     }
 }
--- a/crates/relay/src/identity.rs
+++ b/crates/relay/src/identity.rs
@@ -10,7 +10,6 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use http_body_util::Limited;
-use hyper::body::Body;
 use platform::report;
 use tokio::time::Instant;
 use tokio::time::timeout;
@@ -25,8 +24,7 @@
 pub struct Identity {
     /// When it started, in milliseconds since 1970, if it has stated that.
     pub started_at_ms: Option<u64>,
-    /// Since when it has been answering, on connections of which some has been open ever since.
-    /// `None` if it hasn't answered on any.
+    /// Since when it has been answering. `None` if it hasn't answered on the connection.
     pub heard_since: Option<Instant>,
 }
 
@@ -66,12 +64,14 @@
     let request = report::request(&address.to_string());
     let response = connection.sender.send_request(request).await;
     let (parts, body) = response.map_err(|_| Failure::Unanswered)?.into_parts();
-    if parts.status.is_server_error() {
+    if !report::is_of_endpoint(parts.status) {
         return Err(Failure::Unanswered);
     }
     if !report::is_report(parts.status, &parts.headers) {
-        if body.size_hint().exact().is_some_and(|it| it <= MAX_BODY_BYTES as u64) {
-            let _ = body.collect().await;
+        // A stream of events may have no end.
+        if !report::is_stream(&parts.headers)
+            && Limited::new(body, MAX_BODY_BYTES).collect().await.is_ok()
+        {
             // An error ends the connection, which the caller notices.
             let _ = connection.sender.ready().await;
         }
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -31,6 +31,7 @@
 use crate::connection::Pool;
 use crate::event::Event;
 use crate::event::Parser;
+use crate::identity::Identity;
 use crate::server::Server;
 
 /// Number of events buffered for a slow caller before reading from the endpoint
@@ -121,8 +122,17 @@
     *response.headers_mut() = head::forward_response(&stream.source.head.headers);
     let content_type = stream.source.head.headers.get(CONTENT_TYPE).cloned();
     let (pool, budget) = (server.pool().clone(), server.budget().clone());
-    let relay =
-        Relay { pool, budget, call, plan, ticket, chunks, content_type, last_event_id: None };
+    let relay = Relay {
+        pool,
+        budget,
+        call,
+        plan,
+        ticket,
+        chunks,
+        content_type,
+        last_event_id: None,
+        reported: None,
+    };
     spawn_local(relay.run(stream));
     response
 }
@@ -138,6 +148,8 @@
     content_type: Option<HeaderValue>,
     /// Id of the last event that was relayed.
     last_event_id: Option<String>,
+    /// What was reported of the process that began the stream.
+    reported: Option<Identity>,
 }
 
 impl Relay {
@@ -157,6 +169,7 @@
                 () = self.chunks.closed() => return,
                 item = read_event(&mut source, &self.call, queued) => item,
             };
+            self.report_identity(&source);
             match item.and_then(|it| self.accept(&mut source, it)) {
                 Ok(Item::Event(event)) => {
                     if !self.forward(event).await {
@@ -172,6 +185,21 @@
         }
     }
 
+    /// Reports what has become known of the process that began the stream, unless it has stated its
+    /// start before.
+    fn report_identity(&mut self, source: &Source) {
+        let connection = &source.head.connection;
+        let has_begun = source.state == State::Begun && self.plan.needs_identity();
+        if !has_begun || connection.has_stated() {
+            return;
+        }
+        let identity = self.pool.identity(connection);
+        if identity.heard_since.is_some() && self.reported != Some(identity) {
+            self.reported = Some(identity);
+            self.ticket.report_identity(identity);
+        }
+    }
+
     /// Returns an item of a stream, or the failure of an endpoint that doesn't continue what
     /// another one has begun: it sends an error, begins anew, or ends at once.
     fn accept(&self, source: &mut Source, item: Item) -> Result<Item, Outcome> {
@@ -270,6 +298,7 @@
             Ok(None) => return Ok(Item::End),
             Err(_) => return Err(Outcome::TimedOut),
         };
+        source.head.connection.touch();
         let Ok(data) = frame.into_data() else { continue };
         if !source.parser.push(&data) {
             return Err(Outcome::Broken);
--- a/crates/relay/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -24,18 +24,13 @@
 /// Number of connections in a row without an answer after which an endpoint isn't watched.
 const MAX_FAILURES: u32 = 3;
 /// Pause between questions.
-const PAUSE: Duration = Duration::from_millis(700);
+const PAUSE: Duration = Duration::from_secs(1);
 
 /// Endpoints that are watched, and until when.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Watched(Rc<RefCell<HashMap<Place, Instant>>>);
 
 impl Watched {
-    /// Whether the endpoint is watched.
-    pub(crate) fn contains(&self, place: &Place) -> bool {
-        self.0.borrow().contains_key(place)
-    }
-
     /// Extends the time for which the endpoint is watched, if it is.
     pub(crate) fn extend(&self, place: &Place) {
         if let Some(until) = self.0.borrow_mut().get_mut(place) {
--- a/crates/relay/tests/attempt.rs
+++ b/crates/relay/tests/attempt.rs
@@ -72,7 +72,13 @@
 }
 
 fn target(address: SocketAddr) -> Target {
-    Target { id: "i-0".to_owned(), address, is_bound: false, is_limited: false }
+    Target {
+        id: "i-0".to_owned(),
+        address,
+        is_bound: false,
+        is_watchable: false,
+        is_limited: false,
+    }
 }
 
 fn plan() -> Plan {
