Keep the earliest replacement of an instance

Cause: the time at which an instance was replaced by another version was overwritten by a later replacement, also by one of the same version, so that streams that became known afterwards were not put in doubt.

Change: the earliest time at which another version replaced it is kept.

Result: origins doubts::a_later_replacement_does_not_take_back_an_earlier_one fails before and passes now.

--- a/crates/balance/src/origin.rs
+++ b/crates/balance/src/origin.rs
@@ -397,9 +397,12 @@
     }
 
     fn add_replaced(&mut self, instance: Instance, at: Option<Instant>) {
-        if self.replaced.insert(instance, at).is_none() {
+        let known = self.replaced.get(&instance).copied();
+        if known.is_none() {
             self.replaced_order.push_back(instance);
         }
+        let earliest = known.flatten().into_iter().chain(at).min();
+        self.replaced.insert(instance, earliest);
         if self.replaced_order.len() > MAX_INSTANCES
             && let Some(oldest) = self.replaced_order.pop_front()
         {
