Settle no version by a process whose entry was not read

Cause: a stream at an instance that is not known to be the one of its entry counted as settled once anybody had stated that it is at a process whose entry was not read. That is no evidence of the version of the entry.

Change: such a statement neither settles a version nor makes one that is not settled count as such. A doubt is final, so it is always settled.

--- a/crates/balance/src/origin.rs
+++ b/crates/balance/src/origin.rs
@@ -113,6 +113,24 @@
     pub fn began_at(&self) -> Instant {
         self.began_at
     }
+
+    /// Merges what is known of the same stream from elsewhere. What is settled goes before what
+    /// isn't.
+    fn merge(&mut self, other: &Entry) {
+        match (self.is_settled, other.is_settled) {
+            (true, false) => {}
+            (false, true) => {
+                self.origin.clone_from(&other.origin);
+                self.is_settled = true;
+            }
+            (true, true) | (false, false) => {
+                if self.origin.is_unread() && !other.origin.is_unread() {
+                    self.origin.instance = other.origin.instance;
+                }
+                self.origin.merge(&other.origin);
+            }
+        }
+    }
 }
 
 /// Streams that began recently, here or at other daemons.
@@ -370,15 +388,11 @@
             entry.origin.software = None;
         }
         if let Some(known) = self.by_key.get_mut(&key) {
-            match (known.is_settled, entry.is_settled) {
-                (true, true) | (false, false) => known.origin.merge(&entry.origin),
-                (true, false) => {}
-                (false, true) => {
-                    known.origin = entry.origin;
-                    known.is_settled = true;
-                    self.unsettled.remove(&key);
-                }
-            }
+            known.merge(&entry);
+            match known.is_settled {
+                true => self.unsettled.remove(&key),
+                false => self.unsettled.insert(key),
+            };
             let is_later = entry.expires_at > known.expires_at;
             known.expires_at = known.expires_at.max(entry.expires_at);
             return is_later;
