Tell versions of endpoints without a start by their entries

Cause: the identity of an endpoint consists of its id, start and address. One whose entry states no start keeps it when it restarts with another version. The instance was then listed as replaced, by a time before any stream, so that each stream that began there later was in doubt. After a removal the replacement was not noticed at all, and a stream was settled at the identity although the entry had another version by then.

Change: the streams that have begun by then are put in doubt, and the identity isn't listed as replaced. A stream is settled only if the entry states the stream's version. A removed entry is compared by version too.

The rule in Broker::settle_origins has no test of its own.

--- a/crates/balance/src/origin.rs
+++ b/crates/balance/src/origin.rs
@@ -292,13 +292,16 @@
     /// Returns their number.
     pub fn doubt(&mut self, instance: Instance, replaced_at: Instant) -> usize {
         self.add_replaced(instance, Some(replaced_at));
-        let is_affected = |it: &Entry| {
+        self.doubt_where(|it| {
             it.origin.instance == instance && it.began_at + MAX_CLOCK_SKEW >= replaced_at
-        };
-        let affected = self.by_key.iter().filter(|(_, it)| is_affected(it));
-        let affected: Vec<Key> = affected.map(|(key, _)| *key).collect();
-        affected.iter().for_each(|it| self.doubt_stream(*it));
-        affected.len()
+        })
+    }
+
+    /// Casts doubt on the version of the streams that have begun at an instance whose entry states
+    /// another version now. An endpoint that states no start keeps its identity when it restarts
+    /// at its address, so that streams may begin there at the other version. Returns their number.
+    pub fn doubt_all(&mut self, instance: Instance) -> usize {
+        self.doubt_where(|it| it.origin.instance == instance)
     }
 
     /// Returns the streams that began here, or whose version came into doubt, since the last
@@ -367,6 +370,13 @@
         }
     }
 
+    fn doubt_where(&mut self, is_affected: impl Fn(&Entry) -> bool) -> usize {
+        let affected = self.by_key.iter().filter(|(_, it)| is_affected(it));
+        let affected: Vec<Key> = affected.map(|(key, _)| *key).collect();
+        affected.iter().for_each(|it| self.doubt_stream(*it));
+        affected.len()
+    }
+
     fn add_changed(&mut self, key: Key) {
         if self.changed.len() < MAX_STREAMS {
             self.changed.push(key);
--- a/crates/balance/src/pool.rs
+++ b/crates/balance/src/pool.rs
@@ -382,7 +382,11 @@
             let effect = if endpoint.leaving { Effect::Left } else { Effect::Joined };
             let former = removal.and_then(|it| it.former);
             let mut member = Member::new(endpoint);
-            member.replaced = former.filter(|(instance, _)| *instance != member.instance);
+            member.replaced = former.filter(|(instance, software)| {
+                // An endpoint that states no start keeps its identity.
+                let is_same = software.is_empty() || *software == member.endpoint.software;
+                *instance != member.instance || !is_same
+            });
             self.members.insert(member.endpoint.id.clone(), member);
             return effect;
         };
--- a/crates/front/src/broker/identity.rs
+++ b/crates/front/src/broker/identity.rs
@@ -142,8 +142,10 @@
         let is_settled = match known {
             Some(entry) => entry.is_settled && entry.origin.software.is_some(),
             None => {
-                let is_described = || self.pool.members().any(|it| it.instance == instance);
-                self.is_registered(began_at) && is_described()
+                let is_described = |it: &Member| {
+                    it.instance == instance && requirement.admits(&it.endpoint.software)
+                };
+                self.is_registered(began_at) && self.pool.members().any(is_described)
             }
         };
         if is_settled { requirement } else { Requirement::Unknown }
--- a/crates/front/src/broker/origins.rs
+++ b/crates/front/src/broker/origins.rs
@@ -171,11 +171,15 @@
         if software == member.endpoint.software {
             return self.origins.record_replacement(instance);
         }
+        let is_told_apart = instance != member.instance;
         let started_at_ms = i64::try_from(member.endpoint.started_at_ms).unwrap_or(i64::MAX);
         let age_ms = self.clock.now_ms(clock::since_boot()).saturating_sub(started_at_ms).max(0);
         let replaced_at =
             now.checked_sub(Duration::from_millis(age_ms as u64)).unwrap_or(self.started_at);
-        let doubted = self.origins.doubt(instance, replaced_at);
+        let doubted = match is_told_apart {
+            true => self.origins.doubt(instance, replaced_at),
+            false => self.origins.doubt_all(instance),
+        };
         let is_affected = |it: &&mut Pending| {
             it.is_stream
                 && it.instance == instance
@@ -266,7 +270,7 @@
     }
 
     /// Returns the instances that the entries of endpoints describe.
-    pub(super) fn described_instances(&self) -> HashSet<Instance> {
+    fn described_instances(&self) -> HashSet<Instance> {
         self.pool.members().map(|it| it.instance).collect()
     }
 
@@ -274,17 +278,24 @@
     /// by then.
     pub(super) fn settle_origins(&mut self, now: Instant) {
         let due = self.origins.unsettled().filter(|(_, it)| self.is_registered(it.began_at()));
-        let due: Vec<(Key, Instance)> = due.map(|(key, it)| (key, it.origin.instance)).collect();
-        if due.is_empty() {
+        let mut due = due.peekable();
+        if due.peek().is_none() {
             return;
         }
-        let described = self.described_instances();
-        let mut abandoned = 0;
+        // An endpoint that states no start may have another version under the same identity.
+        let members = self.pool.members();
+        let described: HashMap<Instance, &str> =
+            members.map(|it| (it.instance, it.endpoint.software.as_str())).collect();
+        let is_known = |it: &Origin| {
+            let software = described.get(&it.instance).copied();
+            software.is_some_and(|known| it.software.as_deref() == Some(known))
+                || self.origins.is_replaced(it.instance)
+                || self.origins.is_described(it.instance)
+        };
+        let due: Vec<(Key, bool)> = due.map(|(key, it)| (key, is_known(&it.origin))).collect();
         let live: HashSet<&str> = self.peers.live(now).map(|(id, _)| id.as_str()).collect();
-        for (key, instance) in due {
-            let is_known = described.contains(&instance)
-                || self.origins.is_replaced(instance)
-                || self.origins.is_described(instance);
+        let mut abandoned = 0;
+        for (key, is_known) in due {
             if is_known {
                 self.origins.settle(key);
             } else {
