Don't refuse new streams of an endpoint that turns out to have restarted

Cause: when a request finds out that an endpoint's process is another one, the version of the streams at the former instance comes into doubt. Requests that were assigned to it and had brought no event yet counted among them, and were refused with 503 (no_software) instead of being placed again.

Change: only streams that have begun are put in doubt. One that begins later is recorded at the former instance, which puts it in doubt.

--- a/crates/front/src/broker/origins.rs
+++ b/crates/front/src/broker/origins.rs
@@ -180,8 +180,10 @@
             true => self.origins.doubt(instance, replaced_at),
             false => self.origins.doubt_all(instance),
         };
+        // One that begins later is recorded at the former instance, and is in doubt from then on.
         let is_affected = |it: &&mut Pending| {
             it.is_stream
+                && it.has_started
                 && it.instance == instance
                 && it.confirmed.is_none()
                 && it.sent_at + origin::MAX_CLOCK_SKEW >= replaced_at
