Let callers wait until a single daemon's list is complete

Cause: a stream that nobody knows goes on once the list is complete 2 s after its arrival. A list is complete by its latest read; a daemon alone reads every 1.2 to 1.7 s (poll of 1.2 s, interval of 0.5 s), so that up to 3.7 s pass. Callers waited for 3 s and were refused.

Change: they wait for up to 4 s, still at most half of their time limit.

--- a/crates/front/src/broker/unread.rs
+++ b/crates/front/src/broker/unread.rs
@@ -12,8 +12,9 @@
 use super::queries::Waiting;
 use crate::metrics;
 
-/// How long an arrival waits for an entry.
-const MAX_WAIT: Duration = Duration::from_secs(3);
+/// How long an arrival waits for an entry. A list is complete only by its latest read, and those of
+/// a single daemon are up to 1.7 s apart.
+const MAX_WAIT: Duration = Duration::from_secs(4);
 /// Share of its time limit that a request waits at most, as a divisor.
 const LIMIT_DIVISOR: u32 = 2;
 /// Maximum number of arrivals that wait.
