Write streams soon while a process is unread

Cause: a process whose entry was not read is likely to be of another version, but streams were written only every second until its entry came.

Change: the short interval (250 ms) holds as well while a process is unread.

--- a/crates/front/src/broker/history.rs
+++ b/crates/front/src/broker/history.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use balance::member::Member;
 use store::Error;
 use store::table::Commit;
 use store::table::Row;
@@ -41,7 +42,8 @@
     /// Whether several versions of a service have served recently, or another one may be about to.
     pub(super) fn may_release(&self, now: Instant) -> bool {
         let is_mixed = !self.history.mixed(self.stream_window(), now).is_empty();
-        is_mixed || self.pool.members().any(|it| it.may_be_replaced(now))
+        let is_changing = |it: &Member| it.may_be_replaced(now) || it.is_unread();
+        is_mixed || self.pool.members().any(is_changing)
     }
 
     /// Stores the versions if they have changed.
