Test doubts, settled streams and replaced entries

Doubts that became known before the stream did, in all orders; conclusions about own streams and those of other daemons; entries that come back under their ids after a removal.

The simulation still has no endpoints that state no start: the rule by which their streams are settled is in front::broker, so it would be tested on a copy.

--- a/crates/balance/tests/origins/main.rs
+++ b/crates/balance/tests/origins/main.rs
@@ -1,5 +1,8 @@
 //! Which software versions streams go on at, for single decisions and random fleets.
 
+mod doubts;
+mod replaced;
+mod settled;
 mod world;
 
 use std::rc::Rc;
@@ -320,7 +323,7 @@
 }
 
 /// Returns the steps in all orders.
-fn orders<'a>(steps: &[Step<'a>]) -> Vec<Vec<Step<'a>>> {
+fn orders<T: Copy>(steps: &[T]) -> Vec<Vec<T>> {
     if steps.len() < 2 {
         return vec![steps.to_vec()];
     }
--- a/crates/balance/tests/origins/world/mod.rs
+++ b/crates/balance/tests/origins/world/mod.rs
@@ -310,7 +310,8 @@
     }
 }
 
-fn endpoint(id: &str, software: &str, started_at_ms: u64) -> Endpoint {
+/// Returns an endpoint.
+pub fn endpoint(id: &str, software: &str, started_at_ms: u64) -> Endpoint {
     Endpoint {
         id: id.to_owned(),
         service: "pool".to_owned(),
