Test rows of streams whose version is not known yet

Such a place is read as a doubt by builds that know no is_unread, and is not malformed to them; their rows are read as before.

--- a/crates/front/tests/origin_rows.rs
+++ b/crates/front/tests/origin_rows.rs
@@ -7,6 +7,30 @@
 use balance::origin::Origin;
 use front::origin_rows;
 use front::origin_rows::Stream;
+use serde::Deserialize;
+
+/// Content of a row as builds read it that know of no version that is not known yet.
+#[derive(Deserialize)]
+struct Former {
+    origins: Vec<FormerPlace>,
+    streams: Vec<FormerRecord>,
+}
+
+#[derive(Deserialize)]
+struct FormerPlace {
+    service: String,
+    software: Option<String>,
+    instance: String,
+    is_settled: bool,
+}
+
+#[derive(Deserialize)]
+struct FormerRecord {
+    k: String,
+    o: usize,
+    b: i64,
+    u: i64,
+}
 
 /// Unix time of the tests, in milliseconds.
 const NOW_MS: i64 = 1_796_000_000_000;
@@ -29,6 +53,49 @@
     assert_eq!((read, read_late), (later.to_vec(), Vec::new()));
 }
 
+#[test]
+fn streams_whose_version_is_not_known_yet_are_told_from_those_in_doubt() {
+    let check = |software: Option<&str>, is_settled: bool| {
+        let stream = stream(1, software, is_settled);
+        let content = origin_rows::encode(std::slice::from_ref(&stream), NOW_MS);
+
+        assert_eq!(origin_rows::decode(&content, NOW_MS).unwrap(), [stream], "{content}");
+    };
+
+    for is_settled in [false, true] {
+        check(Some(""), is_settled);
+        check(Some("v1"), is_settled);
+        check(None, is_settled);
+    }
+}
+
+/// Guards against rows that other builds take for malformed.
+#[test]
+fn former_builds_read_a_version_that_is_not_known_yet_as_a_doubt() {
+    let streams = [stream(1, Some("v1"), true), stream(2, Some(""), true), stream(3, None, true)];
+
+    let content = origin_rows::encode(&streams, NOW_MS);
+
+    let rows: Former = serde_json::from_str(&content).unwrap();
+    let softwares: Vec<Option<&str>> =
+        rows.streams.iter().map(|it| rows.origins[it.o].software.as_deref()).collect();
+    assert_eq!(softwares, [Some("v1"), None, None]);
+    assert!(rows.origins.iter().all(|it| it.is_settled && it.service == "pool"));
+    assert!(rows.origins.iter().all(|it| it.instance == "7"));
+    assert!(rows.streams.iter().all(|it| it.b < it.u && !it.k.is_empty()));
+}
+
+/// Guards against streams of former builds that are taken for ones whose version becomes known.
+#[test]
+fn rows_of_former_builds_are_read() {
+    let content = origin_rows::encode(&[stream(1, None, false)], NOW_MS);
+    assert!(!content.contains("is_unread"), "{content}");
+
+    let read = origin_rows::decode(&content, NOW_MS).unwrap();
+
+    assert_eq!(read, [stream(1, None, false)]);
+}
+
 #[test]
 fn a_row_names_the_daemon_that_wrote_it() {
     let check = |key: &str, daemon: &str| assert_eq!(origin_rows::writer(key), daemon);
@@ -75,6 +142,24 @@
     assert!(content.len() <= ROW_BYTES, "{}", content.len());
 }
 
+#[test]
+fn a_version_that_is_stated_counts_whether_or_not_it_is_called_unknown() {
+    let check = |software: &str, is_unread: bool, expected: Option<&str>| {
+        let content = origin_rows::encode(&[stream(1, Some("v1"), true)], NOW_MS);
+        let place = format!("\"software\":{software},\"is_unread\":{is_unread}");
+        let content = content.replace("\"software\":\"v1\"", &place);
+
+        let read = origin_rows::decode(&content, NOW_MS).unwrap();
+
+        assert_eq!(read, [stream(1, expected, true)], "{content}");
+    };
+
+    check("\"v1\"", true, Some("v1"));
+    check("\"v1\"", false, Some("v1"));
+    check("null", true, Some(""));
+    check("null", false, None);
+}
+
 #[test]
 fn arbitrary_content_is_decoded_or_rejected() {
     for seed in 0..200 {
