--- a/crates/front/src/broker/crashes.rs
+++ b/crates/front/src/broker/crashes.rs
@@ -188,7 +188,10 @@
             Outcome::Broken | Outcome::TimedOut | Outcome::Abandoned => {
                 self.record_interruption(ticket, outcome, now);
             }
-            Outcome::Unreachable | Outcome::Misdirected | Outcome::OtherProcess => {}
+            Outcome::Unreachable
+            | Outcome::Misdirected
+            | Outcome::OtherProcess
+            | Outcome::Unverified => {}
         }
     }
 
--- a/crates/front/src/broker/reach.rs
+++ b/crates/front/src/broker/reach.rs
@@ -79,6 +79,7 @@
             Outcome::Broken
             | Outcome::Unreachable
             | Outcome::OtherProcess
+            | Outcome::Unverified
             | Outcome::TimedOut
             | Outcome::Abandoned => {}
         }
--- a/crates/front/src/broker/requests.rs
+++ b/crates/front/src/broker/requests.rs
@@ -174,7 +174,8 @@
         let Some(pending) = self.requests.get_mut(&ticket) else {
             return Err(Refusal { status: 502, retry_after: None });
         };
-        pending.may_have_run |= matches!(outcome, Outcome::Broken | Outcome::Failed);
+        pending.may_have_run |=
+            matches!(outcome, Outcome::Broken | Outcome::Failed | Outcome::Unverified);
         if outcome.was_sent() {
             pending.attempts_left = pending.attempts_left.saturating_sub(1);
         }
@@ -371,7 +372,7 @@
             Outcome::Unreachable | Outcome::Misdirected => Some(health::Outcome::Unreachable),
             Outcome::Declined => Some(health::Outcome::Overloaded),
             Outcome::TimedOut => (!pending.has_started).then_some(health::Outcome::Failure),
-            Outcome::OtherProcess | Outcome::Abandoned => None,
+            Outcome::OtherProcess | Outcome::Unverified | Outcome::Abandoned => None,
         };
         if outcome == Outcome::Declined {
             self.record_rejection(&endpoint, now);
--- a/crates/relay/src/admission.rs
+++ b/crates/relay/src/admission.rs
@@ -114,6 +114,9 @@
     /// The request was not sent, since the endpoint's process is not known to have the software
     /// version that it needs.
     OtherProcess,
+    /// The request was sent, but the process that responded did not turn out to have the software
+    /// version that it needs.
+    Unverified,
     /// The deadline passed.
     TimedOut,
     /// The caller disconnected.
@@ -148,6 +151,7 @@
             Outcome::Declined => "turned_away",
             Outcome::Misdirected => "misdirected",
             Outcome::OtherProcess => "other_process",
+            Outcome::Unverified => "unverified",
             Outcome::TimedOut => "timed_out",
             Outcome::Abandoned => "abandoned",
         }
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -28,6 +28,9 @@
 /// Interval at which the broker is asked again whether a request may be sent.
 const CONFIRMATION_INTERVAL: Duration = Duration::from_millis(50);
 
+/// How long a response waits until its process is known; others are heard within that time.
+const VERIFICATION_TIME: Duration = Duration::from_millis(1_200);
+
 /// A caller's request, received completely.
 #[derive(Clone, Debug)]
 pub struct Call {
@@ -79,8 +82,11 @@
     };
     let Ok(mut connection) = acquired else { return Err(Outcome::Unreachable) };
     let is_fresh = !connection.is_reused;
+    // An endpoint whose reports break off can't be asked.
+    let verifies = plan.needs_identity() && target.is_bound && pool.is_verifiable(&connection);
     if is_fresh || plan.needs_identity() {
-        match confirm(pool, &connection, call, plan, ticket).await {
+        let needs_identity = plan.needs_identity() && !verifies;
+        match confirm(pool, &connection, call, needs_identity, ticket).await {
             Ok(()) => {}
             Err(Outcome::OtherProcess) => {
                 pool.release(&target.id, connection, None);
@@ -125,6 +131,9 @@
     if let Some(duration) = attributes.retry_after {
         ticket.report_pause(duration);
     }
+    if verifies && !attributes.has_not_run {
+        verify(pool, &connection, call, ticket).await?;
+    }
     if attributes.has_not_run {
         return Err(if is_misdirected { Outcome::Misdirected } else { Outcome::Declined });
     }
@@ -140,11 +149,11 @@
     pool: &Pool,
     connection: &Connection,
     call: &Call,
-    plan: &Plan,
+    needs_identity: bool,
     ticket: &Ticket,
 ) -> Result<(), Outcome> {
     loop {
-        let identity = plan.needs_identity().then(|| pool.identity(connection));
+        let identity = needs_identity.then(|| pool.identity(connection));
         match ticket.confirm(identity, !connection.is_reused).await {
             Confirmation::Sound => return Ok(()),
             Confirmation::Unsound => return Err(Outcome::Unreachable),
@@ -161,6 +170,25 @@
     }
 }
 
+/// Waits until it is known whether the process that has begun to respond on a connection is the one
+/// that has been answering on others, and has the software version that the request needs.
+async fn verify(
+    pool: &Pool,
+    connection: &Connection,
+    call: &Call,
+    ticket: &Ticket,
+) -> Result<(), Outcome> {
+    let deadline = call.deadline.min(Instant::now() + VERIFICATION_TIME);
+    while Instant::now() < deadline {
+        match ticket.confirm(Some(pool.identity(connection)), false).await {
+            Confirmation::Sound => return Ok(()),
+            Confirmation::Later => sleep(CONFIRMATION_INTERVAL).await,
+            Confirmation::Unsound | Confirmation::OtherProcess => break,
+        }
+    }
+    Err(Outcome::Unverified)
+}
+
 /// Returns a connection to the endpoint; one on which the process has been asked for its identity
 /// if the request depends on that.
 async fn acquire(
--- a/crates/relay/src/connection.rs
+++ b/crates/relay/src/connection.rs
@@ -50,6 +50,8 @@
 /// How long a stream waits that can't begin or go on otherwise. A process may be silent for a
 /// second.
 const BOUND_ANSWER_TIME: Duration = Duration::from_millis(1_200);
+/// Time since a part of a response within which a process counts as answering.
+const VERIFIABLE_TIME: Duration = Duration::from_secs(1);
 /// Number of connections on which an endpoint is asked for its start, one after the other, until
 /// it has answered on one that can be used.
 const MAX_QUESTIONS: usize = 2;
@@ -141,6 +143,13 @@
         }
     }
 
+    /// Whether nothing was heard on a connection, while a process is answering on others to the
+    /// same endpoint, so that the response will tell whether it is the same one.
+    pub fn is_verifiable(&self, connection: &Connection) -> bool {
+        let Connection { place, link, .. } = connection;
+        !link.has_answered() && self.continuities.is_heard(place, VERIFIABLE_TIME)
+    }
+
     /// Returns the endpoints that are watched.
     pub(crate) fn watched(&self) -> &Watched {
         &self.watched
--- a/crates/relay/src/continuity.rs
+++ b/crates/relay/src/continuity.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::rc::Weak;
+use std::time::Duration;
 
 use tokio::time::Instant;
 
@@ -112,6 +113,14 @@
         Some((continuity.since.get(), continuity.started_at_ms.get()))
     }
 
+    /// Whether a process at a place has answered on any connection within some time.
+    pub fn is_heard(&self, place: &Place, within: Duration) -> bool {
+        let now = Instant::now();
+        let by_place = self.0.borrow();
+        let mut open = by_place.get(place).into_iter().flatten().filter_map(Weak::upgrade);
+        open.any(|it| now <= it.until.get() + within)
+    }
+
     /// Forgets the continuities of connections that have ended.
     pub fn remove_ended(&self) {
         self.0.borrow_mut().retain(|_, continuities| {
