--- a/crates/front/src/broker/origin_log.rs
+++ b/crates/front/src/broker/origin_log.rs
@@ -1,4 +1,4 @@
-//! The store rows that keep where streams began while several software versions serve.
+//! The store rows that keep where streams began.
 
 use std::collections::BTreeMap;
 use std::rc::Rc;
--- a/crates/front/src/origin_rows.rs
+++ b/crates/front/src/origin_rows.rs
@@ -1,5 +1,5 @@
-//! The store rows that keep where streams began while several software versions serve, for
-//! daemons that start when no other daemon is left to tell them.
+//! The store rows that keep where streams began, for daemons that start when no other daemon is
+//! left to tell them.
 
 use std::time::Duration;
 
--- a/crates/relay/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -1,5 +1,5 @@
-//! Connections to endpoints that don't state their start when they are asked before a stream, on
-//! which they are asked again and again. As long as one is open, its process is known.
+//! Endpoints that don't state their start in time before a stream. They are asked again and again
+//! on a connection of their own, so that their processes are known when a stream has to go on.
 
 use std::cell::RefCell;
 use std::collections::HashMap;
