--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -24,6 +24,8 @@
 use crate::admission::Ticket;
 use crate::connection::Connection;
 use crate::connection::Pool;
+use crate::identity::Identity;
+use crate::identity::UNHEARD;
 
 /// Interval at which the broker is asked again whether a request may be sent.
 const CONFIRMATION_INTERVAL: Duration = Duration::from_millis(50);
@@ -83,10 +85,15 @@
     let Ok(mut connection) = acquired else { return Err(Outcome::Unreachable) };
     let is_fresh = !connection.is_reused;
     // An endpoint whose reports break off can't be asked.
-    let verifies = plan.needs_identity() && target.is_bound && pool.is_verifiable(&connection);
+    let verifies =
+        plan.needs_identity() && target.is_bound && pool.identity_to_verify(&connection).is_some();
     if is_fresh || plan.needs_identity() {
-        let needs_identity = plan.needs_identity() && !verifies;
-        match confirm(pool, &connection, call, needs_identity, ticket).await {
+        let identity = || match (plan.needs_identity(), verifies) {
+            (false, _) => None,
+            (true, false) => Some(pool.identity(&connection)),
+            (true, true) => pool.identity_to_verify(&connection).or(Some(UNHEARD)),
+        };
+        match confirm(call, &connection, ticket, identity).await {
             Ok(()) => {}
             Err(Outcome::OtherProcess) => {
                 pool.release(&target.id, connection, None);
@@ -146,14 +153,13 @@
 /// Waits until it is known whether the request may be sent on a connection. Fails with the outcome
 /// of the attempt if it may not.
 async fn confirm(
-    pool: &Pool,
-    connection: &Connection,
     call: &Call,
-    needs_identity: bool,
+    connection: &Connection,
     ticket: &Ticket,
+    identity: impl Fn() -> Option<Identity>,
 ) -> Result<(), Outcome> {
     loop {
-        let identity = needs_identity.then(|| pool.identity(connection));
+        let identity = identity();
         match ticket.confirm(identity, !connection.is_reused).await {
             Confirmation::Sound => return Ok(()),
             Confirmation::Unsound => return Err(Outcome::Unreachable),
--- a/crates/relay/src/connection.rs
+++ b/crates/relay/src/connection.rs
@@ -7,11 +7,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http_body_util::BodyExt;
 use http_body_util::Full;
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
 use platform::exchange::configure_socket;
+use platform::report;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 use tokio::task::spawn_local;
@@ -143,11 +145,31 @@
         }
     }
 
-    /// Whether nothing was heard on a connection, while a process is answering on others to the
-    /// same endpoint, so that the response will tell whether it is the same one.
-    pub fn is_verifiable(&self, connection: &Connection) -> bool {
+    /// Returns what is known of the process that is answering on other connections to the same
+    /// endpoint, if nothing was heard on this one. Its response will tell whether it is the same.
+    pub fn identity_to_verify(&self, connection: &Connection) -> Option<Identity> {
         let Connection { place, link, .. } = connection;
-        !link.has_answered() && self.continuities.is_heard(place, VERIFIABLE_TIME)
+        let heard_since = self.continuities.heard_since(place, VERIFIABLE_TIME);
+        let is_verifiable = !link.has_answered() && heard_since.is_some();
+        is_verifiable.then_some(Identity { started_at_ms: None, heard_since })
+    }
+
+    /// Reads the events with which an endpoint answers instead of a report, while it is watched.
+    /// They show that its process goes on.
+    pub(crate) async fn listen(&self, connection: &mut Connection) {
+        let request = report::request(&connection.place.1.to_string());
+        let response = timeout(SILENCE_TIMEOUT, connection.sender.send_request(request)).await;
+        let Ok(Ok(response)) = response else { return };
+        if !response.status().is_success() || !report::is_stream(response.headers()) {
+            return;
+        }
+        self.record_answer(connection);
+        let mut body = response.into_body();
+        while self.watched.is_due(&connection.place)
+            && let Ok(Some(Ok(_))) = timeout(SILENCE_TIMEOUT, body.frame()).await
+        {
+            connection.touch();
+        }
     }
 
     /// Returns the endpoints that are watched.
--- a/crates/relay/src/continuity.rs
+++ b/crates/relay/src/continuity.rs
@@ -113,12 +113,13 @@
         Some((continuity.since.get(), continuity.started_at_ms.get()))
     }
 
-    /// Whether a process at a place has answered on any connection within some time.
-    pub fn is_heard(&self, place: &Place, within: Duration) -> bool {
+    /// Returns since when a process at a place has been answering on any connection; `None` if
+    /// none has within some time.
+    pub fn heard_since(&self, place: &Place, within: Duration) -> Option<Instant> {
         let now = Instant::now();
         let by_place = self.0.borrow();
-        let mut open = by_place.get(place).into_iter().flatten().filter_map(Weak::upgrade);
-        open.any(|it| now <= it.until.get() + within)
+        let open = by_place.get(place).into_iter().flatten().filter_map(Weak::upgrade);
+        open.filter(|it| now <= it.until.get() + within).map(|it| it.since.get()).min()
     }
 
     /// Forgets the continuities of connections that have ended.
--- a/crates/relay/src/identity.rs
+++ b/crates/relay/src/identity.rs
@@ -28,6 +28,9 @@
     pub heard_since: Option<Instant>,
 }
 
+/// A process of which nothing was heard.
+pub const UNHEARD: Identity = Identity { started_at_ms: None, heard_since: None };
+
 /// Why a process has not stated its start.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Failure {
--- a/crates/relay/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -54,7 +54,7 @@
     }
 
     /// Whether the endpoint has still to be watched.
-    fn is_due(&self, place: &Place) -> bool {
+    pub(crate) fn is_due(&self, place: &Place) -> bool {
         self.0.borrow().get(place).is_some_and(|it| Instant::now() < *it)
     }
 }
@@ -86,10 +86,15 @@
     let mut has_answered = false;
     while pool.watched().is_due(place) {
         let answer = pool.ask_within(&mut connection, ANSWER_TIMEOUT).await;
-        if answer == Err(Failure::Unanswered) || !connection.sender.is_ready() {
+        has_answered |= answer != Err(Failure::Unanswered);
+        if !connection.sender.is_ready() {
+            if answer == Err(Failure::NotStated)
+                && let Ok(mut connection) = pool.connect(&place.0, place.1).await
+            {
+                pool.listen(&mut connection).await;
+            }
             return has_answered;
         }
-        has_answered = true;
         sleep(PAUSE).await;
     }
     has_answered
