--- a/crates/balance/tests/origin_log.rs
+++ b/crates/balance/tests/origin_log.rs
@@ -35,19 +35,7 @@
 
 #[test]
 fn all_daemons_together_write_at_most_50_times_a_second() {
-    let check = |daemons: usize, expected: Duration| {
-        let mut fixture = Fixture::new();
-        fixture.begin(0..1, "v1");
-        fixture.write(daemons).unwrap();
-        fixture.log.finish(true);
-        fixture.begin(1..2, "v1");
-
-        fixture.now += expected - Duration::from_millis(1);
-        let early = fixture.write(daemons);
-        fixture.now += Duration::from_millis(1);
-
-        assert!(early.is_none() && fixture.write(daemons).is_some(), "{daemons}");
-    };
+    let check = |daemons, expected| check_interval(false, daemons, expected);
 
     check(2, Duration::from_millis(250));
     check(12, Duration::from_millis(250));
@@ -76,20 +64,7 @@
 /// version served are known to nobody.
 #[test]
 fn streams_are_written_also_while_one_version_serves_but_more_seldom() {
-    let check = |daemons, expected: Duration| {
-        let mut fixture = Fixture::new();
-        fixture.log.set_calm(true);
-        fixture.begin(0..1, "v1");
-        fixture.write(daemons).unwrap();
-        fixture.log.finish(true);
-        fixture.begin(1..2, "v1");
-
-        fixture.now += expected - Duration::from_millis(1);
-        let early = fixture.write(daemons);
-        fixture.now += Duration::from_millis(1);
-
-        assert!(early.is_none() && fixture.write(daemons).is_some(), "{daemons}");
-    };
+    let check = |daemons, expected| check_interval(true, daemons, expected);
 
     check(2, SECOND);
     check(12, SECOND);
@@ -196,6 +171,22 @@
     assert_eq!(streams, (0..1_000).collect::<Vec<u128>>());
 }
 
+/// Checks after which time the next write is due.
+fn check_interval(is_calm: bool, daemons: usize, expected: Duration) {
+    let mut fixture = Fixture::new();
+    fixture.log.set_calm(is_calm);
+    fixture.begin(0..1, "v1");
+    fixture.write(daemons).unwrap();
+    fixture.log.finish(true);
+    fixture.begin(1..2, "v1");
+
+    fixture.now += expected - Duration::from_millis(1);
+    let early = fixture.write(daemons);
+    fixture.now += Duration::from_millis(1);
+
+    assert!(early.is_none() && fixture.write(daemons).is_some(), "{daemons}");
+}
+
 struct Fixture {
     origins: Origins,
     log: Log,
