relay: count the time limit of a request from when it was received (CONFIG)

Callers that send requests before the responses to earlier ones got late answers: the time limit of a waiting request began only when the response before it had ended.

The time limit now counts from when the bytes were read, which is while the request before runs. A request whose limit has passed when its turn comes is refused at once, not run, with the cause time_limit.

--- a/crates/front/src/broker/refusal.rs
+++ b/crates/front/src/broker/refusal.rs
@@ -24,6 +24,7 @@
     Attempts,
     RetryBudget,
     Stopping,
+    TimeLimit,
 }
 
 impl Cause {
@@ -44,6 +45,7 @@
             Cause::Attempts => "attempts",
             Cause::RetryBudget => "retry_budget",
             Cause::Stopping => "stopping",
+            Cause::TimeLimit => "time_limit",
         }
     }
 }
--- a/crates/front/src/broker/requests.rs
+++ b/crates/front/src/broker/requests.rs
@@ -121,6 +121,9 @@
             return Err(refuse(&id, cause, 503, Some(delay)));
         }
         let limit = time_limit(&found, &attributes).saturating_sub(waited);
+        if limit.is_zero() {
+            return Err(refuse(&id, Cause::TimeLimit, 503, None));
+        }
         if !self.ends_before_exit(&found.route.name, limit, now) {
             return Err(refuse(&id, Cause::Stopping, 503, relay::server::STOPPING.retry_after));
         }
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -156,6 +156,8 @@
     request: RefCell<String>,
     /// When the current request began or its latest bytes were received.
     received_at: Cell<Option<Instant>>,
+    /// When bytes were last received.
+    read_at: Cell<Option<Instant>>,
     /// Whether bytes were received after the current request.
     has_early_bytes: Cell<bool>,
     /// Bytes of the response's body that the HTTP library has taken.
@@ -182,6 +184,7 @@
             stage: Cell::new(Stage::Idle),
             request: RefCell::default(),
             received_at: Cell::default(),
+            read_at: Cell::default(),
             has_early_bytes: Cell::default(),
             taken: Cell::default(),
             untaken: Cell::default(),
@@ -208,9 +211,16 @@
         self.received_at.get().filter(|_| self.stage.get() == Stage::Body)
     }
 
+    /// Returns when bytes were last received.
+    pub fn read_at(&self) -> Option<Instant> {
+        self.read_at.get()
+    }
+
     /// Records that bytes were received.
     pub fn record_read(&self) {
-        self.received_at.set(Some(Instant::now()));
+        let now = Instant::now();
+        self.received_at.set(Some(now));
+        self.read_at.set(Some(now));
         match self.stage.get() {
             Stage::Idle => self.set_stage(Stage::Head),
             Stage::Running | Stage::Sending => self.has_early_bytes.set(true),
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -67,14 +67,16 @@
     request: Request<Incoming>,
     progress: &Progress,
 ) -> Response<Payload> {
-    let arrived_at = Instant::now();
+    let begun_at = Instant::now();
+    // The head may have been received while the request before it was running.
+    let arrived_at = progress.read_at().unwrap_or(begun_at);
     let limits = server.limits();
     let (parts, body) = request.into_parts();
     let attributes = head::decode_request(&parts.headers);
     progress.begin(&attributes.id);
     let received = tokio::select! {
         biased;
-        received = receive(server, body, limits, arrived_at) => received,
+        received = receive(server, body, limits, begun_at) => received,
         () = server.ending() => Err(STOPPING),
     };
     let body = match received {
@@ -129,15 +131,15 @@
     server: &Server,
     mut body: Incoming,
     limits: Limits,
-    arrived_at: Instant,
+    begun_at: Instant,
 ) -> Result<Bytes, Refusal> {
     let refuse = |status: StatusCode| Err(Refusal { status: status.as_u16(), retry_after: None });
     let size = body.size_hint();
     if size.lower() > limits.body_bytes as u64 {
         return refuse(StatusCode::PAYLOAD_TOO_LARGE);
     }
-    let mut buffer = Buffer::new(server.budget().receive(arrived_at), size.exact());
-    let deadline = arrived_at + limits.idle();
+    let mut buffer = Buffer::new(server.budget().receive(begun_at), size.exact());
+    let deadline = begun_at + limits.idle();
     loop {
         let received = tokio::select! {
             biased;
