--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod pool;
 pub mod reach;
 pub mod removal;
+pub mod runs;
 pub mod services;
 pub mod settling;
 pub mod software;
--- a/crates/balance/src/origin.rs
+++ b/crates/balance/src/origin.rs
@@ -104,6 +104,8 @@
     /// Whether the instance is known to be the one at which the stream began. If not, a later
     /// one may have begun it whose entry was not read yet.
     pub is_settled: bool,
+    /// Whether two versions were reported, so that nothing can resolve the doubt.
+    is_contradicted: bool,
     began_at: Instant,
     expires_at: Instant,
 }
@@ -127,10 +129,23 @@
                 if self.origin.is_unread() && !other.origin.is_unread() {
                     self.origin.instance = other.origin.instance;
                 }
+                let was_known = self.origin.software.is_some();
                 self.origin.merge(&other.origin);
+                self.is_contradicted |=
+                    was_known && self.origin.software.is_none() && other.origin.software.is_some();
             }
         }
     }
+
+    /// Whether its version is in doubt, but only since an entry was replaced, and another instance
+    /// is known now to have begun it.
+    fn is_resolved_by(&self, origin: &Origin) -> bool {
+        self.origin.software.is_none()
+            && !self.is_contradicted
+            && self.origin.service == origin.service
+            && self.origin.instance != origin.instance
+            && origin.software.as_deref().is_some_and(|it| !it.is_empty())
+    }
 }
 
 /// Streams that began recently, here or at other daemons.
@@ -173,6 +188,7 @@
             origin,
             source: Source::Own,
             is_settled,
+            is_contradicted: false,
             began_at: now,
             expires_at: now + lifetime,
         };
@@ -195,9 +211,17 @@
             origin: notice.origin.clone(),
             source: Source::Peer(Rc::clone(daemon)),
             is_settled,
+            is_contradicted: false,
             began_at: now.checked_sub(age).unwrap_or(now),
             expires_at: now + Duration::from_millis(notice.lifetime_ms),
         };
+        if let Some(known) = self.by_key.get_mut(&notice.key)
+            && known.source == entry.source
+            && known.is_resolved_by(&entry.origin)
+        {
+            known.origin.clone_from(&entry.origin);
+            known.is_settled = is_settled;
+        }
         self.insert(notice.key, entry);
     }
 
@@ -223,7 +247,12 @@
 
     /// Records at which instance a stream began here that was not known then.
     pub fn identify(&mut self, key: Key, origin: Origin, now: Instant) {
-        let Some(entry) = self.get(key, now) else { return };
+        let Some(entry) = self.by_key.get_mut(&key).filter(|it| now < it.expires_at) else {
+            return;
+        };
+        if entry.is_resolved_by(&origin) {
+            entry.origin.clone_from(&origin);
+        }
         let entry = Entry { origin, is_settled: true, ..entry.clone() };
         self.insert(key, entry);
         self.add_unsent(key);
--- a/crates/balance/tests/origins/main.rs
+++ b/crates/balance/tests/origins/main.rs
@@ -2,6 +2,7 @@
 
 mod doubts;
 mod replaced;
+mod runs;
 mod settled;
 mod world;
 
--- a/crates/front/src/broker/identity.rs
+++ b/crates/front/src/broker/identity.rs
@@ -6,7 +6,9 @@
 
 use balance::endpoint::Instance;
 use balance::member::Member;
+use balance::origin::Key;
 use balance::origin::Origin;
+use balance::runs::Successor;
 use balance::software::Requirement;
 use relay::admission::Confirmation;
 use relay::admission::Outcome;
@@ -42,6 +44,11 @@
     pub(super) fn new(is_first_start: bool, now: Instant) -> Listing {
         Listing { resumed_at: (!is_first_start).then_some(now), ..Listing::default() }
     }
+
+    /// Returns until when all entries that were written have been read.
+    pub(super) fn complete_until(&self) -> Option<Instant> {
+        self.complete_until
+    }
 }
 
 impl Broker {
@@ -59,7 +66,7 @@
         if confirmation != Confirmation::Sound {
             return confirmation;
         }
-        let Some(Identity { started_at_ms, heard_since }) = identity else {
+        let Some(Identity { started_at_ms, heard_since, .. }) = identity else {
             return Confirmation::Sound;
         };
         let heard_since = heard_since.map(Instant::from);
@@ -102,6 +109,7 @@
         let Some(member) = self.pool.member(id).filter(|it| !it.is_unread()) else { return };
         let (instance, software) = (member.endpoint.confirmed(), &member.endpoint.software);
         self.origins.learn(instance, software);
+        self.runs.learn(instance, software);
         let is_unread = |it: &&mut Pending| it.confirmed == Some(instance) && it.is_unread();
         for pending in self.requests.values_mut().filter(is_unread) {
             pending.software.clone_from(software);
@@ -153,7 +161,12 @@
 
     /// Records what has become known of the process that began a stream.
     pub(super) fn identify_origin(&mut self, ticket: u64, identity: Identity, now: Instant) {
-        let Identity { started_at_ms, heard_since } = identity;
+        let Identity { started_at_ms, heard_since, running_at } = identity;
+        // Where a stream goes on says nothing about where it began.
+        let pending = self.requests.get(&ticket).filter(|it| it.is_where_it_began());
+        if let (Some(key), Some(at)) = (pending.and_then(|it| it.stream), running_at) {
+            self.runs.extend(key, at.into_std());
+        }
         match (started_at_ms, heard_since) {
             (Some(started_at_ms), _) => self.identify_by_start(ticket, started_at_ms, now),
             (None, Some(since)) => self.identify_by_list(ticket, since.into_std()),
@@ -172,10 +185,47 @@
             pending.unconfirmed_origin = None;
             if let Some(key) = pending.stream {
                 self.origins.settle(key);
+                self.runs.forget(key);
             }
         }
     }
 
+    /// Records which processes began streams that have gone on for long enough since their
+    /// endpoints started again.
+    pub(super) fn identify_by_progress(&mut self, now: Instant) {
+        let complete_until = self.listing.complete_until;
+        let identified = self.runs.take_identified(REGISTRATION_TIME, complete_until);
+        for (key, successor) in identified {
+            let Some(entry) = self.origins.get(key, now) else { continue };
+            let service = entry.origin.service.clone();
+            let Successor { confirmed, software, .. } = successor;
+            self.origins.learn(confirmed, &software);
+            let origin = Origin { service, software: Some(software), instance: confirmed };
+            self.origins.identify(key, origin.clone(), now);
+            self.continue_at(key, &origin);
+        }
+    }
+
+    /// Lets a stream that has begun go on at the version that has become known.
+    fn continue_at(&mut self, key: Key, origin: &Origin) {
+        let Some(software) = &origin.software else { return };
+        for pending in self.requests.values_mut().filter(|it| it.stream == Some(key)) {
+            if !pending.is_where_it_began() {
+                continue;
+            }
+            pending.unconfirmed_origin = None;
+            pending.confirmed = Some(origin.instance);
+            pending.requirement = Requirement::Exactly(software.clone());
+            pending.software.clone_from(software);
+            spdlog::info!("process of the stream identified", kv: {
+                request = pending.attributes.id.as_str(),
+                endpoint = pending.endpoint.as_str(),
+                software = software.as_str(),
+                identified_by = "progress",
+            });
+        }
+    }
+
     fn identify_by_start(&mut self, ticket: u64, started_at_ms: u64, now: Instant) {
         let Some(pending) = self.requests.get_mut(&ticket) else { return };
         if !pending.has_started || pending.unconfirmed_origin.take().is_none() {
@@ -200,6 +250,7 @@
         if let Some(key) = pending.stream {
             let service = pending.service.clone();
             let origin = Origin { service, software: Some(software), instance };
+            self.runs.forget(key);
             self.origins.identify(key, origin, now);
         }
     }
--- a/crates/front/src/broker/mod.rs
+++ b/crates/front/src/broker/mod.rs
@@ -39,6 +39,7 @@
 use balance::origin::Origins;
 use balance::pool::Pool;
 use balance::reach::Reach;
+use balance::runs::Runs;
 use balance::services::Unconfirmed;
 use balance::settling::Settling;
 use balance::software::Coverage;
@@ -172,6 +173,7 @@
     rooms: Rooms,
     /// At which software version streams began.
     origins: Origins,
+    runs: Runs,
     origins_swept_at: Instant,
     /// Questions to other daemons about streams that callers take up.
     queries: HashMap<Key, queries::Query>,
@@ -285,6 +287,7 @@
             endpoint_limits: endpoint::Limits::default(),
             rooms: Rooms::default(),
             origins: Origins::default(),
+            runs: Runs::default(),
             origins_swept_at: now,
             queries: HashMap::new(),
             unread_arrivals: unread::Arrivals::default(),
--- a/crates/front/src/broker/origins.rs
+++ b/crates/front/src/broker/origins.rs
@@ -13,6 +13,7 @@
 use balance::origin::Key;
 use balance::origin::Origin;
 use balance::origin::Source;
+use balance::runs::Successor;
 use balance::software;
 use balance::software::Requirement;
 use membership::digest::Message;
@@ -160,6 +161,9 @@
             instance: pending.confirmed.unwrap_or(pending.instance),
         };
         let (is_settled, lifetime) = (pending.is_identified(), pending.limit + TAKE_UP_TIME);
+        if !is_settled {
+            self.runs.begin(key, pending.instance, lifetime, now);
+        }
         self.origins.record(key, origin, is_settled, lifetime, now);
     }
 
@@ -177,7 +181,17 @@
         let replaced_at =
             now.checked_sub(Duration::from_millis(age_ms as u64)).unwrap_or(self.started_at);
         let doubted = match is_told_apart {
-            true => self.origins.doubt(instance, replaced_at),
+            true => {
+                let successor = Successor {
+                    described: member.instance,
+                    confirmed: member.endpoint.confirmed(),
+                    software: member.endpoint.software.clone(),
+                    started_at: replaced_at,
+                    unlisted_at: self.listing.complete_until(),
+                };
+                self.runs.record_successor(instance, successor);
+                self.origins.doubt(instance, replaced_at)
+            }
             false => self.origins.doubt_all(instance),
         };
         // One that begins later is recorded at the former instance, and is in doubt from then on.
@@ -279,6 +293,7 @@
     /// Settles where streams began once the entry of any process has been read that was running
     /// by then.
     pub(super) fn settle_origins(&mut self, now: Instant) {
+        self.identify_by_progress(now);
         let due = self.origins.unsettled().filter(|(_, it)| self.is_registered(it.began_at()));
         let mut due = due.peekable();
         if due.peek().is_none() {
@@ -299,6 +314,7 @@
         let mut abandoned = 0;
         for (key, is_known) in due {
             if is_known {
+                self.runs.forget(key);
                 self.origins.settle(key);
             } else {
                 self.origins.abandon(key, |daemon| live.contains(daemon));
@@ -327,6 +343,7 @@
         if now >= self.origins_swept_at + TAKE_UP_TIME / 10 {
             self.origins_swept_at = now;
             self.origins.remove_expired(now);
+            self.runs.remove_expired(now);
             self.history.remove_expired(self.stream_window(), now);
             metrics::set_state("streams_remembered", self.origins.count() as i64);
         }
--- a/crates/front/src/broker/pending.rs
+++ b/crates/front/src/broker/pending.rs
@@ -89,6 +89,11 @@
         !self.identified_by.is_empty()
     }
 
+    /// Whether it is still sent by the process that began it, which is not known.
+    pub(super) fn is_where_it_began(&self) -> bool {
+        self.unconfirmed_origin.is_some_and(|it| it.instance == self.instance)
+    }
+
     /// Whether the entry of the process that runs the request was not read yet.
     pub(super) fn is_unread(&self) -> bool {
         self.software.is_empty()
--- a/crates/relay/src/connection.rs
+++ b/crates/relay/src/connection.rs
@@ -28,6 +28,7 @@
 use crate::identity;
 use crate::identity::Failure;
 use crate::identity::Identity;
+use crate::identity::UNHEARD;
 use crate::watch;
 use crate::watch::Watched;
 
@@ -73,6 +74,8 @@
     /// When the process at the other end started, if it has stated that on this connection, in
     /// milliseconds since 1970.
     started_at_ms: Option<u64>,
+    /// A time at which that process was still running, since its current response has begun.
+    running_at: Option<Instant>,
 }
 
 impl Connection {
@@ -85,6 +88,12 @@
     pub fn touch(&self) {
         self.link.touch();
     }
+
+    /// Records a time at which the process at the other end was still running, since its current
+    /// response has begun.
+    pub fn record_running(&mut self, at: Instant) {
+        self.running_at = Some(at);
+    }
 }
 
 /// Handle of the task that drives a connection. Aborts the task when dropped.
@@ -142,6 +151,7 @@
         Identity {
             started_at_ms: known.and_then(|(_, started_at_ms)| started_at_ms),
             heard_since: known.map(|(since, _)| since),
+            running_at: connection.running_at,
         }
     }
 
@@ -151,7 +161,7 @@
         let Connection { place, link, .. } = connection;
         let heard_since = self.continuities.heard_since(place, VERIFIABLE_TIME);
         let is_verifiable = !link.has_answered() && heard_since.is_some();
-        is_verifiable.then_some(Identity { started_at_ms: None, heard_since })
+        is_verifiable.then_some(Identity { heard_since, ..UNHEARD })
     }
 
     /// Reads the events with which an endpoint answers instead of a report, while it is watched.
@@ -289,6 +299,7 @@
             let is_current = connection.place.1 == address;
             if is_current && now < expires_at && connection.sender.is_ready() {
                 connection.is_reused = true;
+                connection.running_at = None;
                 return Some(connection);
             }
         }
@@ -323,5 +334,13 @@
         driven.end();
     });
     let driver = Driver(task.abort_handle());
-    Ok(Connection { sender, is_reused: false, _driver: driver, place, link, started_at_ms: None })
+    Ok(Connection {
+        sender,
+        is_reused: false,
+        _driver: driver,
+        place,
+        link,
+        started_at_ms: None,
+        running_at: None,
+    })
 }
--- a/crates/relay/src/identity.rs
+++ b/crates/relay/src/identity.rs
@@ -26,10 +26,23 @@
     pub started_at_ms: Option<u64>,
     /// Since when it has been answering. `None` if it hasn't answered on the connection.
     pub heard_since: Option<Instant>,
+    /// A time at which it was still running, after the request had begun. Known only of those that
+    /// have stated no start.
+    pub running_at: Option<Instant>,
+}
+
+impl Identity {
+    /// Whether more is known than before, apart from progress within `interval`.
+    pub fn is_news(&self, before: &Identity, interval: Duration) -> bool {
+        let Identity { started_at_ms, heard_since, running_at } = *self;
+        let has_progress = running_at
+            .is_some_and(|it| before.running_at.is_none_or(|other| it > other + interval));
+        has_progress || (started_at_ms, heard_since) != (before.started_at_ms, before.heard_since)
+    }
 }
 
 /// A process of which nothing was heard.
-pub const UNHEARD: Identity = Identity { started_at_ms: None, heard_since: None };
+pub const UNHEARD: Identity = Identity { started_at_ms: None, heard_since: None, running_at: None };
 
 /// Why a process has not stated its start.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -2,16 +2,22 @@
 //! the route allows it.
 
 use std::io;
+use std::pin::pin;
+use std::time::Duration;
 
+use bytes::Bytes;
 use http::Response;
 use http::header::CONTENT_TYPE;
 use http::header::HeaderValue;
 use http_body_util::BodyExt;
+use hyper::body::Frame;
 use hyper::body::Incoming;
 use platform::head;
 use tokio::task::spawn_local;
 use tokio::time::Instant;
+use tokio::time::error::Elapsed;
 use tokio::time::sleep;
+use tokio::time::timeout;
 use tokio::time::timeout_at;
 
 use crate::admission::Outcome;
@@ -37,6 +43,11 @@
 /// Number of events buffered for a slow caller before reading from the endpoint
 /// pauses.
 const BUFFERED_EVENTS: usize = 64;
+/// Minimum interval between reports that the process of a stream is still running.
+const REPORT_INTERVAL: Duration = Duration::from_millis(300);
+/// Time in which nothing is received, twice in a row, after which nothing that an endpoint has
+/// sent before waits to be read.
+const QUIET_TIME: Duration = Duration::from_millis(5);
 
 /// A stream from one endpoint.
 struct Source {
@@ -48,6 +59,11 @@
 }
 
 impl Source {
+    /// Whether it matters how long the process goes on that began the stream.
+    fn needs_progress(&self) -> bool {
+        self.state == State::Begun && !self.head.connection.has_stated()
+    }
+
     /// Reserves the memory for what is buffered, with `queued` bytes that wait for the caller.
     /// Small amounts, as those of nearly all streams, aren't counted.
     /// Waits while memory is short, and fails if the stream is given up as the largest.
@@ -169,7 +185,8 @@
                 () = self.chunks.closed() => return,
                 item = read_event(&mut source, &self.call, queued) => item,
             };
-            self.report_identity(&source);
+            let interval = if item.is_ok() { REPORT_INTERVAL } else { Duration::ZERO };
+            self.report_identity(&source, interval);
             match item.and_then(|it| self.accept(&mut source, it)) {
                 Ok(Item::Event(event)) => {
                     if !self.forward(event).await {
@@ -186,15 +203,16 @@
     }
 
     /// Reports what has become known of the process that began the stream, unless it has stated its
-    /// start before.
-    fn report_identity(&mut self, source: &Source) {
+    /// start before. Reports of mere progress are at least `interval` apart.
+    fn report_identity(&mut self, source: &Source, interval: Duration) {
         let connection = &source.head.connection;
         let has_begun = source.state == State::Begun && self.plan.needs_identity();
         if !has_begun || connection.has_stated() {
             return;
         }
         let identity = self.pool.identity(connection);
-        if identity.heard_since.is_some() && self.reported != Some(identity) {
+        let is_news = self.reported.is_none_or(|it| identity.is_news(&it, interval));
+        if identity.heard_since.is_some() && is_news {
             self.reported = Some(identity);
             self.ticket.report_identity(identity);
         }
@@ -290,8 +308,11 @@
         if let Some(event) = source.parser.next_event() {
             return Ok(Item::Event(event));
         }
-        let body: &mut Incoming = &mut source.head.body;
-        let frame = match timeout_at(call.deadline, body.frame()).await {
+        let (received, quiet_since) = match source.needs_progress() {
+            true => receive(&mut source.head.body, call.deadline).await,
+            false => (timeout_at(call.deadline, source.head.body.frame()).await, None),
+        };
+        let frame = match received {
             Ok(Some(Ok(frame))) => frame,
             Ok(Some(Err(_))) => return Err(Outcome::Broken),
             Ok(None) if source.parser.has_partial_event() => return Err(Outcome::Broken),
@@ -299,6 +320,9 @@
             Err(_) => return Err(Outcome::TimedOut),
         };
         source.head.connection.touch();
+        if let Some(since) = quiet_since {
+            source.head.connection.record_running(since);
+        }
         let Ok(data) = frame.into_data() else { continue };
         if !source.parser.push(&data) {
             return Err(Outcome::Broken);
@@ -309,3 +333,20 @@
         }
     }
 }
+
+/// Receives the next frame of a body. Also returns since when nothing had been received, if that
+/// was for so long that the endpoint sent the frame after that.
+async fn receive(
+    body: &mut Incoming,
+    deadline: Instant,
+) -> (Result<Option<hyper::Result<Frame<Bytes>>>, Elapsed>, Option<Instant>) {
+    let quiet_since = Instant::now();
+    let mut frame = pin!(timeout_at(deadline, body.frame()));
+    // Bytes that had arrived while the daemon was paused are received within the first turn.
+    for _ in 0..2 {
+        if let Ok(frame) = timeout(QUIET_TIME, frame.as_mut()).await {
+            return (frame, None);
+        }
+    }
+    (frame.await, Some(quiet_since))
+}
