relay: ask again before a stream is sent that has waited (ORDER)

Where something before the endpoints answers the question for their report with 404 while no process runs, streams went on at another version.

An answer now counts for what is sent right after it: a stream that has waited asks again, and an endpoint that states no start is asked before each stream (former answers were good for 3 s). So an endpoint that has stated its start within 60 s and answers without one has not answered itself, unless a request on the same connection is answered within 300 ms.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -78,30 +78,8 @@
     ticket: &Ticket,
     last_event: Option<&str>,
 ) -> Result<Head, Outcome> {
-    let acquired = match timeout_at(call.deadline, acquire(pool, call, plan, target)).await {
-        Ok(acquired) => acquired,
-        Err(_) => return Err(Outcome::TimedOut),
-    };
-    let Ok(mut connection) = acquired else { return Err(Outcome::Unreachable) };
+    let (mut connection, verifies) = prepare(pool, call, plan, target, ticket).await?;
     let is_fresh = !connection.is_reused;
-    // An endpoint whose reports break off can't be asked.
-    let verifies =
-        plan.needs_identity() && target.is_bound && pool.identity_to_verify(&connection).is_some();
-    if is_fresh || plan.needs_identity() {
-        let identity = || match (plan.needs_identity(), verifies) {
-            (false, _) => None,
-            (true, false) => Some(pool.identity(&connection)),
-            (true, true) => pool.identity_to_verify(&connection).or(Some(UNHEARD)),
-        };
-        match confirm(call, &connection, ticket, identity).await {
-            Ok(()) => {}
-            Err(Outcome::OtherProcess) => {
-                pool.release(&target.id, connection, None);
-                return Err(Outcome::OtherProcess);
-            }
-            Err(outcome) => return Err(outcome),
-        }
-    }
     let request = request(call, plan, target, last_event);
     let response = match timeout_at(call.deadline, connection.sender.send_request(request)).await {
         Ok(Ok(response)) => response,
@@ -150,6 +128,54 @@
     Ok(Head { status: parts.status, headers: parts.headers, attributes, body, connection })
 }
 
+/// Returns a connection on which the request may be sent, and whether its response has to be
+/// verified. Fails with the outcome of the attempt if there is none.
+async fn prepare(
+    pool: &Pool,
+    call: &Call,
+    plan: &Plan,
+    target: &Target,
+    ticket: &Ticket,
+) -> Result<(Connection, bool), Outcome> {
+    let acquired = match timeout_at(call.deadline, acquire(pool, call, plan, target)).await {
+        Ok(acquired) => acquired,
+        Err(_) => return Err(Outcome::TimedOut),
+    };
+    let Ok(mut connection) = acquired else { return Err(Outcome::Unreachable) };
+    if connection.is_reused && !plan.needs_identity() {
+        return Ok((connection, false));
+    }
+    // An endpoint whose reports break off can't be asked.
+    let verifies =
+        plan.needs_identity() && target.is_bound && pool.identity_to_verify(&connection).is_some();
+    loop {
+        let identity = || match (plan.needs_identity(), verifies) {
+            (false, _) => None,
+            (true, false) => Some(pool.identity(&connection)),
+            (true, true) => pool.identity_to_verify(&connection).or(Some(UNHEARD)),
+        };
+        match confirm(call, &connection, ticket, identity).await {
+            Ok(Wait::Over) if !verifies => {}
+            Ok(_) => return Ok((connection, verifies)),
+            Err(Outcome::OtherProcess) => {
+                pool.release(&target.id, connection, None);
+                return Err(Outcome::OtherProcess);
+            }
+            Err(outcome) => return Err(outcome),
+        }
+        if !pool.ask_again(&mut connection, target).await {
+            return Err(Outcome::OtherProcess);
+        }
+    }
+}
+
+/// Whether a request has waited until its process was known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Wait {
+    Over,
+    Unneeded,
+}
+
 /// Waits until it is known whether the request may be sent on a connection. Fails with the outcome
 /// of the attempt if it may not.
 async fn confirm(
@@ -157,15 +183,17 @@
     connection: &Connection,
     ticket: &Ticket,
     identity: impl Fn() -> Option<Identity>,
-) -> Result<(), Outcome> {
+) -> Result<Wait, Outcome> {
+    let mut wait = Wait::Unneeded;
     loop {
         let identity = identity();
         match ticket.confirm(identity, !connection.is_reused).await {
-            Confirmation::Sound => return Ok(()),
+            Confirmation::Sound => return Ok(wait),
             Confirmation::Unsound => return Err(Outcome::Unreachable),
             Confirmation::OtherProcess => return Err(Outcome::OtherProcess),
             Confirmation::Later => sleep(CONFIRMATION_INTERVAL).await,
         }
+        wait = Wait::Over;
         if Instant::now() >= call.deadline {
             return Err(Outcome::OtherProcess);
         }
--- a/crates/relay/src/connection.rs
+++ b/crates/relay/src/connection.rs
@@ -58,8 +58,13 @@
 /// Number of connections on which an endpoint is asked for its start, one after the other, until
 /// it has answered on one that can be used.
 const MAX_QUESTIONS: usize = 2;
-/// Time for which an endpoint that has stated no start isn't asked for it again.
-const UNSTATED_TIME: Duration = Duration::from_secs(3);
+/// Time since an endpoint has stated its start within which an answer without one doesn't come from
+/// its process.
+const STATING_TIME: Duration = Duration::from_secs(60);
+/// Time within which the process that runs a request has also answered the question before it.
+const CONTINUITY_TIME: Duration = Duration::from_millis(300);
+/// Time for which an endpoint whose answer has ended the connection isn't asked again.
+const UNASKABLE_TIME: Duration = Duration::from_secs(3);
 
 /// A connection to an endpoint. Closed when dropped.
 #[derive(Debug)]
@@ -76,6 +81,8 @@
     started_at_ms: Option<u64>,
     /// A time at which that process was still running, since its current response has begun.
     running_at: Option<Instant>,
+    /// When a question was last answered without a start.
+    unstated_at: Option<Instant>,
 }
 
 impl Connection {
@@ -117,8 +124,10 @@
 pub struct Pool {
     idle: Rc<RefCell<HashMap<String, Vec<Idle>>>>,
     continuities: Continuities,
-    /// Endpoints that have answered without stating a start, until they are asked again.
-    unstated: Rc<RefCell<HashMap<String, Instant>>>,
+    /// Endpoints whose answers state no start and end the connection, until they are asked again.
+    unaskable: Rc<RefCell<HashMap<String, Instant>>>,
+    /// When the processes of endpoints last stated their start.
+    stated: Rc<RefCell<HashMap<Place, Instant>>>,
     watched: Watched,
 }
 
@@ -142,6 +151,10 @@
 
     /// Records that the process at the other end has answered on a connection.
     pub fn record_answer(&self, connection: &Connection) {
+        let now = Instant::now();
+        if connection.unstated_at.is_some_and(|it| now <= it + CONTINUITY_TIME) {
+            self.stated.borrow_mut().remove(&connection.place);
+        }
         self.continuities.record_answer(&connection.place, &connection.link, None);
     }
 
@@ -216,14 +229,24 @@
         Ok(connection)
     }
 
-    /// Whether a process has to be asked for its start on a connection.
+    /// Asks again on a connection on which a request has waited, as another process may have taken
+    /// over meanwhile. Returns whether the connection can be used.
+    pub async fn ask_again(&self, connection: &mut Connection, target: &Target) -> bool {
+        if self.must_ask(connection, target.is_bound) {
+            self.ask(connection, target.is_watchable, BOUND_ANSWER_TIME).await;
+        }
+        connection.sender.is_ready()
+    }
+
+    /// Whether a process has to be asked for its start on a connection. An answer without one may
+    /// come from something before the endpoint, so that it counts only for what is sent next.
     fn must_ask(&self, connection: &Connection, is_bound: bool) -> bool {
         let Connection { place, link, started_at_ms, .. } = connection;
         let now = Instant::now();
-        let is_unstated = self.unstated.borrow().get(&place.0).is_some_and(|it| now < *it);
+        let is_unaskable = self.unaskable.borrow().get(&place.0).is_some_and(|it| now < *it);
         match is_bound {
-            true => !(is_unstated && link.has_answered()),
-            false => !is_unstated && (started_at_ms.is_none() || !link.has_answered()),
+            true => !(is_unaskable && link.has_answered()),
+            false => !is_unaskable && (started_at_ms.is_none() || !link.has_answered()),
         }
     }
 
@@ -248,14 +271,23 @@
     ) -> Result<u64, Failure> {
         let (id, address) = connection.place.clone();
         let answer = identity::ask(connection, address, limit).await;
+        let now = Instant::now();
+        connection.unstated_at = (answer == Err(Failure::NotStated)).then_some(now);
         let Connection { place, link, .. } = &*connection;
+        let mut stated = self.stated.borrow_mut();
         match answer {
             Ok(started_at_ms) => {
                 self.continuities.record_answer(place, link, Some(started_at_ms));
+                stated.insert(place.clone(), now);
             }
             Err(Failure::NotStated) => {
-                self.continuities.record_answer(place, link, None);
-                self.unstated.borrow_mut().insert(id, Instant::now() + UNSTATED_TIME);
+                // Otherwise something before the endpoint may have answered in its place.
+                if stated.get(place).is_none_or(|it| now > *it + STATING_TIME) {
+                    self.continuities.record_answer(place, link, None);
+                }
+                if !connection.sender.is_ready() {
+                    self.unaskable.borrow_mut().insert(id, Instant::now() + UNASKABLE_TIME);
+                }
             }
             Err(Failure::Unanswered) => {}
         }
@@ -288,7 +320,8 @@
         }
         idle.retain(|_, connections| !connections.is_empty());
         self.continuities.remove_ended();
-        self.unstated.borrow_mut().retain(|_, it| now < *it);
+        self.unaskable.borrow_mut().retain(|_, it| now < *it);
+        self.stated.borrow_mut().retain(|_, it| now <= *it + STATING_TIME);
     }
 
     fn take_idle(&self, id: &str, address: SocketAddr) -> Option<Connection> {
@@ -342,5 +375,6 @@
         link,
         started_at_ms: None,
         running_at: None,
+        unstated_at: None,
     })
 }
