balance: know processes by the time at which the next entry was read

- The start of the next process came from its age by the time of day, counted back on a clock that doesn't count suspended time.
Now the stream has to go on for 1 s after that process's entry was read, which needs no clock of an endpoint.
- The entry's absence in an earlier list no longer counts, as lists may be taken for complete too early and writes may be performed late.
- Bytes that were held up on their way for 0.5 s or more show nothing.
- A next process at another address, or without a start, is none; one of the same version counts as a link to later ones.
- A doubt that was resolved isn't cast again by an older row of the same daemon, and only what is settled resolves one.
- A settled version from another daemon contradicts a doubt.
A key that is used twice is not known by progress.
- Streams that were settled still show that a process goes on beside the next one.

--- a/crates/balance/src/origin.rs
+++ b/crates/balance/src/origin.rs
@@ -106,6 +106,8 @@
     pub is_settled: bool,
     /// Whether two versions were reported, so that nothing can resolve the doubt.
     is_contradicted: bool,
+    /// Whether a doubt was resolved by what its own daemon has told since.
+    is_resolved: bool,
     began_at: Instant,
     expires_at: Instant,
 }
@@ -130,9 +132,11 @@
                     self.origin.instance = other.origin.instance;
                 }
                 let was_known = self.origin.software.is_some();
+                let is_from_elsewhere = other.is_settled && self.source != other.source;
                 self.origin.merge(&other.origin);
-                self.is_contradicted |=
-                    was_known && self.origin.software.is_none() && other.origin.software.is_some();
+                self.is_contradicted |= (was_known || is_from_elsewhere)
+                    && self.origin.software.is_none()
+                    && other.origin.software.is_some();
             }
         }
     }
@@ -189,6 +193,7 @@
             source: Source::Own,
             is_settled,
             is_contradicted: false,
+            is_resolved: false,
             began_at: now,
             expires_at: now + lifetime,
         };
@@ -212,15 +217,21 @@
             source: Source::Peer(Rc::clone(daemon)),
             is_settled,
             is_contradicted: false,
+            is_resolved: false,
             began_at: now.checked_sub(age).unwrap_or(now),
             expires_at: now + Duration::from_millis(notice.lifetime_ms),
         };
         if let Some(known) = self.by_key.get_mut(&notice.key)
             && known.source == entry.source
-            && known.is_resolved_by(&entry.origin)
         {
-            known.origin.clone_from(&entry.origin);
-            known.is_settled = is_settled;
+            if known.is_resolved && known.origin.instance != entry.origin.instance {
+                // It is older than what has resolved the doubt, for example in a row.
+                return;
+            }
+            if is_settled && known.is_resolved_by(&entry.origin) {
+                known.origin.clone_from(&entry.origin);
+                known.is_resolved = true;
+            }
         }
         self.insert(notice.key, entry);
     }
@@ -252,6 +263,7 @@
         };
         if entry.is_resolved_by(&origin) {
             entry.origin.clone_from(&origin);
+            entry.is_resolved = true;
         }
         let entry = Entry { origin, is_settled: true, ..entry.clone() };
         self.insert(key, entry);
--- a/crates/balance/src/runs.rs
+++ b/crates/balance/src/runs.rs
@@ -1,13 +1,14 @@
 //! Which process began a stream at an endpoint that states no start, if it turns out later that
 //! another process had started than the one that the endpoint's entry described.
 //!
-//! Times of endpoints' clocks may be wrong by [`MAX_CLOCK_SKEW`], so that the begin of a stream
-//! doesn't tell the two apart if it is near to the start. But a process has ended before the next
-//! one starts, so that a stream that is still sent some time after a start began at the later one.
+//! The begin of a stream doesn't tell the two apart if it is near to the start. But a process has
+//! ended before the next one starts, so that a stream that is still sent after the entry of a later
+//! process was read began at that one.
 
 use std::collections::HashMap;
 use std::collections::HashSet;
 use std::collections::VecDeque;
+use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -19,16 +20,21 @@
 const MAX_RUNS: usize = 16_384;
 /// Maximum number of instances whose successors are remembered.
 const MAX_SUCCESSORS: usize = 8_192;
+/// Time after which bytes that an endpoint has sent are received, unless its link is cut.
+const MAX_LINK_DELAY: Duration = Duration::from_secs(1);
 
 /// A stream at a process that is not known.
 #[derive(Clone, Copy, Debug)]
 struct Run {
     /// Instance by whose entry it was placed.
     instance: Instance,
+    address: SocketAddr,
     began_at: Instant,
     /// A time at which the process was still running.
     running_at: Instant,
     expires_at: Instant,
+    /// Whether its process has become known. It still shows for how long that one went on.
+    is_known: bool,
 }
 
 /// A process whose entry has replaced that of an earlier one.
@@ -40,10 +46,12 @@
     pub confirmed: Instance,
     /// Its software version; empty until its entry is read.
     pub software: String,
+    /// Where it accepts requests.
+    pub address: SocketAddr,
     /// When it started, by the clock of the endpoint.
     pub started_at: Instant,
-    /// A time at which its entry was not in the store yet, if that is known.
-    pub unlisted_at: Option<Instant>,
+    /// When its entry was read.
+    pub read_at: Instant,
 }
 
 /// Streams that began here at processes that are not known.
@@ -56,12 +64,28 @@
 }
 
 impl Runs {
-    /// Records that a stream began that was placed by the entry of an instance.
-    pub fn begin(&mut self, key: Key, instance: Instance, lifetime: Duration, now: Instant) {
-        let expires_at = now + lifetime;
-        if self.by_key.len() < MAX_RUNS {
-            self.by_key.insert(key, Run { instance, began_at: now, running_at: now, expires_at });
+    /// Records that a stream began that was placed by the entry of an instance at an address.
+    pub fn begin(
+        &mut self,
+        key: Key,
+        instance: Instance,
+        address: SocketAddr,
+        lifetime: Duration,
+        now: Instant,
+    ) {
+        // A caller may have used the id of a stream twice.
+        if self.by_key.remove(&key).is_some() || self.by_key.len() >= MAX_RUNS {
+            return;
         }
+        let run = Run {
+            instance,
+            address,
+            began_at: now,
+            running_at: now,
+            expires_at: now + lifetime,
+            is_known: false,
+        };
+        self.by_key.insert(key, run);
     }
 
     /// Records a time at which the process that began a stream was still running.
@@ -71,9 +95,11 @@
         }
     }
 
-    /// Forgets a stream, as its process has become known otherwise.
-    pub fn forget(&mut self, key: Key) {
-        self.by_key.remove(&key);
+    /// Records that the process of a stream has become known otherwise.
+    pub fn settle(&mut self, key: Key) {
+        if let Some(run) = self.by_key.get_mut(&key) {
+            run.is_known = true;
+        }
     }
 
     /// Records that the entry of a later process has replaced that of an instance.
@@ -96,7 +122,7 @@
         }
     }
 
-    /// Removes and returns the streams whose processes are known now. A process that has been
+    /// Returns the streams whose processes have become known. A process that has been
     /// running for `registration_time` has written its entry, and all entries that were written
     /// until `complete_until` have been read.
     pub fn take_identified(
@@ -104,22 +130,21 @@
         registration_time: Duration,
         complete_until: Option<Instant>,
     ) -> Vec<(Key, Successor)> {
-        if self.successors.is_empty() {
+        let Some(complete_until) = complete_until.filter(|_| !self.successors.is_empty()) else {
             return Vec::new();
-        }
-        let overlapping = self.overlapping();
-        let is_registered = |it: &Run| {
-            let known_until = complete_until.map(|until| until.min(it.running_at));
-            known_until.is_some_and(|until| it.began_at + registration_time <= until)
         };
+        let overlapping = self.overlapping();
+        let is_registered =
+            |it: &Run| it.began_at + registration_time <= complete_until.min(it.running_at);
         let identified: Vec<(Key, Successor)> = self
             .by_key
             .iter()
+            .filter(|(_, it)| !it.is_known && is_registered(it))
             .filter(|(_, it)| !overlapping.contains(&it.instance))
-            .filter_map(|(key, run)| Some((*key, self.process(run, is_registered(run))?.clone())))
+            .filter_map(|(key, run)| Some((*key, self.process(run)?.clone())))
             .collect();
         for (key, _) in &identified {
-            self.by_key.remove(key);
+            self.settle(*key);
         }
         identified
     }
@@ -129,18 +154,18 @@
         self.by_key.retain(|_, it| now < it.expires_at);
     }
 
-    /// Returns the process of a stream if it is the successor of the one that was known.
-    /// `is_registered` says whether the entry of the process has been read, whichever it is.
-    fn process(&self, run: &Run, is_registered: bool) -> Option<&Successor> {
+    /// Returns the process of a stream if it is the successor of the one that was known, and the
+    /// entries of all processes that may have begun it were read.
+    fn process(&self, run: &Run) -> Option<&Successor> {
         let successor = self.successors.get(&run.instance)?;
         let may_have_begun = |it: &Successor| it.started_at <= run.began_at + MAX_CLOCK_SKEW;
-        let has_ended_former = successor.started_at + MAX_CLOCK_SKEW <= run.running_at;
-        // It wrote its entry after the stream had begun, so that no later one can have begun it.
-        let is_latest = successor.unlisted_at.is_some_and(|it| run.began_at <= it);
         let later = self.successors.get(&successor.described);
-        let is_sole = is_latest || is_registered && !later.is_some_and(may_have_begun);
-        let is_known = !successor.software.is_empty() && may_have_begun(successor);
-        (is_known && has_ended_former && is_sole).then_some(successor)
+        let is_sole = !successor.software.is_empty()
+            && successor.address == run.address
+            && may_have_begun(successor)
+            && successor.read_at + MAX_LINK_DELAY <= run.running_at
+            && !later.is_some_and(may_have_begun);
+        is_sole.then_some(successor)
     }
 
     /// Returns the instances that went on beside their successors, so that nothing follows from
@@ -149,7 +174,7 @@
         let overlaps = |it: &&Run| {
             self.successors.get(&it.instance).is_some_and(|successor| {
                 it.began_at + MAX_CLOCK_SKEW < successor.started_at
-                    && it.running_at >= successor.started_at + MAX_CLOCK_SKEW
+                    && it.running_at >= successor.read_at + MAX_LINK_DELAY
             })
         };
         self.by_key.values().filter(overlaps).map(|it| it.instance).collect()
--- a/crates/front/src/broker/identity.rs
+++ b/crates/front/src/broker/identity.rs
@@ -44,11 +44,6 @@
     pub(super) fn new(is_first_start: bool, now: Instant) -> Listing {
         Listing { resumed_at: (!is_first_start).then_some(now), ..Listing::default() }
     }
-
-    /// Returns until when all entries that were written have been read.
-    pub(super) fn complete_until(&self) -> Option<Instant> {
-        self.complete_until
-    }
 }
 
 impl Broker {
@@ -185,7 +180,7 @@
             pending.unconfirmed_origin = None;
             if let Some(key) = pending.stream {
                 self.origins.settle(key);
-                self.runs.forget(key);
+                self.runs.settle(key);
             }
         }
     }
@@ -250,7 +245,7 @@
         if let Some(key) = pending.stream {
             let service = pending.service.clone();
             let origin = Origin { service, software: Some(software), instance };
-            self.runs.forget(key);
+            self.runs.settle(key);
             self.origins.identify(key, origin, now);
         }
     }
--- a/crates/front/src/broker/origins.rs
+++ b/crates/front/src/broker/origins.rs
@@ -162,7 +162,7 @@
         };
         let (is_settled, lifetime) = (pending.is_identified(), pending.limit + TAKE_UP_TIME);
         if !is_settled {
-            self.runs.begin(key, pending.instance, lifetime, now);
+            self.runs.begin(key, pending.instance, pending.address, lifetime, now);
         }
         self.origins.record(key, origin, is_settled, lifetime, now);
     }
@@ -172,26 +172,27 @@
     pub(super) fn doubt_software(&mut self, id: &str, now: Instant) {
         let Some(member) = self.pool.member_mut(id) else { return };
         let Some((instance, software)) = member.replaced.take() else { return };
-        if software == member.endpoint.software {
-            return self.origins.record_replacement(instance);
-        }
         let is_told_apart = instance != member.instance;
         let started_at_ms = i64::try_from(member.endpoint.started_at_ms).unwrap_or(i64::MAX);
         let age_ms = self.clock.now_ms(clock::since_boot()).saturating_sub(started_at_ms).max(0);
         let replaced_at =
             now.checked_sub(Duration::from_millis(age_ms as u64)).unwrap_or(self.started_at);
+        if is_told_apart && started_at_ms > 0 {
+            let successor = Successor {
+                described: member.instance,
+                confirmed: member.endpoint.confirmed(),
+                software: member.endpoint.software.clone(),
+                address: member.endpoint.address,
+                started_at: replaced_at,
+                read_at: now,
+            };
+            self.runs.record_successor(instance, successor);
+        }
+        if software == member.endpoint.software {
+            return self.origins.record_replacement(instance);
+        }
         let doubted = match is_told_apart {
-            true => {
-                let successor = Successor {
-                    described: member.instance,
-                    confirmed: member.endpoint.confirmed(),
-                    software: member.endpoint.software.clone(),
-                    started_at: replaced_at,
-                    unlisted_at: self.listing.complete_until(),
-                };
-                self.runs.record_successor(instance, successor);
-                self.origins.doubt(instance, replaced_at)
-            }
+            true => self.origins.doubt(instance, replaced_at),
             false => self.origins.doubt_all(instance),
         };
         // One that begins later is recorded at the former instance, and is in doubt from then on.
@@ -314,7 +315,7 @@
         let mut abandoned = 0;
         for (key, is_known) in due {
             if is_known {
-                self.runs.forget(key);
+                self.runs.settle(key);
                 self.origins.settle(key);
             } else {
                 self.origins.abandon(key, |daemon| live.contains(daemon));
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -48,6 +48,8 @@
 /// Time in which nothing is received, twice in a row, after which nothing that an endpoint has
 /// sent before waits to be read.
 const QUIET_TIME: Duration = Duration::from_millis(5);
+/// Time without bytes after which those that follow may have been held up on their way.
+const MAX_PAUSE: Duration = Duration::from_millis(500);
 
 /// A stream from one endpoint.
 struct Source {
@@ -56,12 +58,14 @@
     parser: Parser,
     state: State,
     memory: Reservation,
+    /// Whether later bytes don't show that the process was still running.
+    has_paused: bool,
 }
 
 impl Source {
     /// Whether it matters how long the process goes on that began the stream.
     fn needs_progress(&self) -> bool {
-        self.state == State::Begun && !self.head.connection.has_stated()
+        self.state == State::Begun && !self.has_paused && !self.head.connection.has_stated()
     }
 
     /// Reserves the memory for what is buffered, with `queued` bytes that wait for the caller.
@@ -116,7 +120,8 @@
     head: Head,
 ) -> Result<Stream, Outcome> {
     let (parser, memory) = (Parser::default(), server.budget().buffer());
-    let mut source = Source { endpoint, head, parser, state: State::Begun, memory };
+    let state = State::Begun;
+    let mut source = Source { endpoint, head, parser, state, memory, has_paused: false };
     match read_event(&mut source, call, 0).await? {
         Item::Event(event) => Ok(Stream { source, first_event: Some(event) }),
         // An empty stream is relayed as it is.
@@ -286,7 +291,9 @@
                 Ok(head) if self.is_continuation(&head) => {
                     let (parser, memory) = (Parser::default(), self.budget.buffer());
                     let state = State::Resuming;
-                    return Some(Source { endpoint: target, head, parser, state, memory });
+                    let source =
+                        Source { endpoint: target, head, parser, state, memory, has_paused: false };
+                    return Some(source);
                 }
                 Ok(_) => outcome = Outcome::Failed,
                 Err(Outcome::TimedOut) => return None,
@@ -321,7 +328,10 @@
         };
         source.head.connection.touch();
         if let Some(since) = quiet_since {
-            source.head.connection.record_running(since);
+            source.has_paused |= since.elapsed() > MAX_PAUSE;
+            if !source.has_paused {
+                source.head.connection.record_running(since);
+            }
         }
         let Ok(data) = frame.into_data() else { continue };
         if !source.parser.push(&data) {
