membership: know of the newest list that others have

A daemon that heard of list 8 and then of list 9 forgot the second one, and took its own for complete once it had list 8, so that a later process could be taken for the one that its endpoint's entry describes. Found by the reviewer, by reading.

Test: a_daemon_that_gets_the_first_newer_list_knows_of_later_ones fails before.

--- a/crates/membership/src/freshness.rs
+++ b/crates/membership/src/freshness.rs
@@ -21,7 +21,8 @@
 pub struct Freshness {
     ticked_at: Duration,
     caught_up_at: Duration,
-    /// A newer list that others have, by its version, and when it became known.
+    /// The newest list that others have, by its version, and since when one was known that this
+    /// daemon doesn't have.
     newer: Option<(u64, Duration)>,
 }
 
@@ -42,8 +43,9 @@
 
     /// Records that another daemon has a list of this version.
     pub fn observe_list(&mut self, version: u64, own: u64, now: Duration) {
-        if version > own && self.newer.is_none() {
-            self.newer = Some((version, now));
+        if version > own {
+            let (latest, since) = self.newer.unwrap_or((version, now));
+            self.newer = Some((latest.max(version), since));
         }
     }
 
