--- a/crates/membership/src/freshness.rs
+++ b/crates/membership/src/freshness.rs
@@ -21,8 +21,7 @@
 pub struct Freshness {
     ticked_at: Duration,
     caught_up_at: Duration,
-    /// The newest list that others have, by its version, and since when one was known that this
-    /// daemon doesn't have.
+    /// A newer list that others have, by its version, and when it became known.
     newer: Option<(u64, Duration)>,
 }
 
@@ -43,9 +42,8 @@
 
     /// Records that another daemon has a list of this version.
     pub fn observe_list(&mut self, version: u64, own: u64, now: Duration) {
-        if version > own {
-            let (latest, since) = self.newer.unwrap_or((version, now));
-            self.newer = Some((latest.max(version), since));
+        if version > own && self.newer.is_none() {
+            self.newer = Some((version, now));
         }
     }
 
