--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -163,8 +163,10 @@
             }
             Err(outcome) => return Err(outcome),
         }
-        if !pool.ask_again(&mut connection, target).await {
-            return Err(Outcome::OtherProcess);
+        match timeout_at(call.deadline, pool.ask_again(&mut connection, target)).await {
+            Ok(true) => {}
+            Ok(false) => return Err(Outcome::OtherProcess),
+            Err(_) => return Err(Outcome::TimedOut),
         }
     }
 }
