relay: forget a process once something else answers on its connection (ORDER)

The start that the former process had stated on that connection stayed, so that a stream that needs its version was sent at once, and would be held for the next process.

An answer that isn't the process's, or states no start after one was stated, now ends what was known on its connection, as if that had ended. Endpoints whose answers end their connections aren't asked again for 5 s instead of 3 s, longer than a stream waits; otherwise one that had waited would lose its connection to the second question.

--- a/crates/relay/src/connection.rs
+++ b/crates/relay/src/connection.rs
@@ -63,8 +63,9 @@
 const STATING_TIME: Duration = Duration::from_secs(60);
 /// Time within which the process that runs a request has also answered the question before it.
 const CONTINUITY_TIME: Duration = Duration::from_millis(300);
-/// Time for which an endpoint whose answer has ended the connection isn't asked again.
-const UNASKABLE_TIME: Duration = Duration::from_secs(3);
+/// Time for which an endpoint whose answer has ended the connection isn't asked again; longer than a
+/// request waits.
+const UNASKABLE_TIME: Duration = Duration::from_secs(5);
 
 /// A connection to an endpoint. Closed when dropped.
 #[derive(Debug)]
@@ -281,15 +282,19 @@
                 stated.insert(place.clone(), now);
             }
             Err(Failure::NotStated) => {
-                // Otherwise something before the endpoint may have answered in its place.
-                if stated.get(place).is_none_or(|it| now > *it + STATING_TIME) {
+                // Something before the endpoint may have answered in place of its process.
+                let is_of_process = stated.get(place).is_none_or(|it| now > *it + STATING_TIME);
+                if !is_of_process || link.has_stated() {
+                    link.end();
+                }
+                if is_of_process {
                     self.continuities.record_answer(place, link, None);
                 }
                 if !connection.sender.is_ready() {
                     self.unaskable.borrow_mut().insert(id, Instant::now() + UNASKABLE_TIME);
                 }
             }
-            Err(Failure::Unanswered) => {}
+            Err(Failure::Unanswered) => link.end(),
         }
         connection.started_at_ms = answer.ok();
         answer
--- a/crates/relay/src/continuity.rs
+++ b/crates/relay/src/continuity.rs
@@ -59,6 +59,11 @@
         self.0.borrow().is_some()
     }
 
+    /// Whether the process has stated its start.
+    pub fn has_stated(&self) -> bool {
+        self.0.borrow().as_ref().is_some_and(|it| it.started_at_ms.get().is_some())
+    }
+
     /// Records that a part of a response was received.
     pub fn touch(&self) {
         if let Some(continuity) = &*self.0.borrow() {
