--- /dev/null
+++ b/review/build-2.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# Builds what the scripts of the cases 6 to 10 start beside the build of the deploy file.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+mkdir -p target/review-2
+rustc --edition 2024 -O -o target/review-2/review-2 review/standins-2/src/main.rs
