--- a/review/standins-2/src/deployment.rs
+++ b/review/standins-2/src/deployment.rs
@@ -18,7 +18,7 @@
 use crate::store::Store;
 
 /// Interval at which runners check in.
-const BEAT: Duration = Duration::from_millis(1_200);
+pub const BEAT: Duration = Duration::from_millis(1_200);
 /// Time within which the daemons have to be ready.
 const READY_TIMEOUT: Duration = Duration::from_secs(15);
 
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -14,6 +14,7 @@
 mod record;
 mod runner;
 mod store;
+mod stranded;
 mod usage_return;
 
 use std::path::Path;
@@ -50,6 +51,7 @@
         let verdict = match name.as_str() {
             "config-silence" => config_silence::play(&worker, has_trouble),
             "usage-return" => usage_return::play(&worker, has_trouble),
+            "stranded" => stranded::play(&worker, has_trouble),
             "gone" => gone::play(&worker, has_trouble),
             _ => Verdict::NotRun,
         };
--- a/review/standins-2/src/runner.rs
+++ b/review/standins-2/src/runner.rs
@@ -49,7 +49,7 @@
     pub id: String,
     pub address: SocketAddr,
     pub service: String,
-    born: u64,
+    born: Arc<AtomicU64>,
     shared: Arc<Shared>,
 }
 
@@ -72,7 +72,7 @@
             id: id.to_owned(),
             address,
             service: service.to_owned(),
-            born: wall_ms(),
+            born: Arc::new(AtomicU64::new(wall_ms())),
             shared: Arc::new(Shared {
                 speed: Mutex::new(speed),
                 runs: Mutex::default(),
@@ -83,7 +83,12 @@
                 record: record.clone(),
             }),
         };
-        let server = runner.clone();
+        runner.listen(listener);
+        runner
+    }
+
+    fn listen(&self, listener: TcpListener) {
+        let server = self.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 if server.shared.has_crashed.load(Ordering::SeqCst) {
@@ -95,7 +100,14 @@
                 thread::spawn(move || runner.serve(stream));
             }
         });
-        runner
+    }
+
+    /// A new process of the runner starts under its id and address.
+    pub fn start_again(&self) {
+        self.born.store(wall_ms(), Ordering::SeqCst);
+        self.shared.has_crashed.store(false, Ordering::SeqCst);
+        self.shared.record.line(format!("runner {}: starts again", self.id));
+        self.listen(TcpListener::bind(self.address).expect("the address is free again"));
     }
 
     /// The entry that the runner writes about itself.
@@ -105,7 +117,7 @@
              \"state\":\"ready\",\"cold_left_ms\":0,\"stage\":\"mixed\",\"seq\":{seq},\"born\":{}}}",
             quote(&self.service),
             self.address,
-            self.born
+            self.born.load(Ordering::SeqCst)
         )
     }
 
@@ -177,7 +189,7 @@
             "{{\"stage\":\"mixed\",\"models\":[{{\"name\":\"m\",\"version\":1,\"adapters\":[]}}],\
              \"busy\":false,\"seq\":1,\"queued\":0,\"active\":0,\"kv_used\":0,\"kv_total\":560020,\
              \"handles\":0,\"born\":{}}}",
-            self.born
+            self.born.load(Ordering::SeqCst)
         );
         let head = format!(
             "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
