--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -15,6 +15,7 @@
 mod runner;
 mod store;
 mod stranded;
+mod unread;
 mod usage_return;
 
 use std::path::Path;
@@ -52,6 +53,7 @@
             "config-silence" => config_silence::play(&worker, has_trouble),
             "usage-return" => usage_return::play(&worker, has_trouble),
             "stranded" => stranded::play(&worker, has_trouble),
+            "unread" => unread::play(&worker, has_trouble),
             "gone" => gone::play(&worker, has_trouble),
             _ => Verdict::NotRun,
         };
