front: log the outcome of usage records, and what is reported

The log of a lease holder told that a window was reported, but not with which counts, nor whether they were written or found in the store, nor in which era of the store this was decided and answered.

`usage recorded` and `reporting usage` name counts, outcome and eras.

--- a/crates/front/src/broker/usage.rs
+++ b/crates/front/src/broker/usage.rs
@@ -73,8 +73,11 @@
         self.leader_calls.window = Some(window);
         self.leader_calls.retry_at = Some(now + PLAN_INTERVAL);
         match self.usage.is_recorded(window) {
-            true => self.call_cloud(cloud::Job::Report { grant, window, counts }),
-            false => self.call_store(lease::Job::RecordUsage { window, counts }),
+            true => self.report_window(grant, window, counts),
+            false => {
+                let era = self.era.latest().unwrap_or(0);
+                self.call_store(lease::Job::RecordUsage { window, counts, era });
+            }
         }
     }
 
@@ -82,14 +85,15 @@
         &mut self,
         window: u64,
         counts: Counts,
+        sent_in: u64,
         result: Result<Commit, Error>,
     ) {
         let recorded = match result {
-            Ok(Commit::Done { version }) => Some((version, counts)),
+            Ok(Commit::Done { version }) => Some((version, counts, "written")),
             // Another lease holder recorded the window first, so its counts are reported.
             Ok(Commit::Conflict { rows }) => rows.first().and_then(|it| {
                 let counts = serde_json::from_str(&it.value).ok()?;
-                Some((it.version, counts))
+                Some((it.version, counts, "found"))
             }),
             Err(error) => {
                 spdlog::info!("failed to record usage", kv: {
@@ -99,10 +103,18 @@
                 None
             }
         };
-        let Some((version, counts)) = recorded else {
+        let Some((version, counts, outcome)) = recorded else {
             self.leader_calls.window = None;
             return;
         };
+        spdlog::info!("usage recorded", kv: {
+            window = window,
+            outcome = outcome,
+            requests = counts.values().sum::<u64>(),
+            version = version,
+            era = self.era.latest().unwrap_or(0),
+            sent_in = sent_in,
+        });
         if !self.horizon.known.covers(version) {
             self.leader_calls.window = None;
             spdlog::warn!("usage recorded in another era of the store isn't reported",
@@ -114,6 +126,15 @@
             self.leader_calls.window = None;
             return;
         };
+        self.report_window(grant, window, counts);
+    }
+
+    fn report_window(&self, grant: Grant, window: u64, counts: Counts) {
+        spdlog::info!("reporting usage", kv: {
+            window = window,
+            requests = counts.values().sum::<u64>(),
+            fence = grant.fence,
+        });
         self.call_cloud(cloud::Job::Report { grant, window, counts });
     }
 
--- a/crates/front/src/event.rs
+++ b/crates/front/src/event.rs
@@ -105,6 +105,8 @@
         window: u64,
         /// Counts to be recorded.
         counts: Counts,
+        /// Latest era of the store that was known when the write was decided.
+        era: u64,
         /// Result of the write.
         result: Result<Commit, Error>,
     },
--- a/crates/front/src/lease.rs
+++ b/crates/front/src/lease.rs
@@ -43,6 +43,8 @@
         window: u64,
         /// Requests per workspace.
         counts: Counts,
+        /// Latest era of the store that is known when the job is created.
+        era: u64,
     },
     /// Reads when the store's era began.
     ReadEra,
@@ -96,9 +98,9 @@
             Job::StoreEra { version, content } => {
                 Event::EraStored(swap(&mut client, ERA_KEY, version, content).await)
             }
-            Job::RecordUsage { window, counts } => {
+            Job::RecordUsage { window, counts, era } => {
                 let result = rows::commit(&mut client, &usage_transaction(window, &counts)).await;
-                Event::UsageRecorded { window, counts, result }
+                Event::UsageRecorded { window, counts, era, result }
             }
             Job::StoreRejected { subjects, content } => {
                 let result = replace(&mut client, REJECTED_KEY, content).await;
