--- a/crates/duty/src/horizon.rs
+++ b/crates/duty/src/horizon.rs
@@ -63,6 +63,11 @@
         self.is_stored = self.covers(position);
     }
 
+    /// Returns the version that a row has while it is absent in the era that is known.
+    pub fn absent(&self) -> u64 {
+        position::absent(self.era.unwrap_or(0))
+    }
+
     /// Whether it is known since when windows may be recorded.
     pub fn is_known(&self) -> bool {
         self.era.is_none() || self.is_stored
--- a/crates/duty/src/lease.rs
+++ b/crates/duty/src/lease.rs
@@ -8,7 +8,6 @@
 use std::time::Duration;
 
 use store::position;
-use store::table::ABSENT;
 use store::table::Row;
 
 /// Time after which others may acquire the lease if the row has not changed.
@@ -198,7 +197,8 @@
             self.state = State::Following;
             return None;
         }
-        if row.version != ABSENT && row.value == self.instance_id {
+        let is_absent = position::is_absent(row.version);
+        if !is_absent && row.value == self.instance_id {
             // An earlier write took effect but its response was lost. The lease
             // has to be renewed before this daemon may act.
             self.state = State::Holding {
@@ -212,12 +212,12 @@
         }
         self.state = State::Following;
         // Without eras, an absent row was never written, so there are no earlier grants.
-        let is_unused = row.version == ABSENT && self.era.is_none();
+        let is_unused = is_absent && self.era.is_none();
         if !is_unused && now < since + DURATION {
             return None;
         }
         self.state = State::Acquiring;
-        self.has_predecessor = row.version != ABSENT || self.has_returned;
+        self.has_predecessor = !is_absent || self.has_returned;
         self.called_at = Some(now);
         Some(Action::Write { version: row.version, value: self.instance_id.clone() })
     }
--- a/crates/duty/tests/horizon.rs
+++ b/crates/duty/tests/horizon.rs
@@ -36,6 +36,27 @@
     usage: Usage,
     horizon: Horizon,
     clock: Clock,
+    /// Latest era that a client of the store has seen. The horizon follows later.
+    client_era: u64,
+    /// A window to be recorded, as the daemon's other calls come first.
+    queued: Option<Call>,
+    /// A response that the daemon has not handled yet.
+    answer: Option<Answer>,
+}
+
+/// A call that records a window.
+struct Call {
+    window: u64,
+    counts: Counts,
+    /// Version of the row that the call expects.
+    absent: u64,
+}
+
+/// Response to a call, with the counts that the store holds.
+struct Answer {
+    window: u64,
+    counts: Counts,
+    version: u64,
 }
 
 impl Daemon {
@@ -44,8 +65,22 @@
             usage: Usage::new(WINDOW),
             horizon: Horizon::default(),
             clock: Clock::new(deviation_ms, Duration::ZERO),
+            client_era: 0,
+            queued: None,
+            answer: None,
         }
     }
+
+    /// Returns the window to be reported next and its counts.
+    fn next_report(&mut self, now: Duration) -> Option<(u64, Counts)> {
+        self.usage.next_report(&[], self.clock.now_ms(now))
+    }
+
+    /// Sees the era that the store states.
+    fn observe(&mut self, era: u64, now: Duration) {
+        self.client_era = self.client_era.max(era);
+        self.horizon.observe(self.client_era, now);
+    }
 }
 
 /// How a call to the store ends.
@@ -167,7 +202,7 @@
         self.advance(Duration::from_millis(u.int_in_range(10..=600)?));
         let index = u.choose_index(DAEMONS)?;
         let (now, era) = (self.now, self.era);
-        match u.int_in_range(0..=23)? {
+        match u.int_in_range(0..=29)? {
             0 => self.restore(u)?,
             1 => {
                 let deviation_ms = u.int_in_range(-MAX_DEVIATION_MS..=MAX_DEVIATION_MS)?;
@@ -177,7 +212,11 @@
                 }
             }
             2 => self.hand_over(u)?,
-            3..=5 => self.daemons[index].horizon.observe(era, now),
+            3..=5 => self.daemons[index].observe(era, now),
+            24 => self.daemons[index].client_era = era,
+            25 | 26 => self.decide(),
+            27 => self.send(self.holder.0, u.ratio(1, 4)?),
+            28 | 29 => self.handle(self.holder.0),
             6..=8 => self.send_counts(index, u)?,
             9..=11 => {
                 let result = match u.int_in_range(0..=3)? {
@@ -220,6 +259,10 @@
         self.era += 1;
         self.restored += 1;
         self.holds_until = Some(self.now + millis(u, lease::DURATION)?);
+        if u.ratio(1, 2)? {
+            // The call was made while the store was away.
+            self.send(self.holder.0, false);
+        }
         Ok(())
     }
 
@@ -252,44 +295,92 @@
         if self.now < from {
             return;
         }
-        let (now, store_era) = (self.now, self.era);
-        let knows_era = self.holds_until.is_none();
-        let daemon = &mut self.daemons[index];
-        if knows_era {
-            // The lease was acquired in this era.
-            daemon.horizon.observe(store_era, now);
-            if let Some(start) = daemon.horizon.merge_stored(self.content.start, &daemon.clock) {
-                self.content.start = Some(start);
-                daemon.horizon.record_stored(position::join(store_era, 1));
-            }
+        if !self.prepare(index) {
+            return;
         }
-        let first = daemon.horizon.ends_ms(&daemon.clock).map(|it| daemon.usage.window_at(it));
-        let Some(first) = first else { return };
-        daemon.usage.set_first(first);
-        let now_ms = daemon.clock.now_ms(now);
-        let Some((window, counts)) = daemon.usage.next_report(&[], now_ms) else { return };
-        if !daemon.usage.is_recorded(window) {
+        let now = self.now;
+        let Some((window, counts)) = self.daemons[index].next_report(now) else { return };
+        if !self.daemons[index].usage.is_recorded(window) {
             if let CallResult::Lost(delay) = result {
                 self.delayed.push((now + delay, window, counts));
                 return;
             }
-            let stored = self.write(window, counts);
-            let daemon = &mut self.daemons[index];
-            let is_covered = daemon.horizon.covers(position::join(store_era, 1));
-            daemon.horizon.observe(store_era, now);
-            if !is_covered {
-                return;
-            }
-            daemon.usage.record(window, stored);
+            self.decide();
+            self.send(index, false);
+            self.handle(index);
         }
         let daemon = &mut self.daemons[index];
-        let (_, counts) = daemon.usage.next_report(&[], now_ms).expect("it was recorded");
+        let Some((window, counts)) = daemon.next_report(now) else { return };
+        if !daemon.usage.is_recorded(window) {
+            return;
+        }
         if !is_report_lost {
             daemon.usage.mark_reported(window);
         }
         self.reports.push((window, counts));
     }
 
+    /// Lets a lease holder learn which windows may be recorded. Returns whether it knows that.
+    fn prepare(&mut self, index: usize) -> bool {
+        let daemon = &mut self.daemons[index];
+        if self.holds_until.is_none() {
+            // The lease was acquired in this era.
+            daemon.observe(self.era, self.now);
+            if let Some(start) = daemon.horizon.merge_stored(self.content.start, &daemon.clock) {
+                self.content.start = Some(start);
+                daemon.horizon.record_stored(position::join(self.era, 1));
+            }
+        }
+        let first = daemon.horizon.ends_ms(&daemon.clock).map(|it| daemon.usage.window_at(it));
+        let Some(first) = first else { return false };
+        daemon.usage.set_first(first);
+        true
+    }
+
+    /// Lets the lease holder decide which window it records next.
+    fn decide(&mut self) {
+        let (index, from) = self.holder;
+        if self.now < from || !self.prepare(index) {
+            return;
+        }
+        let daemon = &mut self.daemons[index];
+        let Some((window, counts)) = daemon.next_report(self.now) else { return };
+        if daemon.usage.is_recorded(window) || daemon.queued.is_some() || daemon.answer.is_some() {
+            return;
+        }
+        daemon.queued = Some(Call { window, counts, absent: daemon.horizon.absent() });
+    }
+
+    /// Makes a queued call as the client of the store does. If `times_out`, its response is lost.
+    fn send(&mut self, index: usize, times_out: bool) {
+        let store_era = self.era;
+        let daemon = &mut self.daemons[index];
+        let Some(Call { window, counts, absent }) = daemon.queued.take() else { return };
+        let sent_in = daemon.client_era;
+        if position::era(absent) != sent_in {
+            return;
+        }
+        let counts = self.write(window, counts);
+        if times_out {
+            return;
+        }
+        let daemon = &mut self.daemons[index];
+        daemon.client_era = store_era;
+        if store_era == sent_in {
+            let version = position::join(store_era, 1);
+            daemon.answer = Some(Answer { window, counts, version });
+        }
+    }
+
+    /// Lets a daemon handle the response to its call.
+    fn handle(&mut self, index: usize) {
+        let daemon = &mut self.daemons[index];
+        let Some(Answer { window, counts, version }) = daemon.answer.take() else { return };
+        if daemon.horizon.covers(version) {
+            daemon.usage.record(window, counts);
+        }
+    }
+
     /// Records a window unless it is recorded. Returns the counts that the store holds.
     fn write(&mut self, window: u64, counts: Counts) -> Counts {
         self.content.windows.entry(window).or_insert(counts).clone()
--- a/crates/duty/tests/lease.rs
+++ b/crates/duty/tests/lease.rs
@@ -221,8 +221,8 @@
         }
     }
 
-    /// Writes the row as the client of the store does. It never sends a version of an earlier
-    /// era, and can't tell the outcome of a write during which a new era began.
+    /// Writes the row as the client of the store does. It never sends a version of another era, nor
+    /// relies on a row that was absent in another one, and can't tell the outcome of a write during which a new era began.
     fn call_write(
         &mut self,
         index: usize,
@@ -230,8 +230,7 @@
         value: &str,
         result: CallResult,
     ) -> Outcome {
-        let is_outdated = position != ABSENT && position::era(position) != self.daemons[index].era;
-        if is_outdated {
+        if position::era(position) != self.daemons[index].era {
             return Outcome::Conflict;
         }
         let version = position::version(position);
@@ -241,7 +240,7 @@
                 let has_era_begun = self.daemons[index].era != self.era;
                 self.daemons[index].era = self.era;
                 match written {
-                    _ if has_era_begun && position != ABSENT => Outcome::Unknown,
+                    _ if has_era_begun => Outcome::Unknown,
                     Some(version) => Outcome::Committed(self.position(version)),
                     None => Outcome::Conflict,
                 }
@@ -259,7 +258,7 @@
     }
 
     fn position(&self, version: u64) -> u64 {
-        if version == ABSENT { ABSENT } else { position::join(self.era, version) }
+        position::join(self.era, version)
     }
 
     /// The store returns from one of its copies.
--- a/crates/front/src/broker/mod.rs
+++ b/crates/front/src/broker/mod.rs
@@ -403,8 +403,8 @@
             Event::StreamRowsDeleted(result) => self.handle_stream_rows_deleted(result),
             Event::EraRead(result) => self.handle_era_read(result),
             Event::EraStored(result) => self.handle_era_stored(result),
-            Event::UsageRecorded { window, counts, era, result } => {
-                self.handle_usage_record(window, counts, era, result);
+            Event::UsageRecorded { window, counts, absent, result } => {
+                self.handle_usage_record(window, counts, absent, result);
             }
             Event::UsageReported { window, result } => self.handle_usage_report(window, result),
             Event::Ordered { service, order, result } => {
--- a/crates/front/src/broker/usage.rs
+++ b/crates/front/src/broker/usage.rs
@@ -9,6 +9,7 @@
 use membership::digest::Message;
 use membership::digest::Report;
 use store::Error;
+use store::position;
 use store::table::Commit;
 use store::table::Row;
 
@@ -75,8 +76,8 @@
         match self.usage.is_recorded(window) {
             true => self.report_window(grant, window, counts),
             false => {
-                let era = self.era.latest().unwrap_or(0);
-                self.call_store(lease::Job::RecordUsage { window, counts, era });
+                let absent = self.horizon.known.absent();
+                self.call_store(lease::Job::RecordUsage { window, counts, absent });
             }
         }
     }
@@ -85,7 +86,7 @@
         &mut self,
         window: u64,
         counts: Counts,
-        sent_in: u64,
+        absent: u64,
         result: Result<Commit, Error>,
     ) {
         let recorded = match result {
@@ -113,7 +114,7 @@
             requests = counts.values().sum::<u64>(),
             version = version,
             era = self.era.latest().unwrap_or(0),
-            sent_in = sent_in,
+            sent_in = position::era(absent),
         });
         if !self.horizon.known.covers(version) {
             self.leader_calls.window = None;
@@ -182,6 +183,10 @@
             Ok(row) => row,
             Err(error) => return report_failure("read", &error),
         };
+        // The row is read again in the latest era.
+        if !self.horizon.known.covers(row.version) {
+            return;
+        }
         let stored = era::decode(&row.value).unwrap_or_else(|error| {
             spdlog::error!("the start of the store's era can't be decoded; the row is replaced",
                 kv: { cause = error.to_string(), version = row.version });
--- a/crates/front/src/event.rs
+++ b/crates/front/src/event.rs
@@ -105,8 +105,9 @@
         window: u64,
         /// Counts to be recorded.
         counts: Counts,
-        /// Latest era of the store that was known when the write was decided.
-        era: u64,
+        /// Version of the window's row if it is absent in the store's era in which the write was
+        /// decided.
+        absent: u64,
         /// Result of the write.
         result: Result<Commit, Error>,
     },
--- a/crates/front/src/feeds.rs
+++ b/crates/front/src/feeds.rs
@@ -254,7 +254,10 @@
         Commit::Done { .. } => Ok(candidate.to_owned()),
         Commit::Conflict { rows } => match rows.into_iter().find(|it| !it.value.is_empty()) {
             Some(row) => Ok(row.value),
-            None => Ok(rows::read(client, SECRET_KEY).await?.value),
+            None => {
+                let detail = "the store returned from a copy meanwhile".to_owned();
+                Err(Error::NoResponse { detail })
+            }
         },
     }
 }
--- a/crates/front/src/lease.rs
+++ b/crates/front/src/lease.rs
@@ -8,7 +8,6 @@
 use platform::exchange::Client;
 use platform::rows;
 use store::Error;
-use store::table::ABSENT;
 use store::table::Check;
 use store::table::Commit;
 use store::table::Put;
@@ -43,8 +42,9 @@
         window: u64,
         /// Requests per workspace.
         counts: Counts,
-        /// Latest era of the store that is known when the job is created.
-        era: u64,
+        /// Version of the window's row if it is absent in the store's era in which this was
+        /// decided.
+        absent: u64,
     },
     /// Reads when the store's era began.
     ReadEra,
@@ -98,9 +98,10 @@
             Job::StoreEra { version, content } => {
                 Event::EraStored(swap(&mut client, ERA_KEY, version, content).await)
             }
-            Job::RecordUsage { window, counts, era } => {
-                let result = rows::commit(&mut client, &usage_transaction(window, &counts)).await;
-                Event::UsageRecorded { window, counts, era, result }
+            Job::RecordUsage { window, counts, absent } => {
+                let transaction = usage_transaction(window, &counts, absent);
+                let result = rows::commit(&mut client, &transaction).await;
+                Event::UsageRecorded { window, counts, absent, result }
             }
             Job::StoreRejected { subjects, content } => {
                 let result = replace(&mut client, REJECTED_KEY, content).await;
@@ -140,12 +141,12 @@
     rows::commit(client, &Transaction { puts: vec![put], ..Transaction::default() }).await
 }
 
-fn usage_transaction(window: u64, counts: &Counts) -> Transaction {
+fn usage_transaction(window: u64, counts: &Counts, absent: u64) -> Transaction {
     let key = |window: u64| format!("windows/{window}");
     // Counts consist of strings and numbers, so encoding them as JSON can't fail.
     let value = serde_json::to_string(counts).unwrap_or_default();
     Transaction {
-        checks: vec![Check { key: key(window), version: ABSENT }],
+        checks: vec![Check { key: key(window), version: absent }],
         puts: vec![Put { key: key(window), value }],
         deletes: vec![key(window.saturating_sub(RETAINED_WINDOWS))],
     }
