front: a secret that is created while the store returns isn't used

A daemon that starts creates the secret of the daemons if its row is absent. If the store returned from a copy without the secret during that, the daemon used its own, while the others wrote theirs again: it hears nobody, and nobody hears it. It also waited for the others in the first era only, and would have taken an empty secret if the row was absent after a conflict.

`secret` is a module of its own, so that a test can play the calls.

--- a/crates/front/src/feeds.rs
+++ b/crates/front/src/feeds.rs
@@ -11,8 +11,6 @@
 use platform::rows;
 use store::Error;
 use store::table::ABSENT;
-use store::table::Check;
-use store::table::Commit;
 use store::table::Put;
 use store::table::Row;
 use store::table::Transaction;
@@ -38,11 +36,6 @@
 const DAEMONS_INTERVAL: Duration = Duration::from_secs(12);
 /// Delay before retrying a failed call.
 const RETRY_DELAY: Duration = Duration::from_millis(400);
-/// Time in which running daemons write the secret again after the store has returned from a
-/// copy.
-const REWRITE_TIME: Duration = Duration::from_secs(2);
-/// Key of the secret shared by the daemons.
-const SECRET_KEY: &str = "secrets/peers";
 /// Name of the feed of the operators' configuration.
 pub const CONFIG: &str = "config";
 /// Table with one row per daemon, keyed by its address.
@@ -182,86 +175,6 @@
     }
 }
 
-/// Reads the secret shared by the daemons. If there is none, stores `candidate`
-/// as the secret.
-pub async fn secret(mut client: Client, candidate: String, is_first_start: bool) -> String {
-    // When the whole fleet starts for the first time, no daemon can write an earlier secret.
-    let mut has_waited = is_first_start;
-    loop {
-        let result = match rows::read(&mut client, SECRET_KEY).await {
-            Ok(row) if !row.value.is_empty() => return row.value,
-            // A copy from which the store has returned may lack the secret.
-            Ok(_) if client.era().is_some() && !has_waited => {
-                has_waited = true;
-                sleep(REWRITE_TIME).await;
-                continue;
-            }
-            Ok(row) => create_secret(&mut client, row.version, &candidate).await,
-            Err(error) => Err(error),
-        };
-        match result {
-            Ok(secret) => return secret,
-            Err(error) => {
-                spdlog::warn!("failed to read the secret of the daemons",
-                    kv: { cause = error.to_string() });
-                sleep(RETRY_DELAY).await;
-            }
-        }
-    }
-}
-
-/// Writes the secret again whenever the store returns from a copy that lacks it.
-pub async fn keep_secret(mut client: Client, secret: String, mut returns: Returns) {
-    loop {
-        returns.next().await;
-        loop {
-            match read_or_create(&mut client, &secret).await {
-                Ok(stored) if stored == secret => break,
-                Ok(_) => {
-                    spdlog::error!("another secret of the daemons is stored; restart this daemon");
-                    break;
-                }
-                Err(error) => {
-                    spdlog::warn!("failed to store the secret of the daemons",
-                        kv: { cause = error.to_string() });
-                    sleep(RETRY_DELAY).await;
-                }
-            }
-        }
-    }
-}
-
-async fn read_or_create(client: &mut Client, candidate: &str) -> Result<String, Error> {
-    let row = rows::read(client, SECRET_KEY).await?;
-    if !row.value.is_empty() {
-        return Ok(row.value);
-    }
-    create_secret(client, row.version, candidate).await
-}
-
-/// Stores `candidate` as the secret unless the row has another version. Returns the secret.
-async fn create_secret(
-    client: &mut Client,
-    version: u64,
-    candidate: &str,
-) -> Result<String, Error> {
-    let creation = Transaction {
-        checks: vec![Check { key: SECRET_KEY.to_owned(), version }],
-        puts: vec![Put { key: SECRET_KEY.to_owned(), value: candidate.to_owned() }],
-        deletes: Vec::new(),
-    };
-    match rows::commit(client, &creation).await? {
-        Commit::Done { .. } => Ok(candidate.to_owned()),
-        Commit::Conflict { rows } => match rows.into_iter().find(|it| !it.value.is_empty()) {
-            Some(row) => Ok(row.value),
-            None => {
-                let detail = "the store returned from a copy meanwhile".to_owned();
-                Err(Error::NoResponse { detail })
-            }
-        },
-    }
-}
-
 /// Waits for the store to return from older copies.
 #[derive(Debug)]
 pub struct Returns {
@@ -276,7 +189,7 @@
     }
 
     /// Waits for the next return. The first era that the store states is none.
-    async fn next(&mut self) {
+    pub(crate) async fn next(&mut self) {
         loop {
             let known = self.era;
             // Waiting fails only while the daemon shuts down.
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod probe;
 pub mod rejected;
 pub mod run;
+pub mod secret;
 pub mod versions;
 
 mod clock;
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -52,6 +52,7 @@
 use crate::peers::Streams;
 use crate::probe;
 use crate::reach_probe;
+use crate::secret;
 
 /// Maximum sleep when no timer is pending.
 const MAX_IDLE_WAIT: Duration = Duration::from_secs(5);
@@ -174,12 +175,13 @@
     let (secret_sender, secret) = unbounded_channel();
     let candidate: String =
         (0..SECRET_BYTES).map(|_| format!("{:02x}", rng.random::<u8>())).collect();
-    let (secret_client, returns) = (client(), Returns::new(&eras));
+    let (mut secret_client, returns) = (client(), Returns::new(&eras));
     let keeper = client();
     spawn_local(async move {
-        let secret = feeds::secret(secret_client, candidate, settings.is_first_start).await;
-        let _ = secret_sender.send(secret.clone());
-        feeds::keep_secret(keeper, secret, returns).await;
+        let obtained =
+            secret::obtain(&mut secret_client, &candidate, settings.is_first_start).await;
+        let _ = secret_sender.send(obtained.clone());
+        secret::keep(keeper, obtained, returns).await;
     });
     run_actor(stakker, &broker, received, secret, &events, &settings).await;
     sleep(LINGER).await;
