front: write rows of streams again when the store returns from a copy

What is believed to be recorded, on a related path: where streams began is written to the store once, for daemons that start after all were killed. A copy may lack those rows, and nothing wrote them again, so that the streams are known to nobody then and can't be taken up.

Streams that began here are now written again when an era begins. A write of rejected requests that was answered before the return doesn't count as stored after it either (they were written again after 2 s in any case).

--- a/crates/balance/src/origin.rs
+++ b/crates/balance/src/origin.rs
@@ -351,6 +351,13 @@
         std::mem::take(&mut self.changed)
     }
 
+    /// Marks the streams that began here as changed, as rows of them may have been lost.
+    pub fn mark_own_changed(&mut self) {
+        let is_own = |it: &&Key| self.by_key.get(it).is_some_and(|it| it.source == Source::Own);
+        let own: Vec<Key> = self.order.iter().filter(is_own).copied().collect();
+        own.into_iter().for_each(|it| self.add_changed(it));
+    }
+
     /// Whether the entry of a confirmed instance was read. False for an instance that has not
     /// stated its start.
     pub fn is_described(&self, instance: Instance) -> bool {
--- a/crates/balance/tests/origin_log.rs
+++ b/crates/balance/tests/origin_log.rs
@@ -6,6 +6,7 @@
 
 use balance::endpoint::Instance;
 use balance::origin::Key;
+use balance::origin::Notice;
 use balance::origin::Origin;
 use balance::origin::Origins;
 use balance::origin_log::Log;
@@ -114,6 +115,27 @@
     assert_eq!((last.row, last.expired), (None, vec![0, 1]), "the failed write may be performed");
 }
 
+/// Guards against streams that are known to nobody once all daemons were killed, as the store had
+/// returned from a copy without their rows.
+#[test]
+fn streams_that_began_here_are_written_again_after_their_rows_were_lost() {
+    let mut fixture = Fixture::new();
+    fixture.begin(0..2, "v1");
+    let remote = fixture.write(1).unwrap().streams.remove(0);
+    fixture.log.finish(true);
+    let notice = Notice { key: Key(7), ..remote };
+    fixture.origins.merge_remote(&notice, &Rc::from("daemon"), true, fixture.now);
+    fixture.now += SECOND;
+    let before = fixture.write(1);
+
+    fixture.origins.mark_own_changed();
+    fixture.log.add(fixture.origins.take_changed());
+    let after = fixture.write(1).unwrap();
+
+    assert_eq!(before, None);
+    assert_eq!((after.row, keys(&after)), (Some(1), vec![0, 1]));
+}
+
 #[test]
 fn rows_are_deleted_once_their_streams_have_expired() {
     let mut fixture = Fixture::new();
--- a/crates/front/src/broker/era.rs
+++ b/crates/front/src/broker/era.rs
@@ -3,6 +3,7 @@
 use std::time::Instant;
 
 use platform::era::Irregularity;
+use store::position;
 
 use super::Broker;
 use crate::clock;
@@ -22,6 +23,11 @@
     pub(super) fn latest(&self) -> Option<u64> {
         self.latest
     }
+
+    /// Whether a position of the store is in the latest era.
+    pub(super) fn covers(&self, position: u64) -> bool {
+        position::era(position) == self.latest.unwrap_or(0)
+    }
 }
 
 impl Broker {
@@ -40,6 +46,7 @@
             self.stored_rejected.clear();
             self.stored_history.outdate();
             self.order_book.outdate();
+            self.origins.mark_own_changed();
         }
     }
 
--- a/crates/front/src/broker/leader.rs
+++ b/crates/front/src/broker/leader.rs
@@ -188,6 +188,10 @@
     ) {
         self.leader_calls.stores_rejected = false;
         match result {
+            // The copy from which the store has returned since may lack them.
+            Ok(Commit::Done { version }) if !self.era.covers(version) => {
+                self.stored_rejected.clear();
+            }
             Ok(_) => {
                 if self.stored_rejected != subjects {
                     spdlog::info!("rejected requests stored", kv: { count = subjects.len() });
