--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -24,6 +24,7 @@
 use crate::admission::Ticket;
 use crate::connection::Connection;
 use crate::connection::Pool;
+use crate::connection::SendError;
 use crate::identity::Identity;
 use crate::identity::UNHEARD;
 
@@ -81,11 +82,10 @@
     let (mut connection, verifies) = prepare(pool, call, plan, target, ticket).await?;
     let is_fresh = !connection.is_reused;
     let request = request(call, plan, target, last_event);
-    let response = match timeout_at(call.deadline, connection.sender.send_request(request)).await {
+    let response = match timeout_at(call.deadline, connection.send(request)).await {
         Ok(Ok(response)) => response,
-        // The connection was closed before a byte of the request went out.
-        Ok(Err(error)) if error.is_canceled() => return Err(Outcome::Unreachable),
-        Ok(Err(_)) => return Err(Outcome::Broken),
+        Ok(Err(SendError::Unsent)) => return Err(Outcome::Unreachable),
+        Ok(Err(SendError::Broken)) => return Err(Outcome::Broken),
         Err(_) => return Err(Outcome::TimedOut),
     };
     let (parts, body) = response.into_parts();
@@ -200,7 +200,7 @@
             return Err(Outcome::OtherProcess);
         }
         // The process may have ended meanwhile.
-        if connection.sender.is_closed() {
+        if connection.is_closed() {
             return Err(Outcome::Unreachable);
         }
     }
--- a/crates/relay/src/connection.rs
+++ b/crates/relay/src/connection.rs
@@ -7,13 +7,17 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::Request;
+use http::Response;
 use http_body_util::BodyExt;
 use http_body_util::Full;
+use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
 use platform::exchange::configure_socket;
 use platform::report;
+use socket2::SockRef;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 use tokio::task::spawn_local;
@@ -29,6 +33,9 @@
 use crate::identity::Failure;
 use crate::identity::Identity;
 use crate::identity::UNHEARD;
+use crate::transport::RequestBody;
+use crate::transport::Transport;
+use crate::transport::Upload;
 use crate::watch;
 use crate::watch::Watched;
 
@@ -45,6 +52,9 @@
 const KEEP_ALIVE_SHARE: f64 = 0.5;
 /// Maximum size of a response's head, and of the bytes of a connection that are read ahead.
 const MAX_BUFFER_BYTES: usize = 64 * 1_024;
+/// Maximum number of bytes that the kernel holds for an endpoint beyond those in flight, so that
+/// what it has taken of a request is soon received.
+const MAX_UNSENT_BYTES: u32 = 64 * 1_024;
 /// Maximum number of idle connections to one endpoint.
 const MAX_IDLE: usize = 8;
 
@@ -70,8 +80,8 @@
 /// A connection to an endpoint. Closed when dropped.
 #[derive(Debug)]
 pub struct Connection {
-    /// Request half of the connection.
-    pub sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<RequestBody>,
+    upload: Upload,
     /// Whether the connection has carried a request before.
     pub is_reused: bool,
     _driver: Driver,
@@ -87,6 +97,38 @@
 }
 
 impl Connection {
+    /// Sends a request and returns the response, whose body has not been read yet.
+    ///
+    /// A body that ends with the connection, and an error of its reader, tell a response that is
+    /// complete from one that broke off, also while the request was being written.
+    pub async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, SendError> {
+        let request = request.map(|it| self.upload.begin(it));
+        match self.sender.send_request(request).await {
+            Ok(response) => Ok(response),
+            Err(error) if error.is_canceled() => Err(SendError::Unsent),
+            Err(_) => Err(SendError::Broken),
+        }
+    }
+
+    /// Waits until the response was read and another request can be sent. Returns false if none
+    /// can.
+    pub async fn is_reusable(&mut self) -> bool {
+        self.sender.ready().await.is_ok()
+    }
+
+    /// Whether a request can be sent at once.
+    pub fn is_ready(&self) -> bool {
+        self.sender.is_ready()
+    }
+
+    /// Whether the connection has ended.
+    pub fn is_closed(&self) -> bool {
+        self.sender.is_closed()
+    }
+
     /// Whether the process at the other end has stated its start on this connection.
     pub fn has_stated(&self) -> bool {
         self.started_at_ms.is_some()
@@ -104,6 +146,15 @@
     }
 }
 
+/// Why a request has no response.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SendError {
+    /// The connection had ended before a byte of the request went out.
+    Unsent,
+    /// The connection broke, or what came is no response. The request may have run.
+    Broken,
+}
+
 /// Handle of the task that drives a connection. Aborts the task when dropped.
 #[derive(Debug)]
 struct Driver(AbortHandle);
@@ -182,7 +233,7 @@
     /// They show that its process goes on.
     pub(crate) async fn listen(&self, connection: &mut Connection) {
         let request = report::request(&connection.place.1.to_string());
-        let response = timeout(SILENCE_TIMEOUT, connection.sender.send_request(request)).await;
+        let response = timeout(SILENCE_TIMEOUT, connection.send(request)).await;
         let Ok(Ok(response)) = response else { return };
         if !response.status().is_success() || !report::is_stream(response.headers()) {
             return;
@@ -218,7 +269,7 @@
                 return Ok(connection);
             }
             self.ask(&mut connection, target.is_watchable, limit).await;
-            if connection.sender.is_ready() {
+            if connection.is_ready() {
                 return Ok(connection);
             }
             let (id, address) = connection.place.clone();
@@ -236,7 +287,7 @@
         if self.must_ask(connection, target.is_bound) {
             self.ask(connection, target.is_watchable, BOUND_ANSWER_TIME).await;
         }
-        connection.sender.is_ready()
+        connection.is_ready()
     }
 
     /// Whether a process has to be asked for its start on a connection. An answer without one may
@@ -290,7 +341,7 @@
                 if is_of_process {
                     self.continuities.record_answer(place, link, None);
                 }
-                if !connection.sender.is_ready() {
+                if !connection.is_ready() {
                     self.unaskable.borrow_mut().insert(id, Instant::now() + UNASKABLE_TIME);
                 }
             }
@@ -306,7 +357,9 @@
         let lifetime = keep_alive.map_or(DEFAULT_KEEP_ALIVE, |it| {
             it.mul_f64(KEEP_ALIVE_SHARE).min(DEFAULT_KEEP_ALIVE * 4)
         });
-        if lifetime.is_zero() || connection.sender.is_closed() {
+        // A request would wait until the rest of this one was written.
+        let is_written = connection.upload.is_written();
+        if lifetime.is_zero() || connection.is_closed() || !is_written {
             return;
         }
         let mut idle = self.idle.borrow_mut();
@@ -321,7 +374,7 @@
         let now = Instant::now();
         let mut idle = self.idle.borrow_mut();
         for connections in idle.values_mut() {
-            connections.retain(|it| now < it.expires_at && !it.connection.sender.is_closed());
+            connections.retain(|it| now < it.expires_at && !it.connection.is_closed());
         }
         idle.retain(|_, connections| !connections.is_empty());
         self.continuities.remove_ended();
@@ -335,7 +388,7 @@
         let connections = idle.get_mut(id)?;
         while let Some(Idle { mut connection, expires_at }) = connections.pop() {
             let is_current = connection.place.1 == address;
-            if is_current && now < expires_at && connection.sender.is_ready() {
+            if is_current && now < expires_at && connection.is_ready() {
                 connection.is_reused = true;
                 connection.running_at = None;
                 return Some(connection);
@@ -357,12 +410,14 @@
         Err(_) => return Err("no connection within the timeout".to_owned()),
     };
     configure_socket(&stream, SILENCE_TIMEOUT);
+    let _ = SockRef::from(&stream).set_tcp_notsent_lowat(MAX_UNSENT_BYTES);
     Ok(stream)
 }
 
 async fn handshake(stream: TcpStream, place: Place) -> Result<Connection, String> {
-    let handshake =
-        http1::Builder::new().max_buf_size(MAX_BUFFER_BYTES).handshake(TokioIo::new(stream));
+    let upload = Upload::default();
+    let transport = TokioIo::new(Transport::new(stream, upload.clone()));
+    let handshake = http1::Builder::new().max_buf_size(MAX_BUFFER_BYTES).handshake(transport);
     let (sender, driver) = handshake.await.map_err(|it| it.to_string())?;
     let link = Link::default();
     let driven = link.clone();
@@ -374,6 +429,7 @@
     let driver = Driver(task.abort_handle());
     Ok(Connection {
         sender,
+        upload,
         is_reused: false,
         _driver: driver,
         place,
--- a/crates/relay/src/hop.rs
+++ b/crates/relay/src/hop.rs
@@ -26,6 +26,7 @@
 use crate::body::Payload;
 use crate::connection;
 use crate::connection::Connection;
+use crate::connection::SendError;
 use crate::serve::refusal_response;
 use crate::serve::status_response;
 
@@ -40,11 +41,11 @@
         // A connection of its own, so that its loss says that the request may have run.
         let connected = timeout_at(call.deadline, connection::connect(*daemon)).await;
         let Ok(Ok(mut connection)) = connected else { continue };
-        let sent = connection.sender.send_request(request(&call));
+        let sent = connection.send(request(&call));
         let status = match timeout_at(call.deadline, sent).await {
             Ok(Ok(response)) => return relay(call, response, connection),
-            Ok(Err(error)) if error.is_canceled() => continue,
-            Ok(Err(_)) => StatusCode::BAD_GATEWAY,
+            Ok(Err(SendError::Unsent)) => continue,
+            Ok(Err(SendError::Broken)) => StatusCode::BAD_GATEWAY,
             Err(_) => StatusCode::GATEWAY_TIMEOUT,
         };
         log_end(&call, *daemon, status.as_u16());
--- a/crates/relay/src/identity.rs
+++ b/crates/relay/src/identity.rs
@@ -78,7 +78,7 @@
 
 async fn exchange(connection: &mut Connection, address: SocketAddr) -> Result<Bytes, Failure> {
     let request = report::request(&address.to_string());
-    let response = connection.sender.send_request(request).await;
+    let response = connection.send(request).await;
     let (parts, body) = response.map_err(|_| Failure::Unanswered)?.into_parts();
     if !report::is_of_endpoint(parts.status) {
         return Err(Failure::Unanswered);
@@ -89,13 +89,15 @@
             && Limited::new(body, MAX_BODY_BYTES).collect().await.is_ok()
         {
             // An error ends the connection, which the caller notices.
-            let _ = connection.sender.ready().await;
+            connection.is_reusable().await;
         }
         return Err(Failure::NotStated);
     }
     let collected = Limited::new(body, MAX_BODY_BYTES).collect().await;
     let body = collected.map_err(|_| Failure::Unanswered)?.to_bytes();
     // Fails if the response was the last one on the connection.
-    connection.sender.ready().await.map_err(|_| Failure::Unanswered)?;
-    Ok(body)
+    match connection.is_reusable().await {
+        true => Ok(body),
+        false => Err(Failure::Unanswered),
+    }
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod identity;
 pub mod open;
 pub mod server;
+pub mod transport;
 
 pub mod attempt;
 mod buffered;
--- a/crates/relay/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -87,7 +87,7 @@
     while pool.watched().is_due(place) {
         let answer = pool.ask_within(&mut connection, ANSWER_TIMEOUT).await;
         has_answered |= answer != Err(Failure::Unanswered);
-        if !connection.sender.is_ready() {
+        if !connection.is_ready() {
             if answer == Err(Failure::NotStated)
                 && let Ok(mut connection) = pool.connect(&place.0, place.1).await
             {
