MIXED: a status that is in no class is no response

Here 000, 099 and malformed ones were refused by the HTTP library (502), but 101 and 600 to 999 were passed on, with the endpoint's proof of origin: 101 as the head of a response without an end. `serve` passed 600 to 999 on as well.

`relay::connection` takes statuses below 200 and above 599 for a broken attempt, as after a reset: the request may have run, so a request that is not idempotent gets 502, and others are tried elsewhere. This holds for responses of endpoints, their reports and other daemons. `endpoint::plain` does the same.

Statuses of a class are passed on as before.

--- a/crates/endpoint/src/plain.rs
+++ b/crates/endpoint/src/plain.rs
@@ -1,5 +1,6 @@
 //! One attempt at a call to a plain service.
 
+use std::ops::Range;
 use std::time::Duration;
 
 use job::call::Idempotency;
@@ -15,6 +16,8 @@
 
 /// Maximum size of a response body, in bytes.
 const RESPONSE_LIMIT_BYTES: u64 = 16 << 20;
+/// Statuses of final responses, in the classes of HTTP.
+const STATUSES: Range<u16> = 200..600;
 /// Media type of problem details.
 const PROBLEM_TYPE: &str = "application/problem+json";
 
@@ -65,6 +68,9 @@
     };
     let mut response = result.map_err(|it| agent::failure(&it))?;
     let status = response.status().as_u16();
+    if !STATUSES.contains(&status) {
+        return Err(Failure::Broken(format!("service answered {status}, which is in no class")));
+    }
     let media_type = response.headers().get("content-type").and_then(|it| it.to_str().ok());
     let media_type = media_type.unwrap_or_default().to_owned();
     let read_result = response.body_mut().with_config().limit(RESPONSE_LIMIT_BYTES).read_to_vec();
--- a/crates/relay/src/connection.rs
+++ b/crates/relay/src/connection.rs
@@ -16,6 +16,7 @@
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
 use platform::exchange::configure_socket;
+use platform::head;
 use platform::report;
 use socket2::SockRef;
 use tokio::net::TcpStream;
@@ -107,7 +108,14 @@
     ) -> Result<Response<Incoming>, SendError> {
         let request = request.map(|it| self.upload.begin(it));
         match self.sender.send_request(request).await {
-            Ok(response) => Ok(response),
+            Ok(response) if head::has_class(response.status()) => Ok(response),
+            Ok(response) => {
+                spdlog::warn!("response has a status without a class", kv: {
+                    endpoint = self.place.0.as_str(),
+                    status = response.status().as_u16(),
+                });
+                Err(SendError::Broken)
+            }
             Err(error) if error.is_canceled() => Err(SendError::Unsent),
             Err(_) => Err(SendError::Broken),
         }
