front: log a usage record that finds no usable row

A record that conflicts without a row (the store's era has changed since it was decided), or whose row can't be decoded, was dropped without a line.

--- a/crates/front/src/broker/usage.rs
+++ b/crates/front/src/broker/usage.rs
@@ -92,10 +92,17 @@
         let recorded = match result {
             Ok(Commit::Done { version }) => Some((version, counts, "written")),
             // Another lease holder recorded the window first, so its counts are reported.
-            Ok(Commit::Conflict { rows }) => rows.first().and_then(|it| {
-                let counts = serde_json::from_str(&it.value).ok()?;
-                Some((it.version, counts, "found"))
-            }),
+            Ok(Commit::Conflict { rows }) => {
+                let found = rows.first().and_then(|it| {
+                    let counts = serde_json::from_str(&it.value).ok()?;
+                    Some((it.version, counts, "found"))
+                });
+                if found.is_none() {
+                    spdlog::info!("usage not recorded: no usable row, or another era of the store",
+                        kv: { window = window, rows = rows.len(), sent_in = position::era(absent) });
+                }
+                found
+            }
             Err(error) => {
                 spdlog::info!("failed to record usage", kv: {
                     window = window,
