--- a/crates/relay/src/connection.rs
+++ b/crates/relay/src/connection.rs
@@ -100,8 +100,8 @@
 impl Connection {
     /// Sends a request and returns the response, whose body has not been read yet.
     ///
-    /// A body that ends with the connection, and an error of its reader, tell a response that is
-    /// complete from one that broke off, also while the request was being written.
+    /// The body ends in order only if the response is complete. One that breaks off ends with an
+    /// error, also while the request is still being written.
     pub async fn send(
         &mut self,
         request: Request<Full<Bytes>>,
--- a/crates/relay/src/transport.rs
+++ b/crates/relay/src/transport.rs
@@ -160,7 +160,8 @@
         Transport { stream, upload }
     }
 
-    /// Returns the result of a write, in which `discarded` bytes are lost if the connection has failed.
+    /// Returns the result of a write to the HTTP library. If the connection has failed, the
+    /// `discarded` bytes count as written.
     fn settle(
         &self,
         written: Poll<io::Result<usize>>,
