Review case 13: ORDER: a resumed stream keeps the length of its first run

At fault: `crates/relay/src/stream.rs` (`relay`) with `platform/src/head.rs` (`forward_response`): the head of a stream keeps Content-Length, though the daemon may compose the body from several answers. The HTTP library discards what is beyond the length. A shorter new run ends with a visible error.

--- a/review/standins-3/cases/mod.rs
+++ b/review/standins-3/cases/mod.rs
@@ -1,6 +1,7 @@
 //! The cases.
 
 mod lost;
+mod order;
 mod refused;
 
 use std::io::Write;
@@ -23,6 +24,7 @@
 pub fn play(case: &str, folder: &Path, has_trouble: bool) -> Verdict {
     match case {
         "lost" => lost::play(folder, has_trouble),
+        "order" => order::play(folder, has_trouble),
         "refused" => refused::play(folder, has_trouble),
         _ => Verdict::NotRun,
     }
