Review case 14: TWICE: a given-up runner works on until the next one answers

At fault: `crates/relay/src/stream.rs` (`Relay::run`): `source` and its connection are dropped only when `resume` returns the next one. The same holds for a stream that is given up while memory is short and for a runner that doesn't continue what another one has begun (`accept`). The longer the next runners take, or the more of them decline, the longer the first one goes on.

Adds the case and what it needs; nothing outside review/ changes.

--- a/review/standins-3/cases/mod.rs
+++ b/review/standins-3/cases/mod.rs
@@ -3,6 +3,7 @@
 mod lost;
 mod order;
 mod refused;
+mod twice;
 
 use std::io::Write;
 use std::net::SocketAddr;
@@ -26,6 +27,7 @@
         "lost" => lost::play(folder, has_trouble),
         "order" => order::play(folder, has_trouble),
         "refused" => refused::play(folder, has_trouble),
+        "twice" => twice::play(folder, has_trouble),
         _ => Verdict::NotRun,
     }
 }
