--- a/review/standins-3/cases/mod.rs
+++ b/review/standins-3/cases/mod.rs
@@ -1,6 +1,5 @@
 //! The cases.
 
-mod gone;
 mod lost;
 mod order;
 mod refused;
@@ -25,7 +24,6 @@
 
 pub fn play(case: &str, folder: &Path, has_trouble: bool) -> Verdict {
     match case {
-        "gone" => gone::play(folder, has_trouble),
         "lost" => lost::play(folder, has_trouble),
         "order" => order::play(folder, has_trouble),
         "refused" => refused::play(folder, has_trouble),
