--- a/crates/front/src/broker/pending.rs
+++ b/crates/front/src/broker/pending.rs
@@ -9,6 +9,7 @@
 use balance::origin::Key;
 use balance::software::Requirement;
 use balance::subject::Subject;
+use policy::promise::Evidence;
 use route::config::Kind;
 use route::request::Attributes;
 use route::table::Match;
@@ -70,8 +71,8 @@
     pub(super) is_progress_known: bool,
     /// When the current endpoint began to respond.
     pub(super) began_at: Option<Instant>,
-    /// Whether an endpoint may have run the request.
-    pub(super) may_have_run: bool,
+    /// What the attempts that have ended show about whether the request has run.
+    pub(super) evidence: Evidence,
 }
 
 /// A process that is not known to be the one that its endpoint's entry described.
@@ -141,7 +142,7 @@
             has_started: false,
             is_progress_known: false,
             began_at: None,
-            may_have_run: false,
+            evidence: Evidence::Unsent,
         }
     }
 }
--- a/crates/front/src/broker/reach.rs
+++ b/crates/front/src/broker/reach.rs
@@ -54,7 +54,7 @@
             cause = if is_direct { "no_room" } else { "cut" },
             daemon = daemons[0].to_string(),
         });
-        Some(Admission::Forward { daemons, timeout: time_limit(&found, attributes) })
+        Some(Admission::Forward { daemons, timeout: time_limit(&found, attributes), is_idempotent })
     }
 
     /// Records what the end of an attempt says about this daemon's links.
--- a/crates/front/src/broker/requests.rs
+++ b/crates/front/src/broker/requests.rs
@@ -14,6 +14,8 @@
 use balance::pool::Pool;
 use balance::software::Requirement;
 use balance::subject::Subject;
+use policy::promise;
+use policy::promise::Author;
 use quota::endpoint;
 use quota::room::Rooms;
 use relay::admission::Admission;
@@ -177,17 +179,19 @@
         let Some(pending) = self.requests.get_mut(&ticket) else {
             return Err(Refusal { status: 502, retry_after: None });
         };
-        pending.may_have_run |=
-            matches!(outcome, Outcome::Broken | Outcome::Failed | Outcome::Unverified);
+        pending.evidence = pending.evidence.and(outcome.evidence());
         if outcome.was_sent() {
             pending.attempts_left = pending.attempts_left.saturating_sub(1);
         }
-        let (may_have_run, attempts_left) = (pending.may_have_run, pending.attempts_left);
+        let (evidence, is_idempotent) = (pending.evidence, pending.is_idempotent);
+        let attempts_left = pending.attempts_left;
         let id = pending.attributes.id.clone();
-        let status = if may_have_run { 502 } else { 503 };
-        let delay_if_not_run = |delay: Duration| (!may_have_run).then_some(delay);
-        if may_have_run && !pending.is_idempotent {
-            return Err(refuse(&id, Cause::Attempts, 502, None));
+        let refusal =
+            promise::Response { status: 503, author: Author::Daemon, evidence, is_idempotent };
+        let status = refusal.checked_status();
+        let delay_if_not_run = |delay: Duration| evidence.is_proof().then_some(delay);
+        if !evidence.is_proof() && !is_idempotent {
+            return Err(refuse(&id, Cause::Attempts, status, None));
         }
         let (route, limit) = (
             pending.route.clone(),
@@ -207,8 +211,8 @@
         if attempts_left == 0 {
             return Err(refuse(&id, Cause::Attempts, status, delay_if_not_run(DECLINED_DELAY)));
         }
-        if !may_have_run && !self.ends_before_exit(&route, limit, now) {
-            return Err(refuse(&id, Cause::Stopping, 503, relay::server::STOPPING.retry_after));
+        if evidence.is_proof() && !self.ends_before_exit(&route, limit, now) {
+            return Err(refuse(&id, Cause::Stopping, status, relay::server::STOPPING.retry_after));
         }
         let choice = self.choose(&service, &attributes, &requirement, &tried, now);
         let target = choice.as_ref().and_then(|it| self.target(&it.id, &requirement));
@@ -289,7 +293,8 @@
     fn finish(&mut self, ticket: u64, outcome: Outcome, status: u16, now: Instant) {
         self.release_endpoint(ticket, outcome, now);
         let Some(pending) = self.requests.remove(&ticket) else { return };
-        if !pending.has_started && !pending.may_have_run && matches!(status, 429 | 503) {
+        let evidence = pending.evidence.and(outcome.evidence());
+        if promise::is_made_by(status) && evidence.is_proof() {
             self.refund(pending.workspace.as_deref(), pending.units);
         }
         let took = now.saturating_duration_since(pending.arrived_at);
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod handover;
 pub mod hints;
 pub mod pool;
+pub mod promise;
 pub mod recover;
 pub mod retry;
 pub mod ring;
--- a/crates/relay/src/admission.rs
+++ b/crates/relay/src/admission.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use policy::promise::Evidence;
 use quota::endpoint::Statement;
 use route::request::Attributes;
 use tokio::sync::mpsc::UnboundedSender;
@@ -115,7 +116,7 @@
     /// version that it needs.
     OtherProcess,
     /// The request was sent, but the process that responded did not turn out to have the software
-    /// version that it needs.
+    /// version that it needs, or the response may be about an earlier request.
     Unverified,
     /// The deadline passed.
     TimedOut,
@@ -140,6 +141,21 @@
         !matches!(self, Outcome::Unreachable | Outcome::OtherProcess)
     }
 
+    /// Returns what it shows about whether the request has run.
+    pub fn evidence(self) -> Evidence {
+        match self {
+            Outcome::Unreachable | Outcome::OtherProcess => Evidence::Unsent,
+            Outcome::Declined | Outcome::Misdirected => Evidence::Declined,
+            Outcome::Served
+            | Outcome::ServedToClose
+            | Outcome::Failed
+            | Outcome::Broken
+            | Outcome::Unverified
+            | Outcome::TimedOut
+            | Outcome::Abandoned => Evidence::None,
+        }
+    }
+
     /// Returns the name used in logs and metrics.
     pub fn name(self) -> &'static str {
         match self {
@@ -169,6 +185,8 @@
         daemons: Vec<SocketAddr>,
         /// Maximum time from the request's arrival to the end of the response.
         timeout: Duration,
+        /// Whether the request may run more than once.
+        is_idempotent: bool,
     },
 }
 
--- a/crates/relay/src/hop.rs
+++ b/crates/relay/src/hop.rs
@@ -15,6 +15,8 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use platform::head;
+use policy::promise;
+use policy::promise::Author;
 use tokio::task::spawn_local;
 use tokio::time::Instant;
 use tokio::time::timeout_at;
@@ -27,8 +29,10 @@
 use crate::connection;
 use crate::connection::Connection;
 use crate::connection::SendError;
+use crate::serve::log_withheld;
 use crate::serve::refusal_response;
 use crate::serve::status_response;
+use crate::serve::withheld_response;
 
 /// Number of chunks buffered for a slow caller before reading from the daemon pauses.
 const BUFFERED_CHUNKS: usize = 16;
@@ -36,14 +40,22 @@
 const UNREACHABLE_DELAY: Duration = Duration::from_millis(500);
 
 /// Forwards a request to the first of the daemons that accepts a connection.
-pub async fn forward(call: Call, daemons: &[SocketAddr]) -> Response<Payload> {
+pub async fn forward(call: Call, daemons: &[SocketAddr], is_idempotent: bool) -> Response<Payload> {
     for daemon in daemons {
         // A connection of its own, so that its loss says that the request may have run.
         let connected = timeout_at(call.deadline, connection::connect(*daemon)).await;
         let Ok(Ok(mut connection)) = connected else { continue };
         let sent = connection.send(request(&call));
         let status = match timeout_at(call.deadline, sent).await {
-            Ok(Ok(response)) => return relay(call, response, connection),
+            Ok(Ok(response)) => {
+                let checked = check(&response, is_idempotent);
+                if checked.checked_status() == checked.status {
+                    return relay(call, response, connection);
+                }
+                let is_sealed = head::is_sealed(response.headers());
+                log_withheld(&call.id, &daemon.to_string(), checked, is_sealed);
+                return withheld_response(checked, &call.id);
+            }
             Ok(Err(SendError::Unsent)) => continue,
             Ok(Err(SendError::Broken)) => StatusCode::BAD_GATEWAY,
             Err(_) => StatusCode::GATEWAY_TIMEOUT,
@@ -68,6 +80,17 @@
     request
 }
 
+/// Returns what is known of the request after the response of another daemon, which states it if
+/// the request has not run. Former versions and other programs state nothing.
+fn check(response: &Response<Incoming>, is_idempotent: bool) -> promise::Response {
+    promise::Response {
+        status: response.status().as_u16(),
+        author: Author::Endpoint,
+        evidence: head::decode_statement(response.headers()),
+        is_idempotent,
+    }
+}
+
 /// Returns the response to the caller and spawns the task that relays its body.
 fn relay(call: Call, response: Response<Incoming>, connection: Connection) -> Response<Payload> {
     let (parts, body) = response.into_parts();
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -15,6 +15,9 @@
 use hyper::body::Body;
 use hyper::body::Incoming;
 use platform::head;
+use policy::promise;
+use policy::promise::Author;
+use policy::promise::Evidence;
 use route::config::Limits;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
@@ -51,11 +54,15 @@
     progress: Rc<Progress>,
 ) -> Response<Tracked> {
     let version = request.version();
+    let is_forwarded = head::is_forwarded(request.headers());
     let mut response = respond(&server, request, &progress).await;
     if version < Version::HTTP_11 && response.body().is_streamed() {
         // Earlier versions have no chunks.
         progress.record_undelimited();
     }
+    if !is_forwarded {
+        head::remove_statement(response.headers_mut());
+    }
     if server.is_closing() {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
@@ -122,7 +129,9 @@
             let ticket = server.ticket(plan.ticket);
             forward(server, call, plan, target, ticket).await
         }
-        Admission::Forward { daemons, .. } => hop::forward(call, &daemons).await,
+        Admission::Forward { daemons, is_idempotent, .. } => {
+            hop::forward(call, &daemons, is_idempotent).await
+        }
     }
 }
 
@@ -222,7 +231,20 @@
     if is_success {
         ticket.report_started();
     }
+    // Responses of endpoints that state that they have not run the request don't get here.
+    let checked = promise::Response {
+        status: head.status.as_u16(),
+        author: Author::Endpoint,
+        evidence: Evidence::None,
+        is_idempotent: plan.is_idempotent,
+    };
+    let is_sealed = head.attributes.is_sealed;
     let response = buffered::collect(server, call, &target.id, head).await?;
+    if checked.checked_status() != checked.status {
+        log_withheld(&call.id, &target.id, checked, is_sealed);
+        ticket.set_result(Outcome::Failed, checked.checked_status());
+        return Ok(withheld_response(checked, &call.id));
+    }
     if is_server_error && plan.is_idempotent {
         // Another endpoint may succeed. If there is none, the caller gets this response.
         return match ticket.retry(Outcome::Failed).await {
@@ -272,11 +294,33 @@
     }
 }
 
+/// Logs that a response isn't passed on, as its status would promise more than is known.
+pub(crate) fn log_withheld(id: &str, from: &str, response: promise::Response, is_sealed: bool) {
+    spdlog::warn!("response withheld", kv: {
+        request = id,
+        from = from,
+        status = response.status,
+        sent = response.checked_status(),
+        evidence = response.evidence.name(),
+        is_idempotent = response.is_idempotent,
+        is_sealed = is_sealed,
+    });
+}
+
+/// Returns this daemon's response in place of one that isn't passed on.
+pub(crate) fn withheld_response(response: promise::Response, id: &str) -> Response<Payload> {
+    refusal_response(&Refusal { status: response.checked_status(), retry_after: None }, id)
+}
+
+/// Returns a response of this daemon, for a request that has not run if its status promises that.
 pub(crate) fn refusal_response(refusal: &Refusal, id: &str) -> Response<Payload> {
     let status = StatusCode::from_u16(refusal.status).unwrap_or(StatusCode::BAD_GATEWAY);
     let mut response = Response::new(Payload::buffered(Bytes::new()));
     *response.status_mut() = status;
     *response.headers_mut() = head::own_response(id, refusal.retry_after);
+    if promise::is_made_by(status.as_u16()) {
+        head::state_not_run(response.headers_mut());
+    }
     response
 }
 
