relay: a refusal without an id on a kept connection is no evidence

A request without an id was refused as "not run" by any response on its connection that says so and has no id either. On a kept connection that may be a late response to the request before, and the request itself may run.

The attempt now counts as unverified: 502, or another endpoint for idempotent requests.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -119,6 +119,10 @@
     if verifies && !attributes.has_not_run {
         verify(pool, &connection, call, ticket).await?;
     }
+    if attributes.has_not_run && !is_fresh && call.id.is_empty() {
+        // It may be about an earlier request, and this one may run.
+        return Err(Outcome::Unverified);
+    }
     if attributes.has_not_run {
         return Err(if is_misdirected { Outcome::Misdirected } else { Outcome::Declined });
     }
