serve: an error of a service doesn't promise "not run"

The daemon itself used 503 with outcome `unknown` when an answer moved or a daemon stopped before it replied.

Now policy::promise decides here too. A final reply passes dispatch::problems::checked, where the daemon that serves the call and those that forward it end it; a problem can't be created with a status that promises more than its outcome. Unchanged: 400, 500, 504, responses to idempotent calls, services that say "not run".

Test: at_most_once the_service_executed_the_call_and_failed_it, which failed before with 408.

--- a/crates/gateway/src/response.rs
+++ b/crates/gateway/src/response.rs
@@ -174,5 +174,5 @@
 /// Returns the problem for a daemon that stopped before it replied to the request.
 fn interrupted() -> Problem {
     let detail = "the daemon is shutting down; ask again with the same Idempotency-Key";
-    Problem::new(503, "interrupted", detail, Outcome::Unknown).retry_after(1)
+    Problem::new(502, "interrupted", detail, Outcome::Unknown).retry_after(1)
 }
--- a/crates/harness/tests/at_most_once/main.rs
+++ b/crates/harness/tests/at_most_once/main.rs
@@ -180,6 +180,36 @@
     Ok(())
 }
 
+/// Guards against an error of the service that callers take for the promise that the call was not
+/// executed, so that they send it again under another key.
+#[test]
+fn the_service_executed_the_call_and_failed_it() -> io::Result<()> {
+    let fixture = Fixture::start(&[])?;
+    let check = |status: u16, expected: u16, outcome: Option<&str>| -> io::Result<()> {
+        let key = format!("failed {status}");
+        fixture.set_service(&json!({ "fail_status": status }).to_string())?;
+
+        // The owner, and daemons that forward the call to it.
+        for daemon in [fixture.non_owner(0), fixture.non_owner(1), fixture.owner] {
+            let response = fixture.renew(daemon, &key)?;
+
+            assert_eq!(response.status, expected, "{response:?}");
+            assert_eq!(response.body["outcome"].as_str(), outcome, "{response:?}");
+            assert!(response.retry_after.is_empty(), "{response:?}");
+        }
+        assert_eq!(fixture.executions(&key)?, 1);
+        Ok(())
+    };
+
+    for status in [408, 421, 429, 503] {
+        check(status, 502, Some("unknown"))?;
+    }
+    for status in [400, 500, 504] {
+        check(status, status, None)?;
+    }
+    Ok(())
+}
+
 #[test]
 fn no_endpoint_accepted_the_call() -> io::Result<()> {
     let fixture = Fixture::start(&[])?;
--- a/crates/job/src/problem.rs
+++ b/crates/job/src/problem.rs
@@ -2,6 +2,9 @@
 
 use bincode::Decode;
 use bincode::Encode;
+use policy::promise;
+use policy::promise::Author;
+use policy::promise::Evidence;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -33,16 +36,40 @@
     pub retry_after_s: Option<u32>,
 }
 
+impl Outcome {
+    /// Returns what it shows about whether the request has run.
+    pub fn evidence(self) -> Evidence {
+        match self {
+            Outcome::NotRun => Evidence::Declined,
+            Outcome::Failed | Outcome::Unknown => Evidence::None,
+        }
+    }
+}
+
 impl Problem {
     /// Creates the problem of a request that was not executed.
     pub fn not_run(status: u16, title: &str, detail: impl Into<String>) -> Problem {
         Problem::new(status, title, detail, Outcome::NotRun)
     }
 
-    /// Creates a problem with the given outcome.
+    /// Creates a problem with the given outcome. A status that promises more than the outcome is
+    /// replaced.
     pub fn new(status: u16, title: &str, detail: impl Into<String>, outcome: Outcome) -> Problem {
         let title = title.to_owned();
-        Problem { status, title, detail: detail.into(), outcome, retry_after_s: None }
+        let detail = detail.into();
+        Problem { status, title, detail, outcome, retry_after_s: None }.checked()
+    }
+
+    /// Returns the problem with a status that promises no more than its outcome. Problems that
+    /// former builds created may promise more.
+    pub fn checked(self) -> Problem {
+        let response = promise::Response {
+            status: self.status,
+            author: Author::Daemon,
+            evidence: self.outcome.evidence(),
+            is_idempotent: false,
+        };
+        Problem { status: response.checked_status(), ..self }
     }
 
     /// Sets the number of seconds to wait before a retry.
--- a/crates/lentilhook/src/daemon/dispatch/mod.rs
+++ b/crates/lentilhook/src/daemon/dispatch/mod.rs
@@ -399,6 +399,8 @@
 
     /// Ends a job. A job with a key is retained for callers that repeat the request.
     fn end(&mut self, cx: CX![], id: JobId, reply: Reply) {
+        let Some(job) = self.jobs.get(&id) else { return };
+        let reply = problems::checked(&job.call, reply);
         self.advance_to_final(id, &reply);
         let Some(job) = self.jobs.get_mut(&id) else { return };
         let is_retained = job.call.key.is_some();
--- a/crates/lentilhook/src/daemon/dispatch/problems.rs
+++ b/crates/lentilhook/src/daemon/dispatch/problems.rs
@@ -1,7 +1,13 @@
 //! Problems for calls that were not answered by an endpoint.
 
+use job::call::Call;
 use job::problem::Outcome;
 use job::problem::Problem;
+use job::reply::Reply;
+use job::reply::Response;
+use policy::promise;
+use policy::promise::Author;
+use policy::promise::Evidence;
 
 /// Seconds until capacity may be available again.
 const CAPACITY_RETRY_S: u32 = 2;
@@ -48,6 +54,36 @@
     Problem::new(502, "outcome unknown", detail, Outcome::Unknown)
 }
 
+/// Returns a final reply that promises no more than is known about whether the call has run.
+pub fn checked(call: &Call, reply: Reply) -> Reply {
+    match reply {
+        Reply::Response(response) => checked_response(call, response),
+        Reply::Problem(problem) => Reply::Problem(problem.checked()),
+        Reply::Token(_) | Reply::Moved(_) | Reply::Finished(_) => reply,
+    }
+}
+
+fn checked_response(call: &Call, response: Response) -> Reply {
+    let checked = promise::Response {
+        status: response.status,
+        author: Author::Endpoint,
+        // A service states "not run" as a problem, which is no response to the call.
+        evidence: Evidence::None,
+        is_idempotent: !call.is_non_idempotent(),
+    };
+    if checked.checked_status() == checked.status {
+        return Reply::Response(response);
+    }
+    spdlog::warn!("response withheld", kv: {
+        workspace = call.workspace.as_str(),
+        service = call.service.as_str(),
+        status = checked.status,
+        sent = checked.checked_status(),
+        evidence = checked.evidence.name(),
+    });
+    Reply::Problem(unknown(&format!("the service answered {}", checked.status)))
+}
+
 /// All attempts at a call that may be repeated have failed.
 pub fn exhausted(attempts: u32) -> Problem {
     let detail = format!("{attempts} attempts failed; come back after Retry-After");
@@ -80,7 +116,7 @@
         "this daemon is being reclaimed; ask any other daemon again with Idempotency-Key {key:?} \
          and the id of the last event received as Last-Event-ID"
     );
-    Problem::new(503, "moved", detail, Outcome::Unknown).retry_after(1)
+    Problem::new(502, "moved", detail, Outcome::Unknown).retry_after(1)
 }
 
 /// The daemon is draining and accepts no new work.
--- a/crates/lentilhook/src/daemon/dispatch/relays.rs
+++ b/crates/lentilhook/src/daemon/dispatch/relays.rs
@@ -99,6 +99,7 @@
     /// Handles a part of the reply from the daemon that serves the call.
     pub(super) fn relay_reply(&mut self, cx: CX![], stream: StreamId, reply: Reply) {
         let Some(relay) = self.relays.get_mut(&stream) else { return };
+        let reply = problems::checked(&relay.call, reply);
         let last = reply.is_last();
         match &reply {
             // Invariant: every token is sent to the caller once and in order.
--- a/crates/standins/src/service/mod.rs
+++ b/crates/standins/src/service/mod.rs
@@ -109,7 +109,10 @@
             thread::sleep(LOST_ANSWER_WAIT);
             return Ok(());
         }
-        responder.send_json(200, &receipt)
+        match self.switches.faults().fail_status {
+            0 => responder.send_json(200, &receipt),
+            status => responder.send_typed(status, "text/plain", b"the table did not answer"),
+        }
     }
 
     /// Executes a call and records it. Returns `None` if the fencing token is outdated.
--- a/crates/standins/src/switches.rs
+++ b/crates/standins/src/switches.rs
@@ -22,6 +22,8 @@
     pub freeze: bool,
     /// Delay before each call is processed, in milliseconds.
     pub slow_ms: u64,
+    /// Status with which calls are answered that were executed; 0 for success.
+    pub fail_status: u16,
     /// Number of upcoming calls that take effect but whose answer is lost.
     pub lose_answers: u32,
     /// Loses the answer of every commit. The commits still take effect.
