serve: a call that a lost daemon may have begun isn't reported as not run

The owner of a key is killed while the service runs an idempotent call. The daemon that had forwarded the call serves it itself; if it knows no endpoint, it answered 503 with outcome `not_run`, about a call that had begun. Completions take the same path. Calls that may be executed once don't: they are asked again under their key.

The caller's channel now remembers that another daemon may have begun the call, and "not run" becomes `unknown`, with 502.

Test: at_most_once owner_of_a_lookup_killed_while_the_service_runs_it, which failed before with 503 not_run.

--- a/crates/harness/src/caller.rs
+++ b/crates/harness/src/caller.rs
@@ -124,6 +124,20 @@
         .header("idempotency-key", key)
         .content_type("text/plain")
         .send(body);
+    decode(result)
+}
+
+/// Looks an entry up, which may be repeated, under this idempotency key.
+pub fn look_up(address: &str, key: &str) -> io::Result<Response> {
+    let result = agent()
+        .get(format!("http://{address}/services/{PLAIN_SERVICE}/entries/{key}"))
+        .header("authorization", format!("Bearer {WORKSPACE_TOKEN}"))
+        .header("idempotency-key", key)
+        .call();
+    decode(result)
+}
+
+fn decode(result: Result<ureq::http::Response<ureq::Body>, ureq::Error>) -> io::Result<Response> {
     let mut response = result.map_err(io::Error::other)?;
     let retry_after = response.headers().get("retry-after").and_then(|it| it.to_str().ok());
     Ok(Response {
--- a/crates/harness/tests/at_most_once/fixture.rs
+++ b/crates/harness/tests/at_most_once/fixture.rs
@@ -30,6 +30,8 @@
 const MAX_DEPLOYMENTS: usize = 5;
 /// Delay before a call that was reported as `not_run` is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(300);
+/// Time within which a change of the VM list reaches all daemons.
+const SETTLE_TIME: Duration = Duration::from_secs(3);
 /// Maximum number of attempts to get a final outcome.
 const MAX_ATTEMPTS: usize = 60;
 
@@ -73,8 +75,12 @@
 impl Call {
     /// Waits for the outcome of the call.
     pub fn join(self) -> io::Result<Outcome> {
-        let response = self.0.join().map_err(|_| io::Error::other("the caller panicked"))?;
-        Ok(Outcome::from_response(&response?))
+        Ok(Outcome::from_response(&self.join_response()?))
+    }
+
+    /// Waits for the response to the call.
+    pub fn join_response(self) -> io::Result<Response> {
+        self.0.join().map_err(|_| io::Error::other("the caller panicked"))?
     }
 }
 
@@ -99,6 +105,19 @@
         (self.owner + 1 + number) % DAEMONS.len()
     }
 
+    /// Returns the index of the daemon that owns a key of calls that may be repeated.
+    pub fn owner_of(&self, key: &str) -> usize {
+        let name = format!("office/{PLAIN_SERVICE}/{key}");
+        let owner = policy::ring::owner(&name, DAEMONS.map(|it| it.0).into_iter());
+        DAEMONS.iter().position(|it| Some(it.0) == owner).unwrap_or_default()
+    }
+
+    /// Starts a call that may be repeated through a daemon.
+    pub fn look_up(&self, daemon: usize, key: &str) -> Call {
+        let (address, key) = (self.cluster.daemons[daemon].callers.clone(), key.to_owned());
+        Call(thread::spawn(move || caller::look_up(&address, &key)))
+    }
+
     /// Makes the owner claim the lease of the shard, with a call under another key
     /// of the same shard.
     pub fn acquire_lease(&self) -> io::Result<()> {
@@ -173,8 +192,21 @@
 
     /// Kills the owner and removes it from the list.
     pub fn kill_owner(&mut self) -> io::Result<()> {
-        self.cluster.daemons[self.owner].process.kill()?;
-        self.cluster.daemons.remove(self.owner);
+        self.kill(self.owner)
+    }
+
+    /// Kills a daemon and removes it from the list.
+    pub fn kill(&mut self, daemon: usize) -> io::Result<()> {
+        self.cluster.daemons[daemon].process.kill()?;
+        self.cluster.daemons.remove(daemon);
+        Ok(())
+    }
+
+    /// Removes the service from the list of VMs, with the calls that it runs unfinished, and waits
+    /// until all daemons know.
+    pub fn remove_service(&self) -> io::Result<()> {
+        self.cluster.reclaim(&["registry-1"], Duration::ZERO)?;
+        thread::sleep(SETTLE_TIME);
         Ok(())
     }
 
--- a/crates/harness/tests/at_most_once/main.rs
+++ b/crates/harness/tests/at_most_once/main.rs
@@ -210,6 +210,24 @@
     Ok(())
 }
 
+/// Guards against "not run" of a daemon that knows nothing of what the lost owner had begun.
+#[test]
+fn owner_of_a_lookup_killed_while_the_service_runs_it() -> io::Result<()> {
+    let mut fixture = Fixture::start(&[])?;
+    fixture.set_service(UNRESPONSIVE)?;
+    let owner = fixture.owner_of("lookup");
+    let caller = fixture.look_up((owner + 1) % 3, "lookup");
+    fixture.wait_for_arrivals(1)?;
+    fixture.remove_service()?;
+
+    fixture.kill(owner)?;
+
+    let response = caller.join_response()?;
+    assert_eq!(Outcome::from_response(&response), Outcome::Unknown, "{response:?}");
+    assert_eq!(response.status, 502, "{response:?}");
+    Ok(())
+}
+
 #[test]
 fn no_endpoint_accepted_the_call() -> io::Result<()> {
     let fixture = Fixture::start(&[])?;
--- a/crates/lentilhook/src/daemon/dispatch/handover.rs
+++ b/crates/lentilhook/src/daemon/dispatch/handover.rs
@@ -274,7 +274,7 @@
         let Some(job) = self.jobs.get_mut(&id) else { return };
         let (Body::Chat(_), Some(key)) = (&job.call.body, &job.call.key) else { return };
         let problem = problems::moved(key);
-        let is_local = |sink: &Sink| matches!(sink, Sink::Gateway { .. });
+        let is_local = |sink: &Sink| matches!(sink.underlying(), Sink::Gateway { .. });
         for waiter in job.waiters.drain(..).filter(|it| is_local(&it.sink)) {
             waiter.sink.send(&self.transport, Reply::Problem(problem.clone()));
         }
--- a/crates/lentilhook/src/daemon/dispatch/job.rs
+++ b/crates/lentilhook/src/daemon/dispatch/job.rs
@@ -17,6 +17,7 @@
 use peer::wire::Frame;
 use tokio::sync::mpsc::UnboundedSender;
 
+use crate::daemon::dispatch::problems;
 use crate::daemon::dispatch::recorded::Retry;
 use crate::daemon::dispatch::recovery::Plan;
 use crate::daemon::lifecycle::request::State;
@@ -143,13 +144,16 @@
     Peer(StreamId),
     /// A call that is retried because the daemon that owns its key was lost.
     Retry(Box<Retry>),
+    /// A call that this daemon serves in place of one that was lost and may have begun it.
+    Begun(Box<Sink>),
 }
 
 impl Sink {
-    /// Returns the underlying reply channel, without retry wrappers.
+    /// Returns the underlying reply channel, without wrappers.
     pub fn underlying(&self) -> &Sink {
         match self {
             Sink::Retry(retry) => retry.sink.underlying(),
+            Sink::Begun(sink) => sink.underlying(),
             sink => sink,
         }
     }
@@ -164,6 +168,7 @@
                 let _ = replies.send(reply);
             }
             Sink::Retry(retry) => retry.send(transport, reply),
+            Sink::Begun(sink) => sink.send(transport, problems::after_begin(reply)),
             Sink::Peer(stream) => {
                 let last = reply.is_last();
                 let stream = *stream;
--- a/crates/lentilhook/src/daemon/dispatch/problems.rs
+++ b/crates/lentilhook/src/daemon/dispatch/problems.rs
@@ -63,6 +63,17 @@
     }
 }
 
+/// Returns a part of the reply to a call that another daemon may have begun. Whatever this daemon
+/// knows, the call may have run.
+pub fn after_begin(reply: Reply) -> Reply {
+    match reply {
+        Reply::Problem(problem) if problem.outcome == Outcome::NotRun => {
+            Reply::Problem(Problem { outcome: Outcome::Unknown, ..problem }.checked())
+        }
+        reply => reply,
+    }
+}
+
 fn checked_response(call: &Call, response: Response) -> Reply {
     let checked = promise::Response {
         status: response.status,
--- a/crates/lentilhook/src/daemon/dispatch/relays.rs
+++ b/crates/lentilhook/src/daemon/dispatch/relays.rs
@@ -128,13 +128,15 @@
         self.transport.command(Command::Finish { stream });
         let Some(relay) = self.relays.remove(&stream) else { return };
         let Relay { mut call, service, sink, next_index } = relay;
+        let is_repeatable = !call.is_non_idempotent();
+        let sink = if sent && is_repeatable { Sink::Begun(Box::new(sink)) } else { sink };
         if let Body::Chat(chat) = &mut call.body {
             // A completion may be recomputed; it continues after the last token sent.
             chat.from_index = next_index;
             self.serve(cx, call, service, sink);
             return;
         }
-        if !call.is_non_idempotent() {
+        if is_repeatable {
             self.serve(cx, call, service, sink);
         } else if sent {
             self.owner_lost(cx, call, service, sink);
